--- /dev/null
+++ b/nutmegusher/base/base.hpp
@@ -0,0 +1,18 @@
+// The vocabulary that every package shares: time, ids, errors, log events.
+//
+// Include this header only; the ones beside it are its parts.
+//
+//     using namespace nutmegusher;
+//     manual_clock clock;
+//     clock.advance(std::chrono::milliseconds(5));
+//     service_name service("disbursement");
+#ifndef NUTMEGUSHER_BASE_BASE_HPP
+#define NUTMEGUSHER_BASE_BASE_HPP
+
+#include "nutmegusher/base/clock.hpp"
+#include "nutmegusher/base/error.hpp"
+#include "nutmegusher/base/events.hpp"
+#include "nutmegusher/base/identifier.hpp"
+#include "nutmegusher/base/random.hpp"
+
+#endif
--- /dev/null
+++ b/nutmegusher/base/events.cpp
@@ -0,0 +1,299 @@
+#include "nutmegusher/base/events.hpp"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+constexpr std::array descriptions{
+    event_description{
+        event::process_started, "process_started", severity::info},
+    event_description{
+        event::process_stopping, "process_stopping", severity::info},
+    event_description{
+        event::process_stopped, "process_stopped", severity::info},
+    event_description{
+        event::settings_refused, "settings_refused", severity::error},
+    event_description{
+        event::configuration_in_force,
+        "configuration_in_force",
+        severity::info},
+    event_description{
+        event::control_unreachable, "control_unreachable", severity::warning},
+    event_description{
+        event::control_reached, "control_reached", severity::info},
+    event_description{
+        event::control_leader_elected,
+        "control_leader_elected",
+        severity::info},
+    event_description{
+        event::control_stepped_down, "control_stepped_down", severity::warning},
+    event_description{
+        event::control_change_accepted,
+        "control_change_accepted",
+        severity::info},
+    event_description{
+        event::control_change_refused,
+        "control_change_refused",
+        severity::warning},
+    event_description{
+        event::control_log_tail_cut, "control_log_tail_cut", severity::warning},
+    event_description{
+        event::control_storage_failed,
+        "control_storage_failed",
+        severity::error},
+    event_description{
+        event::control_snapshot_taken,
+        "control_snapshot_taken",
+        severity::info},
+    event_description{
+        event::control_membership_changed,
+        "control_membership_changed",
+        severity::info},
+    event_description{
+        event::upstream_announced, "upstream_announced", severity::info},
+    event_description{
+        event::upstream_leaving, "upstream_leaving", severity::info},
+    event_description{event::upstream_lost, "upstream_lost", severity::warning},
+    event_description{
+        event::request_refused, "request_refused", severity::info},
+    event_description{event::answer_broken, "answer_broken", severity::warning},
+    event_description{
+        event::request_unknown, "request_unknown", severity::warning},
+    event_description{event::claim_refused, "claim_refused", severity::info},
+    event_description{
+        event::claim_unreachable, "claim_unreachable", severity::warning},
+    event_description{
+        event::outcome_not_recorded, "outcome_not_recorded", severity::warning},
+    event_description{
+        event::connection_silent, "connection_silent", severity::warning},
+    event_description{
+        event::connection_failed, "connection_failed", severity::info},
+};
+
+std::string_view level_name(severity level)
+{
+    switch (level)
+    {
+    case severity::info:
+        return "info";
+    case severity::warning:
+        return "warning";
+    case severity::error:
+        return "error";
+    }
+    return "error";
+}
+
+void append_escaped(std::string& out, std::string_view text)
+{
+    static constexpr std::string_view hex = "0123456789abcdef";
+    for (const char c : text)
+    {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\')
+        {
+            out += '\\';
+            out += c;
+        }
+        else if (byte < 0x20)
+        {
+            out += "\\u00";
+            out += hex[byte >> 4U];
+            out += hex[byte & 0xFU];
+        }
+        else
+        {
+            out += c;
+        }
+    }
+}
+
+void append_value(std::string& out, const event_field& field)
+{
+    std::visit(
+        [&out](const auto& value)
+        {
+            using type = std::decay_t<decltype(value)>;
+            if constexpr (std::is_same_v<type, std::string_view>)
+            {
+                out += '"';
+                append_escaped(out, value);
+                out += '"';
+            }
+            else if constexpr (std::is_same_v<type, bool>)
+            {
+                out += value ? "true" : "false";
+            }
+            else
+            {
+                out += std::to_string(value);
+            }
+        },
+        field.value);
+}
+
+// Counts the lines of each event in the running second.
+class rate_limiter
+{
+public:
+    // How many lines were left out before this one; nothing if it is left
+    // out as well.
+    bool admit(event id, std::uint32_t limit, std::uint64_t& left_out)
+    {
+        using clock = std::chrono::steady_clock;
+        const std::scoped_lock lock(mutex_);
+        auto& window = windows_[id];
+        const auto now = clock::now();
+        if (now - window.start >= std::chrono::seconds(1))
+        {
+            window.start = now;
+            window.written = 0;
+        }
+        if (window.written >= limit)
+        {
+            ++window.left_out;
+            return false;
+        }
+        ++window.written;
+        left_out = std::exchange(window.left_out, 0);
+        return true;
+    }
+
+private:
+    struct window
+    {
+        std::chrono::steady_clock::time_point start;
+        std::uint32_t written = 0;
+        std::uint64_t left_out = 0;
+    };
+
+    std::mutex mutex_;
+    std::map<event, window> windows_;
+};
+
+struct logging_state
+{
+    bool started = false;
+    log_format format = log_format::json;
+    std::string process;
+    std::uint32_t rate_limit = default_event_rate_limit;
+    log4cxx::LoggerPtr logger;
+    rate_limiter limiter;
+};
+
+logging_state& state()
+{
+    static logging_state instance;
+    return instance;
+}
+
+log4cxx::LevelPtr to_level(severity level)
+{
+    switch (level)
+    {
+    case severity::info:
+        return log4cxx::Level::getInfo();
+    case severity::warning:
+        return log4cxx::Level::getWarn();
+    case severity::error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+} // namespace
+
+std::span<const event_description> all_events()
+{
+    return descriptions;
+}
+
+const event_description& describe(event id)
+{
+    const auto* const found = std::find_if(
+        descriptions.begin(),
+        descriptions.end(),
+        [id](const event_description& entry)
+        {
+            return entry.id == id;
+        });
+    return *found;
+}
+
+std::string
+format_event(log_format format, event id, std::span<const event_field> fields)
+{
+    const auto& description = describe(id);
+    const bool json = format == log_format::json;
+    std::string line = json ? "{\"event\":" : "event=";
+    line += std::to_string(static_cast<unsigned>(id));
+    line += json ? ",\"name\":\"" : " name=";
+    line += description.name;
+    line += json ? "\",\"level\":\"" : " level=";
+    line += level_name(description.level);
+    line += json ? "\"" : "";
+    for (const auto& field : fields)
+    {
+        line += json ? ",\"" : " ";
+        line += field.key;
+        line += json ? "\":" : "=";
+        append_value(line, field);
+    }
+    line += json ? "}" : "";
+    return line;
+}
+
+void start_logging(
+    log_format format, std::string_view process, std::uint32_t rate_limit)
+{
+    auto& logging = state();
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(
+        LOG4CXX_STR("%d{ISO8601} %m%n"));
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::configure(appender);
+    logging.logger = log4cxx::Logger::getLogger("nutmegusher");
+    logging.format = format;
+    logging.process = process;
+    logging.rate_limit = rate_limit;
+    logging.started = true;
+}
+
+void log_event(event id, std::initializer_list<event_field> fields)
+{
+    auto& logging = state();
+    if (!logging.started)
+    {
+        return;
+    }
+    std::uint64_t left_out = 0;
+    if (!logging.limiter.admit(id, logging.rate_limit, left_out))
+    {
+        return;
+    }
+    std::vector<event_field> all(fields);
+    all.push_back({"process", std::string_view(logging.process)});
+    if (left_out > 0)
+    {
+        all.push_back({"left_out", left_out});
+    }
+    const auto line = format_event(logging.format, id, all);
+    logging.logger->log(to_level(describe(id).level), line);
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/base/events.hpp
@@ -0,0 +1,110 @@
+// Numbered log events. `docs/EVENTS.md` is their catalogue; a test holds the
+// two against each other.
+//
+//     log_event(
+//         event::control_leader_elected,
+//         {{"host", host.str()}, {"term", term}});
+//
+// One event is written at most `rate_limit` times a second, so that a surge
+// of requests isn't followed by a surge of writes; the next line that passes
+// tells how many were left out.
+#ifndef NUTMEGUSHER_BASE_EVENTS_HPP
+#define NUTMEGUSHER_BASE_EVENTS_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace nutmegusher
+{
+
+// How bad it is: who reads it, and when.
+enum class severity : std::uint8_t
+{
+    info,    // an ordinary change of state
+    warning, // works on, with less
+    error    // something is lost or refused that should not be
+};
+
+// Every event that a process writes. 1xx: process; 2xx: configuration and
+// control; 3xx: membership; 4xx: requests; 5xx: execution; 6xx: connections.
+enum class event : std::uint16_t
+{
+    process_started = 100,
+    process_stopping = 101,
+    process_stopped = 102,
+    settings_refused = 103,
+    configuration_in_force = 200,
+    control_unreachable = 201,
+    control_reached = 202,
+    control_leader_elected = 203,
+    control_stepped_down = 204,
+    control_change_accepted = 205,
+    control_change_refused = 206,
+    control_log_tail_cut = 207,
+    control_storage_failed = 208,
+    control_snapshot_taken = 209,
+    control_membership_changed = 210,
+    upstream_announced = 300,
+    upstream_leaving = 301,
+    upstream_lost = 302,
+    request_refused = 400,
+    answer_broken = 401,
+    request_unknown = 402,
+    claim_refused = 500,
+    claim_unreachable = 501,
+    outcome_not_recorded = 502,
+    connection_silent = 600,
+    connection_failed = 601,
+};
+
+// What the catalogue knows of an event.
+struct event_description
+{
+    event id;
+    std::string_view name;
+    severity level;
+};
+
+// All events, by rising number.
+[[nodiscard]] std::span<const event_description> all_events();
+
+// Requires: `id` is one of the enumerators.
+[[nodiscard]] const event_description& describe(event id);
+
+// A typed field of a log line.
+struct event_field
+{
+    std::string_view key;
+    std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool>
+        value;
+};
+
+enum class log_format : std::uint8_t
+{
+    json, // an object a line
+    text  // key=value
+};
+
+// Lines of one event a second before the rest is only counted.
+inline constexpr std::uint32_t default_event_rate_limit = 20;
+
+// Sends all events to standard error in `format`; call once, before threads.
+void start_logging(
+    log_format format,
+    std::string_view process,
+    std::uint32_t rate_limit = default_event_rate_limit);
+
+// Writes one event; safe from every thread; doesn't fail.
+void log_event(event id, std::initializer_list<event_field> fields);
+
+// The line's text, without writing it.
+[[nodiscard]] std::string
+format_event(log_format format, event id, std::span<const event_field> fields);
+
+} // namespace nutmegusher
+
+#endif
