--- /dev/null
+++ b/nutmegusher/wire/call.hpp
@@ -0,0 +1,30 @@
+// Small unary calls between processes, for control messages.
+#ifndef NUTMEGUSHER_WIRE_CALL_HPP
+#define NUTMEGUSHER_WIRE_CALL_HPP
+
+#include "nutmegusher/wire/session_pool.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace nutmegusher::wire
+{
+
+// The largest answer that `call` takes.
+inline constexpr std::size_t max_call_answer = 64 * 1024 * 1024;
+
+// Sends POST `path` with `body` (an encoded protobuf message) and gives back
+// the whole body of the answer. `path` and `body` must stay valid until it
+// ends.
+// Errors: as of the pool and the stream; `bad_status` where the answer isn't
+// 200; `timed_out` after `timeout`, connecting included; `too_large`.
+[[nodiscard]] boost::asio::awaitable<outcome<std::string, stream_failure>> call(
+    session_pool& pool,
+    boost::asio::ip::tcp::endpoint peer,
+    std::string_view path,
+    std::string_view body,
+    duration timeout);
+
+} // namespace nutmegusher::wire
+
+#endif
