Carry streams over nghttp2: sessions, pool, server, calls, liveness

A connection reads into a buffer that its thread shares, gathers nghttp2's output into one buffer a turn with one write in flight, and wakes coroutines only in a later turn. The server gives the window back as its handler reads. A short call and a long transfer don't share a session, because one reader that lags may fill the window of the connection.

--- /dev/null
+++ b/nutmegusher/wire/client_session.cpp
@@ -0,0 +1,109 @@
+#include "nutmegusher/wire/client_session.hpp"
+
+#include "nutmegusher/wire/connection.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace nutmegusher::wire
+{
+
+boost::asio::awaitable<outcome<std::shared_ptr<client_session>, stream_failure>>
+client_session::connect(
+    boost::asio::io_context& context,
+    boost::asio::ip::tcp::endpoint peer,
+    session_options options)
+{
+    const auto made = std::make_shared<internal::connection>(
+        context,
+        internal::tcp_socket(context),
+        internal::side::client,
+        options);
+    // Closes the connection where this coroutine is cancelled.
+    auto session = std::make_shared<client_session>(made);
+    made->limit_handshake();
+    const auto token = boost::asio::as_tuple(boost::asio::use_awaitable);
+    const auto [error] = co_await made->socket().async_connect(peer, token);
+    if (made->closed())
+    {
+        co_return made->failure();
+    }
+    if (error)
+    {
+        made->lose(stream_failure::not_connected);
+        co_return stream_failure::not_connected;
+    }
+    made->start();
+    while (!made->ready() && !made->closed())
+    {
+        const bool notified = co_await made->opened().wait();
+        if (!notified)
+        {
+            co_return stream_failure::cancelled;
+        }
+    }
+    if (!made->ready())
+    {
+        const bool timed_out = made->failure() == stream_failure::timed_out;
+        co_return timed_out ? stream_failure::timed_out
+                            : stream_failure::not_connected;
+    }
+    co_return session;
+}
+
+client_session::client_session(std::shared_ptr<internal::connection> connection)
+    : connection_(std::move(connection))
+{
+}
+
+client_session::~client_session()
+{
+    if (connection_->ready())
+    {
+        connection_->release();
+    }
+    else
+    {
+        connection_->lose(stream_failure::cancelled);
+    }
+}
+
+outcome<std::unique_ptr<client_stream>, stream_failure>
+client_session::open(const request_head& head, bool end_stream)
+{
+    auto opened = connection_->open(head, end_stream);
+    if (!opened)
+    {
+        return opened.error();
+    }
+    return std::make_unique<client_stream>(connection_, std::move(*opened));
+}
+
+bool client_session::usable() const
+{
+    return connection_->usable();
+}
+
+bool client_session::has_free_stream() const
+{
+    return connection_->has_free_stream();
+}
+
+std::size_t client_session::open_streams() const
+{
+    return connection_->open_streams();
+}
+
+void client_session::close()
+{
+    connection_->lose(stream_failure::cancelled);
+}
+
+void client_session::on_closed(std::function<void()> closed)
+{
+    internal::connection_hooks hooks;
+    hooks.closed = std::move(closed);
+    connection_->set_hooks(std::move(hooks));
+}
+
+} // namespace nutmegusher::wire
--- /dev/null
+++ b/nutmegusher/wire/connection.cpp
@@ -0,0 +1,455 @@
+#include "nutmegusher/wire/connection.hpp"
+
+#include "nutmegusher/base/events.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace nutmegusher::wire::internal
+{
+namespace
+{
+
+// One read takes at most this; all connections of the thread share it.
+constexpr std::size_t read_buffer_bytes = 64 * 1024;
+// Reads before the other connections get their turn.
+constexpr int reads_in_a_turn = 4;
+// One write takes about this at most.
+constexpr std::size_t write_batch_bytes = 128 * 1024;
+// A write buffer above this isn't kept while there is nothing to send.
+constexpr std::size_t kept_write_buffer = 4 * 1024;
+
+std::span<std::uint8_t> read_buffer()
+{
+    static thread_local std::array<std::uint8_t, read_buffer_bytes> buffer;
+    return buffer;
+}
+
+std::string peer_name(const tcp_socket& socket)
+{
+    error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    std::ostringstream text;
+    text << peer;
+    return text.str();
+}
+
+} // namespace
+
+connection::connection(
+    asio::io_context& context,
+    tcp_socket socket,
+    side role,
+    const session_options& options)
+    : context_(context)
+    , socket_(std::move(socket))
+    , role_(role)
+    , options_(options)
+    , session_(make_h2_session(role, *this, options))
+    , liveness_(options)
+    , control_frames_(options.max_control_frames_per_second)
+    , tick_(context)
+    , opened_(context)
+{
+}
+
+void connection::limit_handshake()
+{
+    tick_.expires_after(options_.connect_timeout);
+    const auto expired = [weak = weak_from_this()](const error_code& error)
+    {
+        const auto self = weak.lock();
+        if (self && !error && !self->ready_)
+        {
+            self->lose(stream_failure::timed_out);
+        }
+    };
+    tick_.async_wait(expired);
+}
+
+void connection::start()
+{
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    wait_readable();
+    schedule_flush();
+}
+
+void connection::set_hooks(connection_hooks hooks)
+{
+    hooks_ = std::move(hooks);
+}
+
+void connection::lose(stream_failure why)
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    failure_ = why;
+    error_code ignored;
+    socket_.close(ignored);
+    tick_.cancel();
+    const auto streams = std::exchange(streams_, {});
+    begun_.clear();
+    for (const auto& [id, one] : streams)
+    {
+        const bool never_sent = role_ == side::client && !one->head_sent;
+        one->closed = true;
+        one->fail(never_sent ? stream_failure::refused : why);
+        one->post_cancelled(context_);
+    }
+    opened_.notify();
+    if (hooks_.closed)
+    {
+        asio::post(context_, std::exchange(hooks_.closed, nullptr));
+    }
+}
+
+void connection::release()
+{
+    released_ = true;
+    schedule_flush();
+}
+
+void connection::stop_gracefully()
+{
+    if (closed_ || going_away_)
+    {
+        return;
+    }
+    going_away_ = true;
+    // The peer may have opened streams that are still on their way. The PING
+    // comes back after it has seen the notice; only then is the last stream
+    // known.
+    nghttp2_submit_shutdown_notice(session_.get());
+    nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+    schedule_flush();
+}
+
+void connection::wait_readable()
+{
+    const auto readable = [self = shared_from_this()](const error_code& error)
+    {
+        if (error)
+        {
+            self->lose(stream_failure::cut);
+            return;
+        }
+        self->read_ready();
+    };
+    socket_.async_wait(tcp_socket::wait_read, readable);
+}
+
+void connection::read_ready()
+{
+    for (int i = 0; i < reads_in_a_turn && !closed_; ++i)
+    {
+        const bool more = read_batch();
+        if (!more)
+        {
+            break;
+        }
+    }
+    if (closed_)
+    {
+        return;
+    }
+    begin_requests();
+    if (closed_)
+    {
+        return;
+    }
+    schedule_flush();
+    wait_readable();
+}
+
+bool connection::read_batch()
+{
+    const auto buffer = read_buffer();
+    error_code error;
+    const auto count =
+        socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+    if (error == asio::error::would_block)
+    {
+        return false;
+    }
+    if (error)
+    {
+        lose(stream_failure::cut);
+        return false;
+    }
+    liveness_.received();
+    const auto taken =
+        nghttp2_session_mem_recv(session_.get(), buffer.data(), count);
+    if (taken < 0)
+    {
+        lose(stream_failure::protocol);
+        return false;
+    }
+    return count == buffer.size();
+}
+
+void connection::begin_requests()
+{
+    const auto begun = std::exchange(begun_, {});
+    for (const auto& one : begun)
+    {
+        if (!hooks_.request_begun || one->closed)
+        {
+            continue;
+        }
+        hooks_.request_begun(one);
+    }
+}
+
+void connection::schedule_flush()
+{
+    if (flush_scheduled_ || writing_ || closed_)
+    {
+        return;
+    }
+    flush_scheduled_ = true;
+    const auto run = [weak = weak_from_this()]
+    {
+        const auto self = weak.lock();
+        if (self)
+        {
+            self->flush_scheduled_ = false;
+            self->flush();
+        }
+    };
+    asio::post(context_, run);
+}
+
+void connection::flush()
+{
+    if (writing_ || closed_)
+    {
+        return;
+    }
+    gather();
+    if (closed_)
+    {
+        return;
+    }
+    if (out_.empty())
+    {
+        finish_if_done();
+        return;
+    }
+    writing_ = true;
+    const auto done =
+        [self = shared_from_this()](const error_code& error, std::size_t)
+    {
+        self->written(error);
+    };
+    asio::async_write(socket_, asio::buffer(out_), done);
+}
+
+void connection::gather()
+{
+    out_.clear();
+    while (out_.size() < write_batch_bytes)
+    {
+        const std::uint8_t* part = nullptr;
+        const auto size = nghttp2_session_mem_send(session_.get(), &part);
+        if (size < 0)
+        {
+            lose(stream_failure::protocol);
+            return;
+        }
+        if (size == 0)
+        {
+            return;
+        }
+        out_.insert(out_.end(), part, part + size);
+    }
+}
+
+void connection::written(const error_code& error)
+{
+    writing_ = false;
+    if (closed_)
+    {
+        return;
+    }
+    if (error)
+    {
+        lose(stream_failure::cut);
+        return;
+    }
+    flush();
+}
+
+void connection::finish_if_done()
+{
+    if (out_.capacity() > kept_write_buffer)
+    {
+        std::vector<std::uint8_t>().swap(out_);
+    }
+    const auto session = session_.get();
+    const bool broken = nghttp2_session_want_read(session) == 0 &&
+                        nghttp2_session_want_write(session) == 0 &&
+                        !streams_.empty();
+    if (broken)
+    {
+        // nghttp2 has told the peer what it did wrong.
+        lose(stream_failure::protocol);
+        return;
+    }
+    if (busy())
+    {
+        return;
+    }
+    if (role_ == side::client && (released_ || going_away_))
+    {
+        lose(stream_failure::cut);
+    }
+    if (role_ == side::server && (final_goaway_sent_ || released_))
+    {
+        linger();
+    }
+}
+
+// Closing while bytes of the peer are unread would make TCP drop what was
+// sent last; so only the sending side ends, until the peer closes too.
+void connection::linger()
+{
+    if (lingering_)
+    {
+        return;
+    }
+    lingering_ = true;
+    error_code ignored;
+    socket_.shutdown(tcp_socket::shutdown_send, ignored);
+    tick_.expires_after(options_.linger_limit);
+    const auto expired = [weak = weak_from_this()](const error_code& error)
+    {
+        const auto self = weak.lock();
+        if (self && !error)
+        {
+            self->lose(stream_failure::cut);
+        }
+    };
+    tick_.async_wait(expired);
+}
+
+void connection::plan_tick()
+{
+    const bool recently_busy = busy() || used_since_tick_;
+    used_since_tick_ = false;
+    last_tick_ = std::chrono::steady_clock::now();
+    tick_.expires_after(liveness_.plan_tick(recently_busy));
+    const auto due = [weak = weak_from_this()](const error_code& error)
+    {
+        const auto self = weak.lock();
+        if (self && !error && !self->closed_ && !self->lingering_)
+        {
+            self->tick();
+        }
+    };
+    tick_.async_wait(due);
+}
+
+void connection::tick()
+{
+    const auto elapsed = std::chrono::steady_clock::now() - last_tick_;
+    const auto action = liveness_.tick(elapsed, busy());
+    if (action == liveness::action::give_up)
+    {
+        const auto peer = peer_name(socket_);
+        log_event(event::connection_silent, {{"peer", peer}});
+        lose(stream_failure::silent);
+        return;
+    }
+    if (action == liveness::action::send_ping)
+    {
+        nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+        schedule_flush();
+    }
+    const bool idle = !busy() && !used_since_tick_;
+    idle_ = idle ? idle_ + elapsed : duration::zero();
+    if (role_ == side::client && idle_ >= options_.idle_limit)
+    {
+        lose(stream_failure::cut);
+        return;
+    }
+    plan_tick();
+}
+
+bool connection::busy() const
+{
+    return !streams_.empty() || handlers_ > 0;
+}
+
+asio::io_context& connection::context() const
+{
+    return context_;
+}
+
+tcp_socket& connection::socket()
+{
+    return socket_;
+}
+
+const session_options& connection::options() const
+{
+    return options_;
+}
+
+bool connection::ready() const
+{
+    return ready_;
+}
+
+bool connection::closed() const
+{
+    return closed_;
+}
+
+stream_failure connection::failure() const
+{
+    return failure_;
+}
+
+signal& connection::opened()
+{
+    return opened_;
+}
+
+std::size_t connection::open_streams() const
+{
+    return streams_.size();
+}
+
+std::size_t connection::streams_in_flight() const
+{
+    const auto unsent = std::ranges::count_if(
+        streams_,
+        [](const auto& entry)
+        {
+            return entry.second->released;
+        });
+    return handlers_ + static_cast<std::size_t>(unsent);
+}
+
+void connection::handler_started()
+{
+    ++handlers_;
+}
+
+void connection::handler_finished()
+{
+    --handlers_;
+    schedule_flush();
+}
+
+} // namespace nutmegusher::wire::internal
--- /dev/null
+++ b/nutmegusher/wire/connection.hpp
@@ -0,0 +1,173 @@
+// One TCP connection with its HTTP/2 session, on either side.
+//
+// Reads whenever the socket is readable, into a buffer that all connections
+// of the thread share; gathers what is to be sent into one buffer for each
+// turn of the loop, with one write in flight. nghttp2's callbacks change the
+// streams' state and wake coroutines in a later turn; they call no user code.
+#ifndef NUTMEGUSHER_WIRE_CONNECTION_HPP
+#define NUTMEGUSHER_WIRE_CONNECTION_HPP
+
+#include "nutmegusher/base/error.hpp"
+#include "nutmegusher/wire/h2_session.hpp"
+#include "nutmegusher/wire/liveness.hpp"
+#include "nutmegusher/wire/rate_limit.hpp"
+#include "nutmegusher/wire/stream.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegusher::wire::internal
+{
+
+// What the owner of a connection wants to know; called outside of nghttp2.
+struct connection_hooks
+{
+    // A peer has opened a stream; its head is complete.
+    std::function<void(std::shared_ptr<stream>)> request_begun;
+    // Posted once, after the connection has closed.
+    std::function<void()> closed;
+};
+
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(
+        asio::io_context& context,
+        tcp_socket socket,
+        side role,
+        const session_options& options);
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    ~connection() = default;
+
+    // From now until the peer's SETTINGS, at most the connect timeout.
+    void limit_handshake();
+    // The socket is connected: sends SETTINGS, reads. Call once.
+    void start();
+    void set_hooks(connection_hooks hooks);
+
+    // Ends everything now; open streams fail with `why`.
+    void lose(stream_failure why);
+    // No new streams; closes when the last one is finished.
+    void release();
+    // Server: tells the peer to open no more streams, serves those that are
+    // open, closes.
+    void stop_gracefully();
+
+    [[nodiscard]] asio::io_context& context() const;
+    [[nodiscard]] tcp_socket& socket();
+    [[nodiscard]] const session_options& options() const;
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] bool closed() const;
+    [[nodiscard]] stream_failure failure() const;
+    // Notified when it gets ready, or closes.
+    [[nodiscard]] signal& opened();
+    [[nodiscard]] bool usable() const;
+    [[nodiscard]] bool has_free_stream() const;
+    [[nodiscard]] std::size_t open_streams() const;
+    // Server: running handlers, and responses that are still to be sent.
+    [[nodiscard]] std::size_t streams_in_flight() const;
+
+    // Streams; used by their handles.
+    [[nodiscard]] outcome<std::shared_ptr<stream>, stream_failure>
+    open(const request_head& head, bool end);
+    [[nodiscard]] outcome<void, stream_failure>
+    send_head(stream& target, const response_head& head, bool end);
+    [[nodiscard]] asio::awaitable<outcome<void, stream_failure>> write(
+        std::shared_ptr<stream> target,
+        std::span<const std::byte> part,
+        bool end);
+    [[nodiscard]] asio::awaitable<outcome<std::size_t, stream_failure>>
+    read_some(std::shared_ptr<stream> source, std::span<std::byte> into);
+    // Breaks the stream off with an HTTP/2 error code.
+    void reset(stream& target, std::uint32_t code, stream_failure why);
+    // The handle has gone.
+    void abandon(stream& target);
+
+    // Server: a handler runs; it counts as a stream in flight.
+    void handler_started();
+    void handler_finished();
+
+    // From nghttp2's callbacks.
+    int begin_headers(const nghttp2_frame& frame);
+    int header_field(
+        const nghttp2_frame& frame,
+        std::string_view name,
+        std::string_view value);
+    int frame_received(const nghttp2_frame& frame);
+    void data_received(std::int32_t id, std::span<const std::byte> bytes);
+    void frame_sent(const nghttp2_frame& frame);
+    void frame_not_sent(const nghttp2_frame& frame);
+    void stream_closed(std::int32_t id, std::uint32_t code);
+
+private:
+    // connection.cpp: the socket and the time.
+    void wait_readable();
+    void read_ready();
+    bool read_batch();
+    void begin_requests();
+    void schedule_flush();
+    void flush();
+    void gather();
+    void written(const error_code& error);
+    void finish_if_done();
+    void linger();
+    void plan_tick();
+    void tick();
+    [[nodiscard]] bool busy() const;
+
+    // connection_streams.cpp: the streams.
+    [[nodiscard]] std::shared_ptr<stream> make_stream(std::int32_t id);
+    [[nodiscard]] stream* find(std::int32_t id) const;
+    void resume(stream& target);
+    void consume(std::int32_t id, std::size_t bytes);
+    void drop_inbound(stream& target);
+    [[nodiscard]] bool allows_control_frame();
+    void headers_received(const nghttp2_frame& frame);
+    void remote_end(stream& target);
+    void local_end(stream& target);
+    void shutdown_confirmed();
+
+    asio::io_context& context_;
+    tcp_socket socket_;
+    side role_;
+    session_options options_;
+    h2_session session_;
+    connection_hooks hooks_;
+
+    std::unordered_map<std::int32_t, std::shared_ptr<stream>> streams_;
+    // Their heads are complete; handlers are still to be started.
+    std::vector<std::shared_ptr<stream>> begun_;
+    std::size_t handlers_ = 0;
+
+    std::vector<std::uint8_t> out_;
+    bool writing_ = false;
+    bool flush_scheduled_ = false;
+
+    liveness liveness_;
+    rate_limit control_frames_;
+    timer tick_;
+    std::chrono::steady_clock::time_point last_tick_;
+    duration idle_ = duration::zero();
+    bool used_since_tick_ = false;
+
+    signal opened_;
+    bool ready_ = false;
+    bool closed_ = false;
+    // No new streams: GOAWAY was received or sent.
+    bool going_away_ = false;
+    bool final_goaway_sent_ = false;
+    bool released_ = false;
+    bool lingering_ = false;
+    stream_failure failure_ = stream_failure::cut;
+};
+
+} // namespace nutmegusher::wire::internal
+
+#endif
--- /dev/null
+++ b/nutmegusher/wire/session_pool.cpp
@@ -0,0 +1,337 @@
+#include "nutmegusher/wire/session_pool.hpp"
+
+#include "nutmegusher/wire/signal.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace nutmegusher::wire
+{
+namespace internal
+{
+
+using session_ptr = std::shared_ptr<client_session>;
+using session_result = outcome<session_ptr, stream_failure>;
+
+// One endpoint and one kind of traffic.
+struct pool_key
+{
+    tcp::endpoint peer;
+    traffic kind;
+
+    friend bool operator<(const pool_key& left, const pool_key& right)
+    {
+        return std::tie(left.peer, left.kind) <
+               std::tie(right.peer, right.kind);
+    }
+};
+
+struct pool_entry
+{
+    std::vector<session_ptr> sessions;
+    // Those that wait for the connect under way.
+    std::list<signal*> waiters;
+    bool connecting = false;
+    // How many connects have ended, and how the last one did.
+    std::uint64_t connects = 0;
+    std::optional<stream_failure> last_failure;
+    time_point failed_at;
+};
+
+// Keeps a waiter in the entry's list while it waits.
+class registered_waiter
+{
+public:
+    registered_waiter(
+        asio::io_context& context, std::shared_ptr<pool_entry> entry)
+        : entry_(std::move(entry))
+        , signal_(context)
+        , place_(entry_->waiters.insert(entry_->waiters.end(), &signal_))
+    {
+    }
+
+    registered_waiter(const registered_waiter&) = delete;
+    registered_waiter& operator=(const registered_waiter&) = delete;
+
+    ~registered_waiter()
+    {
+        entry_->waiters.erase(place_);
+    }
+
+    [[nodiscard]] signal& wait_on()
+    {
+        return signal_;
+    }
+
+private:
+    std::shared_ptr<pool_entry> entry_;
+    signal signal_;
+    std::list<signal*>::iterator place_;
+};
+
+class pool_state : public std::enable_shared_from_this<pool_state>
+{
+public:
+    pool_state(asio::io_context& context, const session_options& options)
+        : context_(context)
+        , options_(options)
+    {
+    }
+
+    asio::awaitable<session_result> get(pool_key key, time_point deadline)
+    {
+        const auto self = shared_from_this();
+        auto found = find(key);
+        if (found)
+        {
+            co_return found;
+        }
+        const auto entry = entry_of(key);
+        const auto connects_before = entry->connects;
+        while (!closed_)
+        {
+            found = pick(*entry);
+            if (found)
+            {
+                co_return found;
+            }
+            const bool tried = entry->connects != connects_before;
+            if (entry->last_failure && (tried || failed_recently(*entry)))
+            {
+                co_return *entry->last_failure;
+            }
+            if (usable_sessions(*entry) >= options_.max_sessions_per_endpoint)
+            {
+                co_return stream_failure::refused;
+            }
+            start_connect(key, entry);
+            registered_waiter waiter(context_, entry);
+            const auto woken = co_await waiter.wait_on().wait_until(deadline);
+            if (woken == wake::timed_out)
+            {
+                co_return stream_failure::timed_out;
+            }
+            if (woken == wake::cancelled)
+            {
+                co_return stream_failure::cancelled;
+            }
+        }
+        co_return stream_failure::cancelled;
+    }
+
+    [[nodiscard]] session_ptr find(const pool_key& key) const
+    {
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? nullptr : pick(*found->second);
+    }
+
+    void close()
+    {
+        closed_ = true;
+        const auto entries = std::exchange(entries_, {});
+        for (const auto& [key, entry] : entries)
+        {
+            wake_all(*entry);
+        }
+    }
+
+    void forget(const tcp::endpoint& peer)
+    {
+        std::erase_if(
+            entries_,
+            [&peer](const auto& item)
+            {
+                const auto& [key, entry] = item;
+                const bool drop = key.peer == peer && !entry->connecting;
+                return drop;
+            });
+    }
+
+    [[nodiscard]] std::size_t sessions() const
+    {
+        std::size_t sum = 0;
+        for (const auto& [key, entry] : entries_)
+        {
+            sum += entry->sessions.size();
+        }
+        return sum;
+    }
+
+private:
+    // The first one that can: the later ones fall idle as load falls, and are
+    // closed.
+    [[nodiscard]] static session_ptr pick(const pool_entry& entry)
+    {
+        const auto takes_a_stream = [](const session_ptr& one)
+        {
+            return one->usable() && one->has_free_stream();
+        };
+        const auto found = std::ranges::find_if(entry.sessions, takes_a_stream);
+        return found == entry.sessions.end() ? nullptr : *found;
+    }
+
+    [[nodiscard]] static std::size_t usable_sessions(const pool_entry& entry)
+    {
+        const auto usable = [](const session_ptr& one)
+        {
+            return one->usable();
+        };
+        return static_cast<std::size_t>(
+            std::ranges::count_if(entry.sessions, usable));
+    }
+
+    static void wake_all(pool_entry& entry)
+    {
+        for (signal* waiter : entry.waiters)
+        {
+            waiter->notify();
+        }
+    }
+
+    [[nodiscard]] std::shared_ptr<pool_entry> entry_of(const pool_key& key)
+    {
+        const auto found = entries_.find(key);
+        if (found != entries_.end())
+        {
+            return found->second;
+        }
+        drop_unused();
+        auto& entry = entries_[key];
+        entry = std::make_shared<pool_entry>();
+        return entry;
+    }
+
+    [[nodiscard]] bool failed_recently(const pool_entry& entry) const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        return now < entry.failed_at + options_.connect_backoff;
+    }
+
+    // In a coroutine of its own, so that a caller which gives up doesn't end
+    // the connect that others wait for.
+    void
+    start_connect(const pool_key& key, const std::shared_ptr<pool_entry>& entry)
+    {
+        if (entry->connecting)
+        {
+            return;
+        }
+        entry->connecting = true;
+        asio::co_spawn(
+            context_, connect(shared_from_this(), key, entry), asio::detached);
+    }
+
+    static asio::awaitable<void> connect(
+        std::shared_ptr<pool_state> self,
+        pool_key key,
+        std::shared_ptr<pool_entry> entry)
+    {
+        const auto made = co_await client_session::connect(
+            self->context_, key.peer, self->options_);
+        entry->connecting = false;
+        ++entry->connects;
+        if (made)
+        {
+            entry->last_failure.reset();
+            self->add(entry, *made);
+        }
+        else
+        {
+            entry->last_failure = made.error();
+            entry->failed_at = std::chrono::steady_clock::now();
+        }
+        wake_all(*entry);
+    }
+
+    void
+    add(const std::shared_ptr<pool_entry>& entry, const session_ptr& session)
+    {
+        entry->sessions.push_back(session);
+        const std::weak_ptr<pool_state> weak_self = weak_from_this();
+        const std::weak_ptr<pool_entry> weak_entry = entry;
+        const auto closed = [weak_self, weak_entry, which = session.get()]
+        {
+            const auto self = weak_self.lock();
+            const auto entry = weak_entry.lock();
+            if (!self || !entry)
+            {
+                return;
+            }
+            const auto is_it = [which](const session_ptr& one)
+            {
+                return one.get() == which;
+            };
+            std::erase_if(entry->sessions, is_it);
+            self->drop_unused();
+        };
+        session->on_closed(closed);
+    }
+
+    // An entry that failed lately holds back connects; it goes when the next
+    // entry comes.
+    [[nodiscard]] bool is_unused(const pool_entry& entry) const
+    {
+        return entry.sessions.empty() && !entry.connecting &&
+               entry.waiters.empty() && !failed_recently(entry);
+    }
+
+    void drop_unused()
+    {
+        const auto unused = [this](const auto& item)
+        {
+            return is_unused(*item.second);
+        };
+        std::erase_if(entries_, unused);
+    }
+
+    asio::io_context& context_;
+    session_options options_;
+    std::map<pool_key, std::shared_ptr<pool_entry>> entries_;
+    bool closed_ = false;
+};
+
+} // namespace internal
+
+session_pool::session_pool(
+    boost::asio::io_context& context, session_options options)
+    : state_(std::make_shared<internal::pool_state>(context, options))
+{
+}
+
+session_pool::~session_pool()
+{
+    state_->close();
+}
+
+boost::asio::awaitable<outcome<std::shared_ptr<client_session>, stream_failure>>
+session_pool::get(
+    boost::asio::ip::tcp::endpoint peer, traffic kind, time_point deadline)
+{
+    const internal::pool_key key{peer, kind};
+    return state_->get(key, deadline);
+}
+
+std::shared_ptr<client_session> session_pool::find(
+    const boost::asio::ip::tcp::endpoint& peer, traffic kind) const
+{
+    const internal::pool_key key{peer, kind};
+    return state_->find(key);
+}
+
+std::size_t session_pool::sessions() const
+{
+    return state_->sessions();
+}
+
+void session_pool::forget(const boost::asio::ip::tcp::endpoint& peer)
+{
+    state_->forget(peer);
+}
+
+} // namespace nutmegusher::wire
--- a/nutmegusher/wire/session_pool.hpp
+++ b/nutmegusher/wire/session_pool.hpp
@@ -30,14 +30,20 @@
     ~session_pool();
 
     // A usable session with a free stream: one that is open already, or else
-    // a new one. There is one connect at a time for each endpoint; callers
-    // that wait share it.
+    // a new one. There is one connect at a time for each endpoint and kind;
+    // callers that wait share it, each at most until `deadline`.
     // Errors: not_connected, timed_out (connecting), refused (all sessions
     // that an endpoint may have are full), cancelled (the pool has gone).
     [[nodiscard]] boost::asio::awaitable<
         outcome<std::shared_ptr<client_session>, stream_failure>>
     get(boost::asio::ip::tcp::endpoint peer,
-        traffic kind = traffic::short_calls);
+        traffic kind = traffic::short_calls,
+        time_point deadline = time_point::max());
+
+    // The same without waiting: null where there is none at once.
+    [[nodiscard]] std::shared_ptr<client_session> find(
+        const boost::asio::ip::tcp::endpoint& peer,
+        traffic kind = traffic::short_calls) const;
 
     // Sessions that are open, also suspect ones.
     [[nodiscard]] std::size_t sessions() const;
--- /dev/null
+++ b/nutmegusher/wire/stream.hpp
@@ -0,0 +1,74 @@
+// The state of one stream, shared by its connection and its handle.
+#ifndef NUTMEGUSHER_WIRE_STREAM_HPP
+#define NUTMEGUSHER_WIRE_STREAM_HPP
+
+#include "nutmegusher/wire/byte_queue.hpp"
+#include "nutmegusher/wire/header.hpp"
+#include "nutmegusher/wire/signal.hpp"
+#include "nutmegusher/wire/stream_failure.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace nutmegusher::wire::internal
+{
+
+// Changed by the connection's callbacks and by the handles, all on one thread.
+class stream
+{
+public:
+    explicit stream(asio::io_context& context)
+        : readable(context)
+        , writable(context)
+    {
+    }
+
+    // The first failure stays. Wakes whoever waits.
+    void fail(stream_failure why);
+
+    // Calls `on_cancelled` in a later turn of the loop.
+    void post_cancelled(asio::io_context& context);
+
+    [[nodiscard]] bool local_ended() const
+    {
+        return local_end_queued;
+    }
+
+    std::int32_t id = -1;
+
+    // Received. A response has a status, a request the rest.
+    request_head request;
+    unsigned status = 0;
+    std::size_t head_bytes = 0;
+    bool head_complete = false;
+    bool remote_ended = false;
+    bool peer_reset = false;
+    byte_queue inbound;
+    // Nobody will read any more: what arrives is dropped.
+    bool discard = false;
+
+    // To be sent.
+    byte_queue outbound;
+    // nghttp2 was told that there is nothing to send for now.
+    bool deferred = false;
+    bool head_submitted = false;
+    bool head_sent = false;
+    bool local_end_queued = false;
+    bool local_end_sent = false;
+    // The handler has gone; what the peer still sends isn't wanted.
+    bool released = false;
+
+    // nghttp2 has forgotten the stream, or the connection has gone.
+    bool closed = false;
+    std::optional<stream_failure> failure;
+
+    signal readable;
+    signal writable;
+    std::function<void()> on_cancelled;
+    std::unique_ptr<timer> deadline;
+};
+
+} // namespace nutmegusher::wire::internal
+
+#endif
