Keep the time of sub-calls apart from the upstream's own

Cause: the daemon beside an upstream sees its sub-calls leave and return. Held against the whole latency, a slow deep service lowers the limits of all the services above it; held against the upstream's own time it lowers its own only. And a router that ejects on failures behind the service takes half of it out, so nothing is ejected while half of the others fail as well.

Conclusion: sub_call_started and sub_call_ended; limits learn from own time, deadlines from the whole. Not measured yet.

--- a/nutmegusher/policy/admission_controller.cpp
+++ b/nutmegusher/policy/admission_controller.cpp
@@ -83,6 +83,22 @@
     return settled_;
 }
 
+void admission_controller::sub_call_started(ticket_id ticket, time_point now)
+{
+    if (!short_lane_.sub_call_started(ticket, now))
+    {
+        bulk_lane_.sub_call_started(ticket, now);
+    }
+}
+
+void admission_controller::sub_call_ended(ticket_id ticket, time_point now)
+{
+    if (!short_lane_.sub_call_ended(ticket, now))
+    {
+        bulk_lane_.sub_call_ended(ticket, now);
+    }
+}
+
 std::span<const settlement>
 admission_controller::cancel(ticket_id ticket, time_point now)
 {
--- a/nutmegusher/policy/admission_controller.hpp
+++ b/nutmegusher/policy/admission_controller.hpp
@@ -72,6 +72,12 @@
     std::span<const settlement>
     finish(ticket_id ticket, call_result result, time_point now);
 
+    // The upstream made a sub-call for this call, and got its answer. The time
+    // in between isn't the upstream's own: a slow deep service must not lower
+    // the limits of all the services above it.
+    void sub_call_started(ticket_id ticket, time_point now);
+    void sub_call_ended(ticket_id ticket, time_point now);
+
     // The caller went away. A waiting call is dropped (it gets no settlement
     // of its own), a running one ends as `call_result::cancelled`.
     std::span<const settlement> cancel(ticket_id ticket, time_point now);
--- a/nutmegusher/policy/admission_lane.cpp
+++ b/nutmegusher/policy/admission_lane.cpp
@@ -145,7 +145,9 @@
 
 void admission_lane::start(const call_facts& call, time_point now)
 {
-    running_.emplace(call.ticket, running_call{now, call.work_class});
+    running_.emplace(
+        call.ticket,
+        running_call{.started = now, .work_class = call.work_class});
     limit_.on_start(running_.size(), now);
 }
 
@@ -157,8 +159,13 @@
     {
         return false;
     }
-    const running_call call = found->second;
+    running_call call = found->second;
     running_.erase(found);
+    if (call.open_sub_calls > 0)
+    {
+        --in_sub_calls_;
+        call.in_sub_calls += now - call.sub_calls_since;
+    }
     learn(call, result, now);
     return true;
 }
@@ -167,6 +174,7 @@
     const running_call& call, call_result result, time_point now)
 {
     const duration elapsed = now - call.started;
+    const duration own = elapsed - call.in_sub_calls;
     const std::size_t in_flight = running_.size();
     switch (result)
     {
@@ -174,14 +182,14 @@
     {
         const bool calm = (in_flight + 1) * calm_divisor <= limit_.value();
         const double inflation =
-            times_.record(call.work_class, elapsed, calm, now);
+            times_.record(call.work_class, {elapsed, own}, calm, now);
         limit_.on_answer({call.started, inflation, false}, in_flight, now);
         break;
     }
     case call_result::timed_out:
     {
         const double inflation =
-            times_.record_at_least(call.work_class, elapsed, now);
+            times_.record_at_least(call.work_class, {elapsed, own}, now);
         limit_.on_answer({call.started, inflation, true}, in_flight, now);
         break;
     }
@@ -189,7 +197,7 @@
         limit_.on_shed(in_flight, now);
         return;
     case call_result::cancelled:
-        times_.record_at_least(call.work_class, elapsed, now);
+        times_.record_at_least(call.work_class, {elapsed, own}, now);
         break;
     case call_result::failed:
         break;
@@ -203,6 +211,42 @@
                      : slot_time_ + (seconds - slot_time_) * slot_time_weight;
 }
 
+bool admission_lane::sub_call_started(ticket_id ticket, time_point now)
+{
+    const auto found = running_.find(ticket);
+    if (found == running_.end())
+    {
+        return false;
+    }
+    running_call& call = found->second;
+    if (call.open_sub_calls == 0)
+    {
+        call.sub_calls_since = now;
+        ++in_sub_calls_;
+        limit_.on_progress(now);
+    }
+    ++call.open_sub_calls;
+    return true;
+}
+
+bool admission_lane::sub_call_ended(ticket_id ticket, time_point now)
+{
+    const auto found = running_.find(ticket);
+    if (found == running_.end() || found->second.open_sub_calls == 0)
+    {
+        return found != running_.end();
+    }
+    running_call& call = found->second;
+    --call.open_sub_calls;
+    if (call.open_sub_calls == 0)
+    {
+        call.in_sub_calls += now - call.sub_calls_since;
+        --in_sub_calls_;
+        limit_.on_progress(now);
+    }
+    return true;
+}
+
 bool admission_lane::cancel(ticket_id ticket)
 {
     return queue_.remove(ticket);
@@ -249,7 +293,7 @@
 
 void admission_lane::tick(time_point now)
 {
-    limit_.on_tick(running_.size(), times_.typical(), now);
+    limit_.on_tick(working(), times_.typical(), now);
 }
 
 void admission_lane::begin_warm_up(time_point now)
@@ -260,7 +304,7 @@
 std::optional<time_point> admission_lane::next_event() const
 {
     const auto expiry = queue_.next_expiry();
-    const auto stall = limit_.stall_at(running_.size(), times_.typical());
+    const auto stall = limit_.stall_at(working(), times_.typical());
     if (expiry && stall)
     {
         return std::min(*expiry + duration(1), *stall);
--- a/nutmegusher/policy/admission_lane.hpp
+++ b/nutmegusher/policy/admission_lane.hpp
@@ -31,6 +31,10 @@
     // A running call ended. False where it doesn't run here.
     bool finish(ticket_id ticket, call_result result, time_point now);
 
+    // False where the call doesn't run here.
+    bool sub_call_started(ticket_id ticket, time_point now);
+    bool sub_call_ended(ticket_id ticket, time_point now);
+
     // A waiting call is given up. False where it doesn't wait here.
     bool cancel(ticket_id ticket);
 
@@ -77,6 +81,10 @@
     {
         time_point started;
         std::uint64_t work_class = 0;
+        // Sub-calls that haven't ended, since when, and for how long before.
+        std::size_t open_sub_calls = 0;
+        time_point sub_calls_since{};
+        duration in_sub_calls{0};
     };
 
     [[nodiscard]] std::size_t most_waiting() const;
@@ -96,12 +104,18 @@
         settlements& out);
     void start(const call_facts& call, time_point now);
     void learn(const running_call& call, call_result result, time_point now);
+    // The calls that the upstream itself works on.
+    [[nodiscard]] std::size_t working() const
+    {
+        return running_.size() - in_sub_calls_;
+    }
 
     concurrency_limit limit_;
     rank_queue queue_;
     service_times times_;
     pressure_meter meter_;
     std::unordered_map<ticket_id, running_call> running_;
+    std::size_t in_sub_calls_ = 0;
     // Moving mean of the time that a slot is taken, in seconds.
     double slot_time_ = 0;
 };
--- a/nutmegusher/policy/concurrency_limit.cpp
+++ b/nutmegusher/policy/concurrency_limit.cpp
@@ -208,9 +208,9 @@
 }
 
 void concurrency_limit::on_tick(
-    std::size_t in_flight, duration typical, time_point now)
+    std::size_t working, duration typical, time_point now)
 {
-    const auto stalled = stall_at(in_flight, typical);
+    const auto stalled = stall_at(working, typical);
     if (!stalled || now < *stalled)
     {
         return;
@@ -221,15 +221,15 @@
     {
         fall(stall_latencies, deepest_fall);
     }
-    open_window(in_flight, now);
+    open_window(working, now);
     last_end_ = now;
 }
 
 std::optional<time_point>
-concurrency_limit::stall_at(std::size_t in_flight, duration typical) const
+concurrency_limit::stall_at(std::size_t working, duration typical) const
 {
     // A single call may be an unusual one.
-    if (in_flight < 2 || typical <= duration(0))
+    if (working < 2 || typical <= duration(0))
     {
         return std::nullopt;
     }
--- a/nutmegusher/policy/concurrency_limit.hpp
+++ b/nutmegusher/policy/concurrency_limit.hpp
@@ -63,6 +63,12 @@
     // A call was started; `in_flight` counts it.
     void on_start(std::size_t in_flight, time_point now);
 
+    // The upstream did something for a call without ending it.
+    void on_progress(time_point now)
+    {
+        last_end_ = now;
+    }
+
     // A call ended with an answer or was given up; `in_flight` is without it.
     void on_answer(
         const limit_sample& sample, std::size_t in_flight, time_point now);
@@ -70,14 +76,15 @@
     // The upstream refused a call for overload; `in_flight` is without it.
     void on_shed(std::size_t in_flight, time_point now);
 
-    // Looks for an upstream that has gone quiet: calls run, and none has
-    // ended for several times `typical`, the usual no-load latency.
+    // Looks for an upstream that has gone quiet: it works on calls, and none
+    // has ended for several times `typical`, the usual no-load latency.
+    // `working`: calls in flight without those that wait for a sub-call.
     // Call it at `stall_at()`; more often does no harm.
-    void on_tick(std::size_t in_flight, duration typical, time_point now);
+    void on_tick(std::size_t working, duration typical, time_point now);
 
     // When the upstream counts as stalled unless a call ends before.
     [[nodiscard]] std::optional<time_point>
-    stall_at(std::size_t in_flight, duration typical) const;
+    stall_at(std::size_t working, duration typical) const;
 
     // The upstream starts cold: begin low, and double at most once every
     // `warm_up_step` until it is filled.
--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -264,7 +264,7 @@
     if (one.health.failing())
     {
         // A failed probe prolongs the ejection.
-        if (one.health.ejected() || may_eject())
+        if (one.health.ejected() || may_eject(one))
         {
             one.health.eject(now);
         }
@@ -276,23 +276,21 @@
     }
 }
 
-bool router::may_eject() const
+bool router::may_eject(const entry& suspect) const
 {
-    const auto staying = std::count_if(
-        entries_.begin(),
-        entries_.end(),
-        [](const entry& each)
-        {
-            return !each.where.leaving;
-        });
-    const auto out = std::count_if(
-        entries_.begin(),
-        entries_.end(),
-        [](const entry& each)
+    std::size_t staying = 0;
+    std::size_t sound = 0;
+    for (const entry& each : entries_)
+    {
+        if (each.where.leaving)
         {
-            return !each.where.leaving && each.health.ejected();
-        });
-    return (out + 1) * 2 <= staying;
+            continue;
+        }
+        ++staying;
+        const bool other = &each != &suspect;
+        sound += other && !each.health.ejected() && !each.health.failed_last();
+    }
+    return sound * 2 >= staying;
 }
 
 void router::eject_if_slow(entry& suspect, bool bulk, time_point now)
@@ -318,7 +316,7 @@
     const auto middle =
         latencies_.begin() + static_cast<std::ptrdiff_t>(latencies_.size() / 2);
     std::nth_element(latencies_.begin(), middle, latencies_.end());
-    if (own > *middle * slow_factor && may_eject())
+    if (own > *middle * slow_factor && may_eject(suspect))
     {
         suspect.health.eject(now);
     }
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -20,8 +20,9 @@
 //   choosing the one best would overrun it.
 // - One that fails three times in a row, goes silent, or answers much more
 //   slowly than the median of the others is ejected; single calls win it
-//   back. At most half of a service is ejected, so that a fault seen only
-//   from here, or the service's own, doesn't leave it without upstreams.
+//   back. At most half of a service is ejected, and none while half of the
+//   others fail as well: a fault behind the service, or one seen only from
+//   here, doesn't leave it without upstreams.
 #ifndef NUTMEGUSHER_POLICY_ROUTER_HPP
 #define NUTMEGUSHER_POLICY_ROUTER_HPP
 
@@ -96,9 +97,10 @@
     // A whole answer came.
     void on_answer(
         upstream_handle from, bool bulk, duration elapsed, time_point now);
-    // It failed: no connection, a broken answer, an error of the upstream.
+    // It failed: no connection, a broken answer, an error of the upstream, or
+    // no answer by the deadline.
     void on_failure(upstream_handle from, bool bulk, time_point now);
-    // Nothing came by the deadline, or its connection has gone silent.
+    // Its connection has gone silent: not even a ping is answered.
     void on_silent(upstream_handle from, bool bulk, time_point now);
     // It ended without a word on the upstream's health: cancelled, refused.
     void on_neutral(upstream_handle from, bool bulk, time_point now);
@@ -144,7 +146,7 @@
         internal::upstream_health::ending how,
         duration elapsed,
         time_point now);
-    [[nodiscard]] bool may_eject() const;
+    [[nodiscard]] bool may_eject(const entry& suspect) const;
     void eject_if_slow(entry& suspect, bool bulk, time_point now);
 
     std::vector<entry> entries_;
--- a/nutmegusher/policy/service_times.cpp
+++ b/nutmegusher/policy/service_times.cpp
@@ -43,15 +43,15 @@
 } // namespace
 
 double service_times::record(
-    std::uint64_t work_class, duration elapsed, bool calm, time_point now)
+    std::uint64_t work_class, call_time time, bool calm, time_point now)
 {
     if (classes_.size() >= most_classes && !classes_.contains(work_class))
     {
         return 1.0;
     }
     class_times& times = classes_[work_class];
-    const double seconds = to_seconds(elapsed);
-    blend(times.recent, seconds, weight_of_new);
+    const double seconds = to_seconds(time.own);
+    blend(times.recent, to_seconds(time.whole), weight_of_new);
     blend(times.steady, seconds, no_load_weight);
     times.last_sample = now;
     learn_no_load(times, seconds, calm);
@@ -71,7 +71,7 @@
 }
 
 double service_times::record_at_least(
-    std::uint64_t work_class, duration elapsed, time_point now)
+    std::uint64_t work_class, call_time time, time_point now)
 {
     const auto found = classes_.find(work_class);
     if (found == classes_.end())
@@ -79,10 +79,11 @@
         return 1.0;
     }
     class_times& times = found->second;
-    const double seconds = to_seconds(elapsed);
-    if (seconds > times.recent)
+    const double seconds = to_seconds(time.own);
+    const double whole = to_seconds(time.whole);
+    if (whole > times.recent)
     {
-        blend(times.recent, seconds, weight_of_new);
+        blend(times.recent, whole, weight_of_new);
         times.last_sample = now;
     }
     return inflation(times, seconds);
--- a/nutmegusher/policy/service_times.hpp
+++ b/nutmegusher/policy/service_times.hpp
@@ -14,14 +14,21 @@
 namespace nutmegusher::internal
 {
 
+// How long one call took: as its caller saw it, and without sub-calls.
+struct call_time
+{
+    duration whole{0};
+    duration own{0};
+};
+
 // Recent and no-load times of one class.
 struct class_times
 {
-    // Moving mean of recent answers, in seconds. 0: none seen yet.
+    // Moving mean of recent answers, whole, in seconds. 0: none seen yet.
     double recent = 0;
-    // The same over four times as many answers.
+    // The same of their own time, over four times as many answers.
     double steady = 0;
-    // The mean while the upstream had room. 0: none seen yet.
+    // The mean own time while the upstream had room. 0: none seen yet.
     double no_load = 0;
     time_point last_sample;
 };
@@ -29,16 +36,16 @@
 class service_times
 {
 public:
-    // An answer took `elapsed`. `calm`: the upstream had room when it came,
+    // An answer took `time`. `calm`: the upstream had room when it came,
     // so that it counts towards the no-load time.
-    // Returns how many times the no-load time it took.
-    double record(
-        std::uint64_t work_class, duration elapsed, bool calm, time_point now);
+    // Returns how many times the no-load time its own time is.
+    double
+    record(std::uint64_t work_class, call_time time, bool calm, time_point now);
 
-    // A call was given up after `elapsed`: its time is at least that.
+    // A call was given up after `time`: what it takes is at least that.
     // Returns how many times the no-load time that is.
     double
-    record_at_least(std::uint64_t work_class, duration elapsed, time_point now);
+    record_at_least(std::uint64_t work_class, call_time time, time_point now);
 
     // What a call of the class will take, most likely. Zero where nothing is
     // known. Without new samples the estimate halves every `memory`, so that
--- a/nutmegusher/policy/upstream_health.hpp
+++ b/nutmegusher/policy/upstream_health.hpp
@@ -68,6 +68,12 @@
     // Failed too often in a row.
     [[nodiscard]] bool failing() const;
 
+    // Its last call failed.
+    [[nodiscard]] bool failed_last() const
+    {
+        return failures_in_row_ > 0;
+    }
+
     // Whether its last level, if that is recent, lets the call in.
     [[nodiscard]] bool takes(const call_facts& call, time_point now) const;
 
