Add at-most-once claims, execution guards and the request ledger

Cause: a payout or approval may run once only, a "not run" must be true, and retries must be bounded at any depth.

The claim commands now name the execution (host, incarnation, running number) and a fence the request's digest. Ruled out: holding a claim by the attempt alone, since two copies of a call in one daemon both get it; claims that pass on by time, since a frozen holder wakes late.

New verdict claim_attempt_expired; claim_start's executor fields moved into claim_command.executor.

--- /dev/null
+++ b/nutmegusher/execution/claim_table.cpp
@@ -0,0 +1,380 @@
+#include "nutmegusher/execution/claim_table.hpp"
+
+#include "nutmegusher/execution/attempt_sequence.hpp"
+#include "nutmegusher/execution/claim_encoding.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher
+{
+namespace
+{
+
+using internal::fingerprint;
+using internal::same;
+
+// What a record costs besides key and answer: two allocations, the map's node
+// and bucket, the queue's slot. bench/capacity measures the true figure.
+constexpr std::uint64_t record_overhead_bytes = 200;
+
+messages::claim_result verdict(messages::claim_verdict value)
+{
+    messages::claim_result result;
+    result.set_verdict(value);
+    return result;
+}
+
+messages::claim_result in_progress(const messages::attempt& holder)
+{
+    auto result = verdict(messages::claim_in_progress);
+    *result.mutable_holder() = holder;
+    return result;
+}
+
+messages::claim_result already_finished(const std::string& answer)
+{
+    auto result = verdict(messages::claim_already_finished);
+    result.mutable_answer()->ParseFromString(answer);
+    return result;
+}
+
+// What is kept of an answer when memory is short.
+std::string without_body(const std::string& bytes)
+{
+    messages::stored_answer answer;
+    answer.ParseFromString(bytes);
+    answer.clear_headers();
+    if (!answer.body_dropped())
+    {
+        answer.set_body_digest(stable_hash(answer.body()));
+        answer.set_body_size(answer.body().size());
+        answer.set_body_dropped(true);
+    }
+    answer.clear_body();
+    return answer.SerializeAsString();
+}
+
+std::uint64_t cost(const std::string& key)
+{
+    return record_overhead_bytes + key.size();
+}
+
+} // namespace
+
+claim_table::claim_table(claim_limits limits)
+    : limits_(limits)
+{
+}
+
+messages::claim_result
+claim_table::apply(const messages::claim_command& command)
+{
+    advance_time(command.proposed_at_ms());
+    forget_expired();
+    const auto key = internal::encode(command.key());
+    switch (command.action_case())
+    {
+    case messages::claim_command::kStart:
+        return start(key, command);
+    case messages::claim_command::kFinish:
+        return finish(key, command);
+    case messages::claim_command::kRelease:
+        return release(key, command);
+    case messages::claim_command::kFence:
+        return fence_off(key, command);
+    case messages::claim_command::ACTION_NOT_SET:
+        break;
+    }
+    return verdict(messages::claim_verdict_none);
+}
+
+messages::claim_result claim_table::find(const messages::claim_key& key) const
+{
+    const auto found = records_.find(internal::encode(key));
+    if (found == records_.end())
+    {
+        return verdict(messages::claim_verdict_none);
+    }
+    const auto& value = found->second;
+    return value.running ? in_progress(value.running->holder)
+                         : already_finished(value.answer);
+}
+
+claim_counts claim_table::counts() const
+{
+    return {
+        .running = records_.size() - finished_.size(),
+        .finished = finished_.size(),
+        .fences = fences_.size(),
+        .bytes = bytes_,
+        .answer_bytes = answer_bytes_,
+        .log_time_ms = log_time_ms_};
+}
+
+void claim_table::advance_time(std::uint64_t proposed_at_ms)
+{
+    if (log_time_ms_ == 0)
+    {
+        log_time_ms_ = proposed_at_ms;
+        return;
+    }
+    const auto bound = log_time_ms_ + limits_.max_time_step_ms;
+    log_time_ms_ = std::max(log_time_ms_, std::min(proposed_at_ms, bound));
+}
+
+void claim_table::forget_expired()
+{
+    while (!finished_.empty() &&
+           finished_.front()->second.finished_at_ms + limits_.retention_ms <
+               log_time_ms_)
+    {
+        const auto& [key, value] = *finished_.front();
+        bytes_ -= cost(key) + value.answer.size();
+        answer_bytes_ -= value.answer.size();
+        finished_.pop_front();
+        stripped_ -= std::min<std::size_t>(stripped_, 1);
+        records_.erase(records_.find(key));
+    }
+    while (!fences_.empty() &&
+           fences_.front().fenced_at_ms + limits_.attempt_lifetime_ms <
+               log_time_ms_)
+    {
+        fence_set_.erase(fences_.front().fingerprint);
+        fences_.pop_front();
+    }
+}
+
+void claim_table::strip_answers()
+{
+    while (answer_bytes_ > limits_.max_answer_bytes &&
+           stripped_ < finished_.size())
+    {
+        auto& answer = finished_[stripped_]->second.answer;
+        bytes_ -= answer.size();
+        answer_bytes_ -= answer.size();
+        answer = without_body(answer);
+        bytes_ += answer.size();
+        answer_bytes_ += answer.size();
+        ++stripped_;
+    }
+}
+
+messages::claim_result claim_table::start(
+    const std::string& key, const messages::claim_command& command)
+{
+    const auto found = records_.find(key);
+    if (found == records_.end())
+    {
+        return grant(key, command);
+    }
+    const auto& value = found->second;
+    if (holds(value, command.by()))
+    {
+        return same(value.running->executor, command.executor())
+                   ? verdict(messages::claim_granted)
+                   : in_progress(value.running->holder);
+    }
+    return refuse(key, command);
+}
+
+// No record of the key: the attempt may have it, unless it was given up.
+messages::claim_result claim_table::grant(
+    const std::string& key, const messages::claim_command& command)
+{
+    if (is_fenced(key, command.by()))
+    {
+        return verdict(messages::claim_fenced);
+    }
+    if (is_expired(command.by()))
+    {
+        return verdict(messages::claim_attempt_expired);
+    }
+    if (bytes_ + cost(key) > limits_.max_bytes)
+    {
+        return verdict(messages::claim_unavailable);
+    }
+    record value;
+    value.request_digest = command.start().request_digest();
+    value.running = std::make_unique<running_claim>(
+        running_claim{command.by(), command.executor()});
+    insert_running(key, std::move(value));
+    return verdict(messages::claim_granted);
+}
+
+// Another attempt has the key. The refused one is fenced, so that a second copy
+// of its start can't be granted after the key became free: nobody would run it.
+messages::claim_result claim_table::refuse(
+    const std::string& key, const messages::claim_command& command)
+{
+    const auto& value = records_.at(key);
+    if (!ran(key, value, command.by()))
+    {
+        add_fence(key, command.by());
+    }
+    if (value.request_digest != command.start().request_digest())
+    {
+        return verdict(messages::claim_other_request);
+    }
+    return value.running ? in_progress(value.running->holder)
+                         : already_finished(value.answer);
+}
+
+messages::claim_result claim_table::finish(
+    const std::string& key, const messages::claim_command& command)
+{
+    const auto found = records_.find(key);
+    if (found == records_.end())
+    {
+        return verdict(messages::claim_not_held);
+    }
+    auto& value = found->second;
+    if (!value.running)
+    {
+        const bool resent = ran(key, value, command.by());
+        return verdict(
+            resent ? messages::claim_granted : messages::claim_not_held);
+    }
+    if (!same(value.running->holder, command.by()) ||
+        !same(value.running->executor, command.executor()))
+    {
+        return verdict(messages::claim_not_held);
+    }
+    value.running.reset();
+    value.holder_fingerprint = fingerprint(key, command.by());
+    value.finished_at_ms = finish_time(command);
+    value.answer = command.finish().answer().SerializeAsString();
+    bytes_ += value.answer.size();
+    answer_bytes_ += value.answer.size();
+    finished_.push_back(&*found);
+    strip_answers();
+    return verdict(messages::claim_granted);
+}
+
+// Retention counts from the latest time that anyone names: the log time lags
+// after a quiet spell, and catching up must not end the retention early.
+std::uint64_t
+claim_table::finish_time(const messages::claim_command& command) const
+{
+    const auto previous =
+        finished_.empty() ? 0 : finished_.back()->second.finished_at_ms;
+    const auto issued = attempt_sequence::issued_at_ms(command.by().sequence());
+    return std::max({log_time_ms_, command.proposed_at_ms(), issued, previous});
+}
+
+// Sent by an execution that never started and never will. Without a record its
+// start wasn't applied yet, or was released already: the fence ends it.
+messages::claim_result claim_table::release(
+    const std::string& key, const messages::claim_command& command)
+{
+    const auto found = records_.find(key);
+    const bool held =
+        found != records_.end() && holds(found->second, command.by());
+    if (found != records_.end() &&
+        (ran(key, found->second, command.by()) ||
+         (held && !same(found->second.running->executor, command.executor()))))
+    {
+        return verdict(messages::claim_not_held);
+    }
+    if (!add_fence(key, command.by()))
+    {
+        return verdict(messages::claim_unavailable);
+    }
+    if (held)
+    {
+        bytes_ -= cost(key);
+        records_.erase(found);
+    }
+    return verdict(messages::claim_granted);
+}
+
+messages::claim_result claim_table::fence_off(
+    const std::string& key, const messages::claim_command& command)
+{
+    const auto found = records_.find(key);
+    if (found != records_.end() && holds(found->second, command.by()))
+    {
+        return in_progress(command.by());
+    }
+    const bool finished_itself =
+        found != records_.end() && ran(key, found->second, command.by());
+    if (!finished_itself && !add_fence(key, command.by()))
+    {
+        return verdict(messages::claim_unavailable);
+    }
+    if (found == records_.end())
+    {
+        return is_expired(command.by())
+                   ? verdict(messages::claim_attempt_expired)
+                   : verdict(messages::claim_granted);
+    }
+    const auto& value = found->second;
+    if (value.request_digest != command.fence().request_digest())
+    {
+        return verdict(messages::claim_other_request);
+    }
+    return value.running ? in_progress(value.running->holder)
+                         : already_finished(value.answer);
+}
+
+bool claim_table::holds(const record& value, const messages::attempt& by)
+{
+    return value.running && same(value.running->holder, by);
+}
+
+bool claim_table::ran(
+    const std::string& key, const record& value, const messages::attempt& by)
+{
+    return !value.running && value.holder_fingerprint == fingerprint(key, by);
+}
+
+// False where there are too many fences to remember one more.
+bool claim_table::add_fence(const std::string& key, const messages::attempt& by)
+{
+    const auto print = fingerprint(key, by);
+    if (fence_set_.contains(print))
+    {
+        return true;
+    }
+    if (fences_.size() >= limits_.max_fences)
+    {
+        return false;
+    }
+    // Not before the attempt was issued, by whatever clock: until the fence is
+    // forgotten the attempt has expired.
+    const auto issued = attempt_sequence::issued_at_ms(by.sequence());
+    const auto previous = fences_.empty() ? 0 : fences_.back().fenced_at_ms;
+    const auto at = std::max({log_time_ms_, issued, previous});
+    fence_set_.insert(print);
+    fences_.push_back({print, at});
+    return true;
+}
+
+bool claim_table::is_fenced(
+    const std::string& key, const messages::attempt& by) const
+{
+    return !fence_set_.empty() && fence_set_.contains(fingerprint(key, by));
+}
+
+bool claim_table::is_expired(const messages::attempt& by) const
+{
+    return attempt_sequence::issued_at_ms(by.sequence()) +
+               limits_.attempt_lifetime_ms <
+           log_time_ms_;
+}
+
+void claim_table::insert_running(std::string key, record value)
+{
+    bytes_ += cost(key);
+    records_.emplace(std::move(key), std::move(value));
+}
+
+void claim_table::insert_finished(std::string key, record value)
+{
+    bytes_ += cost(key) + value.answer.size();
+    answer_bytes_ += value.answer.size();
+    const auto added = records_.emplace(std::move(key), std::move(value)).first;
+    finished_.push_back(&*added);
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/execution/execution_guard.cpp
@@ -0,0 +1,287 @@
+#include "nutmegusher/execution/execution_guard.hpp"
+
+#include <utility>
+
+namespace nutmegusher
+{
+namespace
+{
+
+told_outcome not_run(outcome_reason why)
+{
+    return {call_outcome::not_run, why, std::nullopt};
+}
+
+told_outcome unknown(outcome_reason why)
+{
+    return {call_outcome::unknown, why, std::nullopt};
+}
+
+// By a verdict that says the attempt doesn't hold the claim and never will, or
+// that nothing is known.
+told_outcome conclude_refusal(const messages::claim_result& result)
+{
+    switch (result.verdict())
+    {
+    case messages::claim_already_finished:
+        return {call_outcome::completed, outcome_reason::none, result.answer()};
+    case messages::claim_other_request:
+        return not_run(outcome_reason::key_reused);
+    case messages::claim_fenced:
+        return not_run(outcome_reason::fenced);
+    case messages::claim_in_progress:
+        return unknown(outcome_reason::in_progress);
+    case messages::claim_attempt_expired:
+        return unknown(outcome_reason::attempt_expired);
+    default:
+        return unknown(outcome_reason::claims_unavailable);
+    }
+}
+
+} // namespace
+
+told_outcome conclude_fence(const messages::claim_result& result)
+{
+    if (result.verdict() == messages::claim_granted)
+    {
+        return not_run(outcome_reason::connection_lost);
+    }
+    return conclude_refusal(result);
+}
+
+execution_guard::execution_guard(execution_terms terms)
+    : terms_(std::move(terms))
+{
+}
+
+guard_step execution_guard::begin(time_point now, std::uint64_t wall_ms)
+{
+    if (state_ != guard_state::admitted)
+    {
+        return {};
+    }
+    if (now >= terms_.deadline)
+    {
+        return end(not_run(outcome_reason::deadline));
+    }
+    state_ = guard_state::claiming;
+    return propose_start(wall_ms);
+}
+
+guard_step execution_guard::claim_replied(
+    time_point now,
+    std::uint64_t wall_ms,
+    messages::claim_command::ActionCase asked,
+    const messages::claim_result& result)
+{
+    const bool open =
+        state_ == guard_state::claiming || state_ == guard_state::releasing;
+    if (asked == messages::claim_command::kStart && open)
+    {
+        return start_replied(now, wall_ms, result);
+    }
+    if (asked == messages::claim_command::kRelease &&
+        state_ == guard_state::releasing)
+    {
+        return release_replied(now, wall_ms, result);
+    }
+    if (asked == messages::claim_command::kFinish &&
+        state_ == guard_state::finishing)
+    {
+        if (result.verdict() == messages::claim_unavailable)
+        {
+            return propose_finish(wall_ms);
+        }
+        state_ = guard_state::ended;
+    }
+    return {};
+}
+
+guard_step execution_guard::start_replied(
+    time_point now, std::uint64_t wall_ms, const messages::claim_result& result)
+{
+    if (result.verdict() == messages::claim_granted)
+    {
+        return granted(now, wall_ms);
+    }
+    if (result.verdict() == messages::claim_unavailable)
+    {
+        return state_ == guard_state::claiming ? claim_lost(now, wall_ms)
+                                               : guard_step{};
+    }
+    if (granted_)
+    {
+        // A verdict on a second copy of the start; the first one counts.
+        return {};
+    }
+    return end(conclude_refusal(result));
+}
+
+guard_step execution_guard::granted(time_point now, std::uint64_t wall_ms)
+{
+    granted_ = true;
+    if (state_ == guard_state::releasing)
+    {
+        // The release is on its way.
+        return {};
+    }
+    if (now >= terms_.deadline)
+    {
+        return give_up(wall_ms, outcome_reason::deadline);
+    }
+    state_ = guard_state::running;
+    guard_step step;
+    step.start_call = true;
+    return step;
+}
+
+guard_step execution_guard::claim_lost(time_point now, std::uint64_t wall_ms)
+{
+    switch (state_)
+    {
+    case guard_state::claiming:
+        return now < terms_.deadline
+                   ? propose_start(wall_ms)
+                   : give_up(wall_ms, outcome_reason::claims_unavailable);
+    case guard_state::releasing:
+        return release_again(now, wall_ms);
+    case guard_state::finishing:
+        return propose_finish(wall_ms);
+    default:
+        return {};
+    }
+}
+
+guard_step execution_guard::cancel(std::uint64_t wall_ms, outcome_reason why)
+{
+    switch (state_)
+    {
+    case guard_state::admitted:
+        return end(not_run(why));
+    case guard_state::claiming:
+        return give_up(wall_ms, why);
+    default:
+        return {};
+    }
+}
+
+guard_step execution_guard::call_completed(
+    std::uint64_t wall_ms, const messages::stored_answer& answer)
+{
+    if (state_ != guard_state::running)
+    {
+        return {};
+    }
+    state_ = guard_state::finishing;
+    answer_ = answer;
+    auto step = propose_finish(wall_ms);
+    // The answer is the outcome whether or not it gets recorded: if it doesn't,
+    // the claim stays as running and nobody else starts.
+    tell(step, {call_outcome::completed, outcome_reason::none, std::nullopt});
+    return step;
+}
+
+guard_step execution_guard::call_refused(std::uint64_t wall_ms)
+{
+    return state_ == guard_state::running
+               ? give_up(wall_ms, outcome_reason::upstream_refused)
+               : guard_step{};
+}
+
+guard_step execution_guard::call_broken()
+{
+    return state_ == guard_state::running
+               ? end(unknown(outcome_reason::connection_lost))
+               : guard_step{};
+}
+
+guard_step execution_guard::give_up(std::uint64_t wall_ms, outcome_reason why)
+{
+    state_ = guard_state::releasing;
+    release_reason_ = why;
+    return propose_release(wall_ms);
+}
+
+guard_step execution_guard::release_replied(
+    time_point now, std::uint64_t wall_ms, const messages::claim_result& result)
+{
+    switch (result.verdict())
+    {
+    case messages::claim_granted:
+        return end(not_run(release_reason_));
+    case messages::claim_unavailable:
+        return release_again(now, wall_ms);
+    default:
+        // Another copy of the attempt holds the claim.
+        return end(
+            granted_ ? not_run(release_reason_)
+                     : unknown(outcome_reason::in_progress));
+    }
+}
+
+// Resent until it is confirmed, so that the key becomes free; the caller isn't
+// kept waiting for that.
+guard_step execution_guard::release_again(time_point now, std::uint64_t wall_ms)
+{
+    auto step = propose_release(wall_ms);
+    if (now >= terms_.deadline + terms_.release_grace)
+    {
+        tell(
+            step,
+            granted_ ? not_run(release_reason_)
+                     : unknown(outcome_reason::claims_unavailable));
+    }
+    return step;
+}
+
+messages::claim_command execution_guard::command(std::uint64_t wall_ms) const
+{
+    messages::claim_command out;
+    *out.mutable_key() = terms_.key;
+    *out.mutable_by() = terms_.by;
+    *out.mutable_executor() = terms_.executor;
+    out.set_proposed_at_ms(wall_ms);
+    return out;
+}
+
+guard_step execution_guard::propose_start(std::uint64_t wall_ms)
+{
+    guard_step step;
+    step.propose = command(wall_ms);
+    step.propose->mutable_start()->set_request_digest(terms_.request_digest);
+    return step;
+}
+
+guard_step execution_guard::propose_finish(std::uint64_t wall_ms)
+{
+    guard_step step;
+    step.propose = command(wall_ms);
+    *step.propose->mutable_finish()->mutable_answer() = answer_;
+    return step;
+}
+
+guard_step execution_guard::propose_release(std::uint64_t wall_ms)
+{
+    guard_step step;
+    step.propose = command(wall_ms);
+    step.propose->mutable_release();
+    return step;
+}
+
+void execution_guard::tell(guard_step& step, told_outcome outcome)
+{
+    if (!std::exchange(told_, true))
+    {
+        step.tell = std::move(outcome);
+    }
+}
+
+guard_step execution_guard::end(told_outcome outcome)
+{
+    state_ = guard_state::ended;
+    guard_step step;
+    tell(step, std::move(outcome));
+    return step;
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/execution/execution_world_test.hpp
@@ -0,0 +1,408 @@
+// Guards and the claim table together, with lost, late and repeated messages,
+// copies of attempts, crashes and frozen executors, and the oracle that judges
+// them. For tests only.
+#ifndef NUTMEGUSHER_EXECUTION_EXECUTION_WORLD_TEST_HPP
+#define NUTMEGUSHER_EXECUTION_EXECUTION_WORLD_TEST_HPP
+
+#include "nutmegusher/execution/execution.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher::testing_world
+{
+
+using action = messages::claim_command::ActionCase;
+
+// Which mechanism is switched off.
+enum class fault
+{
+    none,
+    fence_ignored,        // "not run" is said without a record of the fence
+    claim_expires,        // a new attempt takes the claim of a silent one
+    start_without_answer, // a lost answer to a start counts as a grant
+    copies_share_claim    // the executor isn't told apart from its copies
+};
+
+// Uniform below the bound.
+using chooser = std::function<unsigned(unsigned bound)>;
+
+inline constexpr unsigned key_count = 2;
+inline constexpr unsigned digest_count = 2;
+inline constexpr std::uint64_t first_wall_ms = 1'790'000'000'000;
+
+inline claim_limits small_limits()
+{
+    return {
+        .retention_ms = ~0ULL >> 2U,
+        .attempt_lifetime_ms = 3000,
+        .max_fences = 12,
+        .max_time_step_ms = ~0ULL >> 2U};
+}
+
+struct executor
+{
+    execution_terms terms;
+    execution_guard guard;
+    bool alive = true;
+    // The upstream had the call, and doesn't vouch that it did nothing.
+    bool executed = false;
+    bool claimed = false;
+};
+
+struct message
+{
+    std::size_t executor;
+    messages::claim_command command;
+    std::optional<messages::claim_result> reply;
+};
+
+// One run: each step is an event chosen by `choose`.
+class world
+{
+public:
+    world(fault off, chooser choose)
+        : off_(off)
+        , choose_(std::move(choose))
+    {
+    }
+
+    void step()
+    {
+        switch (choose_(14))
+        {
+        case 0:
+            return new_attempt();
+        case 1:
+            return copy_attempt();
+        case 2:
+        case 3:
+        case 4:
+            return deliver();
+        case 5:
+        case 6:
+        case 7:
+            return deliver_reply();
+        case 8:
+            return lose_message();
+        case 9:
+            return with_executor(
+                [this](std::size_t which)
+                {
+                    lost(which);
+                });
+        case 10:
+            return with_executor(
+                [this](std::size_t which)
+                {
+                    end(which);
+                });
+        case 11:
+            return with_executor(
+                [this](std::size_t which)
+                {
+                    disturb(which);
+                });
+        case 12:
+            return with_executor(
+                [this](std::size_t which)
+                {
+                    fence(which);
+                });
+        default:
+            return pass_time();
+        }
+    }
+
+    // Empty: the oracle holds.
+    [[nodiscard]] std::optional<std::string> violation() const
+    {
+        std::set<std::string> ran_keys;
+        for (const auto& one : executors_)
+        {
+            if (!one.executed)
+            {
+                continue;
+            }
+            if (!ran_keys.insert(one.terms.key.idempotency_key()).second)
+            {
+                return "executed twice";
+            }
+            if (not_run_.contains(one.terms.by.sequence()))
+            {
+                return "ran after 'not run'";
+            }
+        }
+        return wrong_answer_;
+    }
+
+    [[nodiscard]] std::size_t executed() const
+    {
+        std::size_t count = 0;
+        for (const auto& one : executors_)
+        {
+            count += one.executed ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    template <class Function>
+    void with_executor(Function&& use)
+    {
+        if (!executors_.empty())
+        {
+            use(choose_(static_cast<unsigned>(executors_.size())));
+        }
+    }
+
+    void new_attempt()
+    {
+        execution_terms terms;
+        terms.key.set_idempotency_key(std::to_string(choose_(key_count)));
+        terms.request_digest = choose_(digest_count);
+        terms.by.set_entry_host("entry");
+        terms.by.set_sequence(sequence_.next(wall_ms_));
+        add(terms);
+    }
+
+    void copy_attempt()
+    {
+        with_executor(
+            [this](std::size_t which)
+            {
+                add(executors_[which].terms);
+            });
+    }
+
+    void add(execution_terms terms)
+    {
+        terms.executor.set_host("executor");
+        terms.executor.set_execution(executors_.size());
+        terms.deadline = now_ + std::chrono::seconds(2);
+        executors_.push_back({terms, execution_guard(terms)});
+        const auto which = executors_.size() - 1;
+        perform(which, executors_[which].guard.begin(now_, wall_ms_));
+    }
+
+    void deliver()
+    {
+        if (messages_.empty())
+        {
+            return;
+        }
+        auto& found = messages_[choose_(count(messages_))];
+        // It stays in the network: it may come again, and late.
+        found.reply = apply(found.command);
+    }
+
+    messages::claim_result apply(messages::claim_command command)
+    {
+        if (off_ == fault::copies_share_claim)
+        {
+            command.clear_executor();
+        }
+        if (off_ == fault::fence_ignored && command.has_fence())
+        {
+            messages::claim_result pretended;
+            pretended.set_verdict(messages::claim_granted);
+            return pretended;
+        }
+        auto result = table_.apply(command);
+        if (off_ == fault::claim_expires && command.has_start() &&
+            result.verdict() == messages::claim_in_progress)
+        {
+            drop_claim(command.key());
+            auto successor = command;
+            successor.mutable_by()->set_sequence(sequence_.next(wall_ms_));
+            result = table_.apply(successor);
+        }
+        return result;
+    }
+
+    void drop_claim(const messages::claim_key& key)
+    {
+        for (const auto& one : executors_)
+        {
+            messages::claim_command release;
+            *release.mutable_key() = key;
+            *release.mutable_by() = one.terms.by;
+            *release.mutable_executor() = one.terms.executor;
+            release.mutable_release();
+            table_.apply(release);
+        }
+    }
+
+    void deliver_reply()
+    {
+        if (messages_.empty())
+        {
+            return;
+        }
+        // Kept, so that it may come again.
+        const auto found = messages_[choose_(count(messages_))];
+        if (!found.reply)
+        {
+            return;
+        }
+        if (found.command.has_fence())
+        {
+            tell(found.executor, conclude_fence(*found.reply), true);
+            return;
+        }
+        auto& one = executors_[found.executor];
+        if (one.alive)
+        {
+            perform(
+                found.executor,
+                one.guard.claim_replied(
+                    now_, wall_ms_, found.command.action_case(), *found.reply));
+        }
+    }
+
+    void lose_message()
+    {
+        if (!messages_.empty())
+        {
+            messages_.erase(messages_.begin() + choose_(count(messages_)));
+        }
+    }
+
+    void lost(std::size_t which)
+    {
+        auto& one = executors_[which];
+        if (!one.alive)
+        {
+            return;
+        }
+        if (off_ == fault::start_without_answer &&
+            one.guard.state() == guard_state::claiming)
+        {
+            one.executed = true;
+            return;
+        }
+        perform(which, one.guard.claim_lost(now_, wall_ms_));
+    }
+
+    // The call at the upstream comes to an end.
+    void end(std::size_t which)
+    {
+        auto& one = executors_[which];
+        if (!one.alive || one.guard.state() != guard_state::running)
+        {
+            return;
+        }
+        switch (choose_(4))
+        {
+        case 0:
+            one.executed = false;
+            return perform(which, one.guard.call_refused(wall_ms_));
+        case 1:
+            return perform(which, one.guard.call_broken());
+        default:
+            messages::stored_answer answer;
+            answer.set_body(std::to_string(which));
+            return perform(which, one.guard.call_completed(wall_ms_, answer));
+        }
+    }
+
+    void disturb(std::size_t which)
+    {
+        auto& one = executors_[which];
+        if (choose_(2) == 0)
+        {
+            one.alive = false;
+        }
+        else if (one.alive)
+        {
+            perform(
+                which, one.guard.cancel(wall_ms_, outcome_reason::cancelled));
+        }
+    }
+
+    void fence(std::size_t which)
+    {
+        const auto& terms = executors_[which].terms;
+        messages::claim_command command;
+        *command.mutable_key() = terms.key;
+        *command.mutable_by() = terms.by;
+        command.set_proposed_at_ms(wall_ms_);
+        command.mutable_fence()->set_request_digest(terms.request_digest);
+        messages_.push_back({which, command, std::nullopt});
+    }
+
+    void pass_time()
+    {
+        const auto step = 1 + choose_(600);
+        now_ += std::chrono::milliseconds(step);
+        wall_ms_ += step;
+        const auto restored = claim_table::restore(table_.snapshot());
+        if (restored && restored->snapshot() != table_.snapshot())
+        {
+            wrong_answer_ = "a restored table differs";
+        }
+    }
+
+    void perform(std::size_t which, const guard_step& step)
+    {
+        auto& one = executors_[which];
+        if (step.propose)
+        {
+            one.claimed = true;
+            messages_.push_back({which, *step.propose, std::nullopt});
+        }
+        if (step.start_call)
+        {
+            one.executed = true;
+        }
+        if (step.tell)
+        {
+            tell(which, *step.tell, one.claimed);
+        }
+    }
+
+    void tell(std::size_t which, const told_outcome& told, bool claimed)
+    {
+        const auto& terms = executors_[which].terms;
+        if (told.outcome == call_outcome::not_run && claimed)
+        {
+            not_run_.insert(terms.by.sequence());
+        }
+        if (told.answer)
+        {
+            const auto& source = executors_[std::stoul(told.answer->body())];
+            if (!source.executed ||
+                source.terms.request_digest != terms.request_digest ||
+                source.terms.key.idempotency_key() !=
+                    terms.key.idempotency_key())
+            {
+                wrong_answer_ = "the answer to another request";
+            }
+        }
+    }
+
+    static unsigned count(const std::vector<message>& list)
+    {
+        return static_cast<unsigned>(list.size());
+    }
+
+    fault off_;
+    chooser choose_;
+    claim_table table_{small_limits()};
+    attempt_sequence sequence_;
+    time_point now_{std::chrono::hours(1)};
+    std::uint64_t wall_ms_ = first_wall_ms;
+    std::vector<executor> executors_;
+    std::vector<message> messages_;
+    std::set<std::uint64_t> not_run_;
+    std::optional<std::string> wrong_answer_;
+};
+
+} // namespace nutmegusher::testing_world
+
+#endif
--- /dev/null
+++ b/nutmegusher/execution/request_digest.cpp
@@ -0,0 +1,36 @@
+#include "nutmegusher/execution/request_digest.hpp"
+
+#include <xxhash.h>
+
+namespace nutmegusher
+{
+
+void request_digest::free_state::operator()(XXH64_state_s* state) const
+{
+    XXH64_freeState(state);
+}
+
+request_digest::request_digest(std::string_view method, std::string_view path)
+    : state_(XXH64_createState())
+{
+    XXH64_reset(state_.get(), 0);
+    for (const auto part : {method, path})
+    {
+        // The length first, so that no two pairs run together alike.
+        const auto size = static_cast<std::uint64_t>(part.size());
+        XXH64_update(state_.get(), &size, sizeof(size));
+        update(part);
+    }
+}
+
+void request_digest::update(std::string_view piece)
+{
+    XXH64_update(state_.get(), piece.data(), piece.size());
+}
+
+std::uint64_t request_digest::value() const
+{
+    return XXH64_digest(state_.get());
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/execution/request_ledger_property_test.cpp
@@ -0,0 +1,220 @@
+// Tokens are conserved across arbitrary trees of calls, lost and repeated
+// answers.
+#include "nutmegusher/execution/execution.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher
+{
+namespace
+{
+
+constexpr std::size_t daemon_count = 4;
+const request_id shared_id("r-1");
+
+// One call between two daemons, from its sending to its answer.
+struct call
+{
+    std::size_t target = 0;
+    std::uint32_t carried = 0;
+    lent_tokens lent{0};
+    std::shared_ptr<request_ledger::sub_call> origin;
+    std::optional<request_ledger::running_request> running;
+    std::optional<std::uint32_t> answer;
+    // What the answer holds until it first arrives.
+    std::uint32_t in_answer = 0;
+};
+
+// A few daemons that call each other in any pattern for one request. Whatever
+// is destroyed with tokens inside is counted as lost.
+class call_tree
+{
+public:
+    explicit call_tree(std::uint32_t minted)
+        : ledgers_(daemon_count)
+        , minted_(minted)
+    {
+        for (auto& ledger : ledgers_)
+        {
+            ledger = std::make_unique<request_ledger>(2);
+        }
+        roots_.push_back(
+            ledgers_[0]->open(shared_id, {}, retry_tokens::mint(minted)));
+    }
+
+    void begin(std::size_t daemon, std::uint32_t wanted)
+    {
+        auto made = ledgers_[daemon]->begin_sub_call(shared_id, wanted);
+        if (made)
+        {
+            sub_calls_.push_back(
+                std::make_shared<request_ledger::sub_call>(std::move(*made)));
+            all_sub_calls_.emplace_back(sub_calls_.back());
+        }
+    }
+
+    void spend(std::size_t which)
+    {
+        if (!sub_calls_.empty())
+        {
+            auto& origin = sub_calls_[which % sub_calls_.size()];
+            spent_ += origin->tokens().spend() ? 1 : 0;
+        }
+    }
+
+    void send(std::size_t which, std::size_t target)
+    {
+        if (sub_calls_.empty())
+        {
+            return;
+        }
+        auto made = std::make_unique<call>();
+        made->origin = sub_calls_[which % sub_calls_.size()];
+        made->target = target;
+        made->carried = made->origin->tokens().send();
+        made->lent = lent_tokens(made->carried);
+        calls_.push_back(std::move(made));
+    }
+
+    void deliver(std::size_t which)
+    {
+        if (auto* found = pick(which);
+            found != nullptr && !found->running && !found->answer)
+        {
+            found->running.emplace(ledgers_[found->target]->open(
+                shared_id,
+                {},
+                retry_tokens::received(std::exchange(found->carried, 0))));
+        }
+    }
+
+    void answer(std::size_t which)
+    {
+        if (auto* found = pick(which); found != nullptr && found->running)
+        {
+            found->answer = found->running->finish().send();
+            found->in_answer = *found->answer;
+            found->running.reset();
+        }
+    }
+
+    // The same answer may come again: it isn't taken off the network.
+    void receive_answer(std::size_t which)
+    {
+        if (auto* found = pick(which); found != nullptr && found->answer)
+        {
+            found->in_answer = 0;
+            found->origin->tokens().put(found->lent.bring_back(*found->answer));
+        }
+    }
+
+    void lose(std::size_t which)
+    {
+        if (!calls_.empty())
+        {
+            calls_.erase(
+                calls_.begin() +
+                static_cast<std::ptrdiff_t>(which % calls_.size()));
+        }
+    }
+
+    void end_sub_call(std::size_t which)
+    {
+        if (!sub_calls_.empty())
+        {
+            sub_calls_.erase(
+                sub_calls_.begin() +
+                static_cast<std::ptrdiff_t>(which % sub_calls_.size()));
+        }
+    }
+
+    // Everything that can still be spent, and what was.
+    [[nodiscard]] std::uint64_t total() const
+    {
+        std::uint64_t sum = spent_;
+        for (const auto& ledger : ledgers_)
+        {
+            sum += ledger->available_tokens();
+        }
+        for (const auto& one : all_sub_calls_)
+        {
+            const auto origin = one.lock();
+            sum += origin ? origin->tokens().count() : 0;
+        }
+        for (const auto& one : calls_)
+        {
+            sum += one->carried + one->in_answer;
+        }
+        return sum;
+    }
+
+    [[nodiscard]] std::uint32_t minted() const
+    {
+        return minted_;
+    }
+
+private:
+    call* pick(std::size_t which)
+    {
+        return calls_.empty() ? nullptr : calls_[which % calls_.size()].get();
+    }
+
+    std::vector<std::unique_ptr<request_ledger>> ledgers_;
+    std::uint32_t minted_;
+    std::vector<request_ledger::running_request> roots_;
+    std::vector<std::shared_ptr<request_ledger::sub_call>> sub_calls_;
+    // A call in flight keeps its origin after the caller gave it up.
+    std::vector<std::weak_ptr<request_ledger::sub_call>> all_sub_calls_;
+    std::vector<std::unique_ptr<call>> calls_;
+    std::uint64_t spent_ = 0;
+};
+
+void play(call_tree& tree, unsigned action, std::size_t one, std::size_t two)
+{
+    switch (action)
+    {
+    case 0:
+        return tree.begin(one % daemon_count, two % 3);
+    case 1:
+        return tree.spend(one);
+    case 2:
+        return tree.send(one, two % daemon_count);
+    case 3:
+        return tree.deliver(one);
+    case 4:
+        return tree.answer(one);
+    case 5:
+        return tree.receive_answer(one);
+    case 6:
+        return tree.lose(one);
+    default:
+        return tree.end_sub_call(one);
+    }
+}
+
+RC_GTEST_PROP(request_ledger_property, never_more_tokens_than_were_minted, ())
+{
+    constexpr unsigned actions = 8;
+    constexpr int steps = 200;
+    call_tree tree(*rc::gen::inRange<std::uint32_t>(0, 6));
+    std::uint64_t previous = tree.minted();
+    for (int step = 0; step < steps; ++step)
+    {
+        const auto action = *rc::gen::inRange(0U, actions);
+        const auto one = *rc::gen::inRange<std::size_t>(0, 12);
+        const auto two = *rc::gen::inRange<std::size_t>(0, 12);
+        play(tree, action, one, two);
+        // They may get lost, and never come from nowhere.
+        RC_ASSERT(tree.total() <= previous);
+        previous = tree.total();
+    }
+}
+
+} // namespace
+} // namespace nutmegusher
