--- /dev/null
+++ b/nutmegusher/control/configuration_check.hpp
@@ -0,0 +1,44 @@
+// What makes a change acceptable on its own, before anyone else's is looked at.
+#ifndef NUTMEGUSHER_CONTROL_CONFIGURATION_CHECK_HPP
+#define NUTMEGUSHER_CONTROL_CONFIGURATION_CHECK_HPP
+
+#include "nutmegusher/messages/configuration.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace nutmegusher
+{
+
+inline constexpr std::size_t longest_name = 64;
+inline constexpr std::size_t longest_path_prefix = 256;
+inline constexpr std::size_t longest_method = 16;
+inline constexpr std::size_t longest_change_id = 128;
+inline constexpr std::size_t longest_author = 128;
+inline constexpr std::uint32_t highest_rank = 9;
+// An hour: a large dossier over a slow line.
+inline constexpr std::uint32_t longest_latency_ms = 3'600'000;
+inline constexpr std::uint32_t whole_ppm = 1'000'000;
+
+// A typed problem and the field that has it, as a path: "declare.target".
+struct configuration_problem
+{
+    messages::change_problem problem = messages::change_problem_none;
+    std::string field;
+};
+
+// Nothing where the change is well formed. Whether it fits what is declared
+// is for `configuration_store`.
+[[nodiscard]] std::optional<configuration_problem>
+check_change(const messages::change& change);
+
+// The class that a change is about; empty where it has no action.
+[[nodiscard]] std::string_view
+changed_class_name(const messages::change& change);
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/control/configuration_store.cpp
@@ -0,0 +1,346 @@
+#include "nutmegusher/control/configuration_store.hpp"
+
+#include "nutmegusher/control/configuration_check.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+messages::change_result
+refused(messages::change_verdict verdict, nutmegusher::revision present)
+{
+    messages::change_result result;
+    result.set_verdict(verdict);
+    result.set_revision(present.value());
+    return result;
+}
+
+messages::change_result
+invalid(messages::change_problem problem, std::string field)
+{
+    messages::change_result result;
+    result.set_verdict(messages::change_invalid);
+    result.set_problem(problem);
+    result.set_field(std::move(field));
+    return result;
+}
+
+std::uint64_t digest_of(const messages::change& change)
+{
+    return stable_hash(change.SerializeAsString());
+}
+
+bool same_match(
+    const messages::work_class& left, const messages::work_class& right)
+{
+    return left.service() == right.service() &&
+           left.method() == right.method() &&
+           left.path_prefix() == right.path_prefix();
+}
+
+// Does one accepted change to a map or to any other keeper of classes.
+template <class Put, class Find, class Remove>
+void perform_change(
+    const messages::accepted_change& accepted,
+    const Put& put,
+    const Find& find,
+    const Remove& remove)
+{
+    const auto& change = accepted.what();
+    if (change.has_declare())
+    {
+        auto declared = change.declare();
+        declared.set_revision(accepted.revision());
+        put(std::move(declared));
+    }
+    else if (change.has_set_target())
+    {
+        if (auto* known = find(change.set_target().class_name()))
+        {
+            *known->mutable_target() = change.set_target().target();
+            known->set_revision(accepted.revision());
+        }
+    }
+    else
+    {
+        remove(change.remove_class());
+    }
+}
+
+} // namespace
+
+configuration_store::configuration_store(const configuration_limits& limits)
+    : limits_(limits)
+{
+}
+
+messages::change_result
+configuration_store::apply(const messages::log_entry& entry)
+{
+    return apply(entry.configuration_change());
+}
+
+messages::change_result
+configuration_store::apply(const messages::change& change)
+{
+    const bool repeated = is_remembered(change);
+    auto result = check(change);
+    if (repeated)
+    {
+        return result;
+    }
+    if (result.verdict() == messages::change_accepted)
+    {
+        perform(change);
+    }
+    if (!change.change_id().empty())
+    {
+        remember(change, result);
+    }
+    return result;
+}
+
+bool configuration_store::is_remembered(const messages::change& change) const
+{
+    return remembered_.contains(change.change_id());
+}
+
+messages::change_result
+configuration_store::check(const messages::change& change) const
+{
+    const auto known = remembered_.find(change.change_id());
+    if (known == remembered_.end())
+    {
+        return judge(change);
+    }
+    if (known->second.digest != digest_of(change))
+    {
+        return refused(messages::change_id_reused, revision_);
+    }
+    return known->second.answer;
+}
+
+messages::change_result
+configuration_store::judge(const messages::change& change) const
+{
+    if (auto problem = check_change(change))
+    {
+        return invalid(problem->problem, std::move(problem->field));
+    }
+    const auto name = changed_class_name(change);
+    const auto present = class_revision(name);
+    if (present.value() != change.based_on())
+    {
+        return refused(messages::change_conflict, present);
+    }
+    const bool exists = classes_.contains(name);
+    if (!exists && !change.has_declare())
+    {
+        return invalid(messages::problem_unknown_class, std::string(name));
+    }
+    if (!exists && classes_.size() >= limits_.classes)
+    {
+        return invalid(messages::problem_too_many_classes, "declare");
+    }
+    if (change.has_declare() && overlaps(change.declare()))
+    {
+        return invalid(
+            messages::problem_overlapping_match, "declare.path_prefix");
+    }
+    return refused(messages::change_accepted, revision_.next());
+}
+
+nutmegusher::revision
+configuration_store::class_revision(std::string_view name) const
+{
+    const auto known = classes_.find(name);
+    return known == classes_.end()
+               ? nutmegusher::revision()
+               : nutmegusher::revision(known->second.revision());
+}
+
+// Two classes with the same match would leave open which one a request is of.
+bool configuration_store::overlaps(const messages::work_class& declared) const
+{
+    return std::any_of(
+        classes_.begin(),
+        classes_.end(),
+        [&declared](const auto& known)
+        {
+            return known.first != declared.name() &&
+                   same_match(known.second, declared);
+        });
+}
+
+void configuration_store::perform(const messages::change& change)
+{
+    revision_ = revision_.next();
+    messages::accepted_change accepted;
+    accepted.set_revision(revision_.value());
+    *accepted.mutable_what() = change;
+    perform_change(
+        accepted,
+        [this](messages::work_class declared)
+        {
+            const auto name = declared.name();
+            classes_[name] = std::move(declared);
+        },
+        [this](const std::string& name)
+        {
+            const auto known = classes_.find(name);
+            return known == classes_.end() ? nullptr : &known->second;
+        },
+        [this](const std::string& name)
+        {
+            classes_.erase(name);
+        });
+    history_.push_back(std::move(accepted));
+    if (history_.size() > limits_.history)
+    {
+        history_.pop_front();
+    }
+}
+
+void configuration_store::remember(
+    const messages::change& change, const messages::change_result& answer)
+{
+    remembered_[change.change_id()] = {digest_of(change), answer};
+    remembered_order_.push_back(change.change_id());
+    if (remembered_order_.size() > limits_.remembered)
+    {
+        remembered_.erase(remembered_order_.front());
+        remembered_order_.pop_front();
+    }
+}
+
+messages::configuration configuration_store::present() const
+{
+    messages::configuration all;
+    all.set_revision(revision_.value());
+    for (const auto& [name, declared] : classes_)
+    {
+        *all.add_classes() = declared;
+    }
+    return all;
+}
+
+messages::configuration_delta
+configuration_store::since(nutmegusher::revision from) const
+{
+    messages::configuration_delta delta;
+    if (from >= revision_)
+    {
+        return delta;
+    }
+    const auto missing = revision_.value() - from.value();
+    if (missing > history_.size())
+    {
+        *delta.mutable_full() = present();
+        return delta;
+    }
+    const auto first = history_.end() - static_cast<std::ptrdiff_t>(missing);
+    for (auto change = first; change != history_.end(); ++change)
+    {
+        *delta.add_changes() = *change;
+    }
+    return delta;
+}
+
+std::string configuration_store::snapshot() const
+{
+    messages::configuration_state state;
+    *state.mutable_present() = present();
+    for (const auto& accepted : history_)
+    {
+        *state.add_history() = accepted;
+    }
+    for (const auto& id : remembered_order_)
+    {
+        const auto& known = remembered_.at(id);
+        auto& kept = *state.add_remembered();
+        kept.set_change_id(id);
+        kept.set_digest(known.digest);
+        *kept.mutable_answer() = known.answer;
+    }
+    return state.SerializeAsString();
+}
+
+leaf::result<configuration_store>
+configuration_store::restore(std::string_view bytes)
+{
+    messages::configuration_state state;
+    if (!state.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    {
+        return leaf::new_error(bad_configuration_snapshot{});
+    }
+    configuration_store store;
+    store.revision_ = nutmegusher::revision(state.present().revision());
+    for (auto& declared : *state.mutable_present()->mutable_classes())
+    {
+        const auto name = declared.name();
+        store.classes_[name] = std::move(declared);
+    }
+    for (auto& accepted : *state.mutable_history())
+    {
+        store.history_.push_back(std::move(accepted));
+    }
+    for (const auto& kept : state.remembered())
+    {
+        store.remembered_[kept.change_id()] = {kept.digest(), kept.answer()};
+        store.remembered_order_.push_back(kept.change_id());
+    }
+    return store;
+}
+
+void apply_delta(
+    messages::configuration& target, const messages::configuration_delta& delta)
+{
+    if (delta.has_full())
+    {
+        target = delta.full();
+        return;
+    }
+    auto& classes = *target.mutable_classes();
+    const auto find = [&classes](const std::string& name)
+    {
+        const auto known = std::find_if(
+            classes.begin(),
+            classes.end(),
+            [&name](const auto& declared)
+            {
+                return declared.name() == name;
+            });
+        return known == classes.end() ? nullptr : &*known;
+    };
+    for (const auto& accepted : delta.changes())
+    {
+        perform_change(
+            accepted,
+            [&](messages::work_class declared)
+            {
+                auto* known = find(declared.name());
+                auto* place = known == nullptr ? classes.Add() : known;
+                *place = std::move(declared);
+            },
+            find,
+            [&classes](const std::string& name)
+            {
+                const auto gone = std::remove_if(
+                    classes.begin(),
+                    classes.end(),
+                    [&name](const auto& declared)
+                    {
+                        return declared.name() == name;
+                    });
+                classes.erase(gone, classes.end());
+            });
+        target.set_revision(accepted.revision());
+    }
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/control/group_storage.hpp
@@ -0,0 +1,205 @@
+// What one replica keeps on disk: a log of frames and the last snapshot.
+#ifndef NUTMEGUSHER_CONTROL_GROUP_STORAGE_HPP
+#define NUTMEGUSHER_CONTROL_GROUP_STORAGE_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/control/disk.hpp"
+#include "nutmegusher/control/frame.hpp"
+#include "nutmegusher/control/replica.hpp"
+#include "nutmegusher/messages/replication.pb.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher
+{
+
+namespace internal
+{
+
+// Puts one frame's entries behind the others; an entry replaces those at its
+// index and above.
+void join_frame(recovered_log& log, messages::log_frame frame);
+
+// Drops entries that the snapshot has replaced: a crash came between writing
+// the one and the other. True where there were any.
+bool drop_replaced_entries(recovered_log& log);
+
+void log_tail_cut(
+    std::string_view file, std::uint64_t offset, std::uint64_t bytes);
+
+} // namespace internal
+
+// Files `group-N/log` and `group-N/snapshot` of a disk. Any failure of a
+// writing function leaves what is durable undefined within the last frame: the
+// caller drops the replica and opens the group again, as after a crash.
+template <disk Disk>
+class group_storage
+{
+public:
+    // Requires: `target` outlives the storage.
+    group_storage(Disk& target, std::uint32_t group)
+        : disk_(&target)
+        , log_file_("group-" + std::to_string(group) + "/log")
+        , snapshot_file_("group-" + std::to_string(group) + "/snapshot")
+    {
+    }
+
+    // Reads all; cuts a torn tail. `must_exist`: fails with `missing` where
+    // the group's files are gone. Fails with `bad_checksum`, with file and
+    // offset, where acknowledged data is damaged.
+    [[nodiscard]] leaf::result<recovered_log> load(bool must_exist)
+    {
+        recovered_log recovered;
+        BOOST_LEAF_AUTO(base, read_snapshot());
+        if (base)
+        {
+            recovered.base = *std::move(base);
+        }
+        BOOST_LEAF_AUTO(bytes, disk_->read(log_file_));
+        if (!bytes && must_exist)
+        {
+            return leaf::new_error(
+                storage_failure{storage_fault::missing, log_file_});
+        }
+        const std::string content = std::move(bytes).value_or("");
+        BOOST_LEAF_AUTO(scan, scan_frames(content, log_file_));
+        for (const auto frame_content : scan.contents)
+        {
+            messages::log_frame frame;
+            if (!frame.ParseFromArray(
+                    frame_content.data(),
+                    static_cast<int>(frame_content.size())))
+            {
+                return leaf::new_error(
+                    storage_failure{storage_fault::bad_content, log_file_});
+            }
+            internal::join_frame(recovered, std::move(frame));
+        }
+        if (scan.whole_size < content.size())
+        {
+            internal::log_tail_cut(
+                log_file_, scan.whole_size, content.size() - scan.whole_size);
+            BOOST_LEAF_CHECK(disk_->truncate(log_file_, scan.whole_size));
+        }
+        log_bytes_ = scan.whole_size;
+        BOOST_LEAF_CHECK(agree_with_snapshot(recovered));
+        return recovered;
+    }
+
+    // Makes the storage part of `ready` durable: one frame, one sync.
+    [[nodiscard]] leaf::result<void> save(const replica_ready& ready)
+    {
+        messages::log_frame frame;
+        if (ready.state)
+        {
+            *frame.mutable_state() = *ready.state;
+        }
+        for (const auto& entry : ready.entries)
+        {
+            *frame.add_entries() = entry;
+        }
+        if (ready.install)
+        {
+            BOOST_LEAF_CHECK(write_snapshot(*ready.install));
+            return write_log(frame);
+        }
+        std::string bytes;
+        append_frame(bytes, frame.SerializeAsString());
+        BOOST_LEAF_CHECK(disk_->append(log_file_, bytes));
+        log_bytes_ += bytes.size();
+        return disk_->sync(log_file_);
+    }
+
+    // Makes a snapshot durable and drops the log entries it covers, but for
+    // those in `kept`.
+    [[nodiscard]] leaf::result<void> save_snapshot(
+        const messages::snapshot& content, const messages::log_frame& kept)
+    {
+        BOOST_LEAF_CHECK(write_snapshot(content));
+        return write_log(kept);
+    }
+
+    // The last durable snapshot; nothing where there is none.
+    [[nodiscard]] leaf::result<std::optional<messages::snapshot>>
+    read_snapshot()
+    {
+        BOOST_LEAF_AUTO(bytes, disk_->read(snapshot_file_));
+        if (!bytes)
+        {
+            return std::optional<messages::snapshot>();
+        }
+        BOOST_LEAF_AUTO(content, single_frame(*bytes, snapshot_file_));
+        messages::snapshot found;
+        if (!found.ParseFromArray(
+                content.data(), static_cast<int>(content.size())))
+        {
+            return leaf::new_error(
+                storage_failure{storage_fault::bad_content, snapshot_file_});
+        }
+        snapshot_bytes_ = bytes->size();
+        return std::optional(std::move(found));
+    }
+
+    // Bytes of the log file.
+    [[nodiscard]] std::uint64_t log_bytes() const
+    {
+        return log_bytes_;
+    }
+
+    // Bytes of the last snapshot.
+    [[nodiscard]] std::uint64_t snapshot_bytes() const
+    {
+        return snapshot_bytes_;
+    }
+
+private:
+    leaf::result<void> agree_with_snapshot(recovered_log& recovered)
+    {
+        if (internal::drop_replaced_entries(recovered))
+        {
+            messages::log_frame frame;
+            *frame.mutable_state() = recovered.state;
+            return write_log(frame);
+        }
+        const auto expected = recovered.base.last_index() + 1;
+        if (!recovered.entries.empty() &&
+            recovered.entries.front().index() > expected)
+        {
+            return leaf::new_error(
+                storage_failure{storage_fault::missing, snapshot_file_});
+        }
+        return {};
+    }
+
+    leaf::result<void> write_snapshot(const messages::snapshot& content)
+    {
+        std::string bytes;
+        append_frame(bytes, content.SerializeAsString());
+        BOOST_LEAF_CHECK(disk_->replace(snapshot_file_, bytes));
+        snapshot_bytes_ = bytes.size();
+        return {};
+    }
+
+    leaf::result<void> write_log(const messages::log_frame& frame)
+    {
+        std::string bytes;
+        append_frame(bytes, frame.SerializeAsString());
+        BOOST_LEAF_CHECK(disk_->replace(log_file_, bytes));
+        log_bytes_ = bytes.size();
+        return {};
+    }
+
+    Disk* disk_;
+    std::string log_file_;
+    std::string snapshot_file_;
+    std::uint64_t log_bytes_ = 0;
+    std::uint64_t snapshot_bytes_ = 0;
+};
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/control/replica_follower.cpp
@@ -0,0 +1,135 @@
+// What a follower does with a leader's entries and snapshots.
+#include "nutmegusher/control/replica.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+bool is_consecutive(const messages::append_request& request)
+{
+    auto expected = request.previous_index();
+    for (const auto& entry : request.entries())
+    {
+        ++expected;
+        if (entry.index() != expected)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+void replica::on_append(
+    const messages::replica_message& message, time_point now)
+{
+    const replica_id from(message.from());
+    const auto& request = message.append();
+    if (role_ == replica_role::leader || !is_consecutive(request))
+    {
+        return;
+    }
+    become_follower(term(), from, now);
+    leader_heard_ = now;
+
+    const auto previous = request.previous_index();
+    if (previous < log_.base_index())
+    {
+        // All up to the commit is known to agree.
+        reply_append(from, true, commit(), request.round());
+        return;
+    }
+    if (previous > log_.last_index())
+    {
+        reply_append(from, false, log_.last_index(), request.round());
+        return;
+    }
+    if (log_.term_at(previous) != request.previous_term())
+    {
+        const auto before = log_.first_of_term(previous) - 1;
+        reply_append(from, false, std::max(commit(), before), request.round());
+        return;
+    }
+    if (!accept_entries(request))
+    {
+        return;
+    }
+    const auto match =
+        previous + static_cast<log_index>(request.entries_size());
+    commit_to(std::min(request.commit(), match));
+    reply_append(from, true, match, request.round());
+}
+
+bool replica::accept_entries(const messages::append_request& request)
+{
+    for (const auto& entry : request.entries())
+    {
+        if (log_.term_at(entry.index()) == entry.term())
+        {
+            continue;
+        }
+        if (entry.index() <= commit())
+        {
+            return false; // no leader of this log sends that
+        }
+        if (entry.index() <= log_.last_index())
+        {
+            const auto kept = entry.index() - 1;
+            log_.truncate_after(kept);
+            saved_index_ = std::min(saved_index_, kept);
+            handed_index_ = std::min(handed_index_, kept);
+        }
+        log_.append(entry);
+    }
+    return true;
+}
+
+void replica::reply_append(
+    replica_id to, bool success, log_index match, std::uint64_t round)
+{
+    auto reply = make_message(to);
+    auto& appended = *reply.mutable_appended();
+    appended.set_success(success);
+    appended.set_match_index(match);
+    appended.set_round(round);
+    queue(std::move(reply));
+}
+
+void replica::on_install(
+    const messages::replica_message& message, time_point now)
+{
+    if (role_ == replica_role::leader)
+    {
+        return;
+    }
+    const replica_id from(message.from());
+    const auto& content = message.install().content();
+    become_follower(term(), from, now);
+    leader_heard_ = now;
+    const auto index = content.last_index();
+    if (index > commit())
+    {
+        if (log_.term_at(index) == content.last_term())
+        {
+            commit_to(index);
+        }
+        else
+        {
+            log_.reset(content);
+            state_.set_commit(index);
+            applied_ = index;
+            saved_index_ = index;
+            handed_index_ = index;
+            install_ = content;
+        }
+    }
+    reply_append(from, true, commit(), message.install().round());
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/control/replica_leader.cpp
@@ -0,0 +1,342 @@
+// Replication: what a leader sends, counts and confirms.
+#include "nutmegusher/control/replica.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+// The value that at least `count` of `values` reach. Requires: count isn't 0
+// and at most the number of values.
+template <class T>
+T reached_by(std::vector<T> values, std::size_t count)
+{
+    const auto position =
+        values.begin() + static_cast<std::ptrdiff_t>(count - 1);
+    std::nth_element(values.begin(), position, values.end(), std::greater<>());
+    return *position;
+}
+
+} // namespace
+
+void replica::on_append_reply(
+    const messages::replica_message& message, time_point now)
+{
+    const auto found = peers_.find(replica_id(message.from()));
+    if (role_ != replica_role::leader || found == peers_.end())
+    {
+        return;
+    }
+    auto& from = found->second;
+    const auto& reply = message.appended();
+    note_round(from, reply.round());
+    if (reply.success())
+    {
+        from.match = std::max(from.match, reply.match_index());
+        from.next = std::max(from.next, from.match + 1);
+        if (from.match >= log_.base_index())
+        {
+            from.installing_since.reset();
+        }
+        if (from.probing)
+        {
+            from.probing = false;
+            from.next = from.match + 1;
+        }
+        advance_commit();
+    }
+    else if (!from.installing_since)
+    {
+        const auto hint = std::min(reply.match_index(), from.next - 1);
+        from.next = std::max(from.match, hint) + 1;
+        from.probing = true;
+        from.probe_sent = false;
+    }
+    if (role_ == replica_role::leader)
+    {
+        confirm_reads();
+        check_transfer(now);
+    }
+}
+
+void replica::note_round(peer& from, std::uint64_t round)
+{
+    if (round <= from.acknowledged_round)
+    {
+        return;
+    }
+    from.acknowledged_round = round;
+    if (round_starts_.empty() || round < round_starts_.front().first ||
+        round > round_starts_.back().first)
+    {
+        return;
+    }
+    const auto position = round - round_starts_.front().first;
+    from.lease_start =
+        std::max(from.lease_start, round_starts_[position].second);
+}
+
+void replica::refresh_peers()
+{
+    std::map<replica_id, peer> refreshed;
+    for (const auto& member : log_.members().members())
+    {
+        const replica_id id(member.identity());
+        if (id == settings_.self)
+        {
+            continue;
+        }
+        const auto known = peers_.find(id);
+        if (known != peers_.end())
+        {
+            refreshed.emplace(id, known->second);
+            continue;
+        }
+        peer added;
+        added.next = log_.last_index() + 1;
+        added.lease_start = last_now_;
+        refreshed.emplace(id, added);
+    }
+    peers_ = std::move(refreshed);
+}
+
+void replica::start_round(time_point now)
+{
+    ++round_;
+    const auto kept = now - 2 * settings_.timing.election_timeout;
+    while (!round_starts_.empty() && round_starts_.front().second < kept)
+    {
+        round_starts_.pop_front();
+    }
+    round_starts_.emplace_back(round_, now);
+    next_heartbeat_ = now + settings_.timing.heartbeat;
+    for (auto& read : reads_)
+    {
+        if (!read.round)
+        {
+            read.round = round_;
+        }
+    }
+    send_to_all(true, now);
+    confirm_reads();
+}
+
+void replica::send_to_all(bool heartbeat, time_point now)
+{
+    for (auto& [id, progress] : peers_)
+    {
+        const bool behind = progress.next <= log_.base_index();
+        const bool overdue =
+            progress.installing_since &&
+            now - *progress.installing_since >= settings_.timing.snapshot_retry;
+        if ((behind && !progress.installing_since) || overdue)
+        {
+            send_snapshot(id, progress, now);
+        }
+        send_entries(id, progress, heartbeat);
+    }
+}
+
+void replica::send_entries(replica_id to, peer& progress, bool heartbeat)
+{
+    if (progress.installing_since)
+    {
+        // Keeps the follower from standing while it takes the snapshot in.
+        if (heartbeat)
+        {
+            send_append(to, progress);
+        }
+        return;
+    }
+    if (progress.probing)
+    {
+        if (heartbeat || !progress.probe_sent)
+        {
+            send_append(to, progress);
+            progress.probe_sent = true;
+        }
+        return;
+    }
+    const auto room = settings_.limits.entries_in_flight;
+    while (progress.next <= log_.last_index() &&
+           progress.next - progress.match <= room)
+    {
+        send_append(to, progress);
+        heartbeat = false;
+    }
+    if (heartbeat)
+    {
+        send_append(to, progress);
+    }
+}
+
+void replica::send_append(replica_id to, peer& progress)
+{
+    auto message = make_message(to);
+    auto& request = *message.mutable_append();
+    const auto previous = std::max(progress.next - 1, log_.base_index());
+    request.set_previous_index(previous);
+    request.set_previous_term(log_.term_at(previous).value_or(0));
+    request.set_commit(commit());
+    request.set_round(round_);
+    std::size_t bytes = 0;
+    const auto& limits = settings_.limits;
+    for (auto index = previous + 1;
+         index <= log_.last_index() && !progress.installing_since;
+         ++index)
+    {
+        const auto count = static_cast<std::size_t>(request.entries_size());
+        const auto& entry = log_.at(index);
+        bytes += entry.ByteSizeLong();
+        if (count >= limits.entries_per_message ||
+            (count > 0 && bytes > limits.bytes_per_message))
+        {
+            break;
+        }
+        *request.add_entries() = entry;
+    }
+    if (!progress.probing && !progress.installing_since)
+    {
+        progress.next += static_cast<log_index>(request.entries_size());
+    }
+    early_.push_back(std::move(message));
+}
+
+void replica::send_snapshot(replica_id to, peer& progress, time_point now)
+{
+    auto content = snapshot_source_ ? snapshot_source_() : std::nullopt;
+    if (!content || content->last_index() < log_.base_index())
+    {
+        return;
+    }
+    auto message = make_message(to);
+    message.mutable_install()->set_round(round_);
+    *message.mutable_install()->mutable_content() = *std::move(content);
+    progress.installing_since = now;
+    progress.probing = true;
+    progress.probe_sent = false;
+    early_.push_back(std::move(message));
+}
+
+bool replica::own_term_committed() const
+{
+    return log_.term_at(commit()) == term();
+}
+
+void replica::advance_commit()
+{
+    std::vector<log_index> matches;
+    for (const auto id : voters())
+    {
+        if (id == settings_.self)
+        {
+            matches.push_back(saved_index_);
+            continue;
+        }
+        const auto known = peers_.find(id);
+        matches.push_back(known == peers_.end() ? 0 : known->second.match);
+    }
+    if (matches.empty())
+    {
+        return;
+    }
+    const auto agreed = reached_by(std::move(matches), quorum());
+    if (agreed <= commit() || log_.term_at(agreed) != term())
+    {
+        return;
+    }
+    commit_to(agreed);
+    confirm_reads();
+    if (members_committed() && !is_voter(settings_.self))
+    {
+        become_follower(term(), std::nullopt, last_now_);
+    }
+}
+
+void replica::confirm_reads()
+{
+    if (reads_.empty() || !own_term_committed())
+    {
+        return;
+    }
+    std::vector<std::uint64_t> rounds;
+    for (const auto id : voters())
+    {
+        const auto known = peers_.find(id);
+        rounds.push_back(
+            known == peers_.end() ? round_ : known->second.acknowledged_round);
+    }
+    const auto agreed = reached_by(std::move(rounds), quorum());
+    while (!reads_.empty() && reads_.front().round &&
+           *reads_.front().round <= agreed)
+    {
+        confirmed_.push_back({reads_.front().ticket, commit()});
+        reads_.pop_front();
+    }
+}
+
+time_point replica::lease_end() const
+{
+    std::vector<time_point> starts;
+    for (const auto id : voters())
+    {
+        const auto known = peers_.find(id);
+        starts.push_back(
+            id == settings_.self || known == peers_.end()
+                ? last_now_
+                : known->second.lease_start);
+    }
+    if (starts.empty())
+    {
+        return lease_floor_;
+    }
+    const auto agreed = reached_by(std::move(starts), quorum());
+    return std::max(agreed, lease_floor_) + settings_.timing.election_timeout;
+}
+
+bool replica::holds_lease(time_point now) const
+{
+    return role_ == replica_role::leader && now < lease_end();
+}
+
+std::vector<follower_progress> replica::progress(time_point now) const
+{
+    std::vector<follower_progress> all;
+    for (const auto& [id, known] : peers_)
+    {
+        const bool active =
+            now - known.lease_start < settings_.timing.election_timeout;
+        all.push_back(
+            {id, known.match, active, known.installing_since.has_value()});
+    }
+    return all;
+}
+
+void replica::check_transfer(time_point now)
+{
+    if (!transfer_)
+    {
+        return;
+    }
+    if (now >= transfer_->deadline)
+    {
+        transfer_.reset();
+        return;
+    }
+    const auto target = peers_.find(transfer_->target);
+    if (target == peers_.end() || transfer_->told ||
+        target->second.match != log_.last_index())
+    {
+        return;
+    }
+    auto message = make_message(transfer_->target);
+    message.mutable_stand();
+    queue(std::move(message));
+    transfer_->told = true;
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/control/replica_log.hpp
@@ -0,0 +1,101 @@
+// The log of one replica in memory: the entries behind its last snapshot.
+#ifndef NUTMEGUSHER_CONTROL_REPLICA_LOG_HPP
+#define NUTMEGUSHER_CONTROL_REPLICA_LOG_HPP
+
+#include "nutmegusher/messages/replication.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace nutmegusher
+{
+
+// Position in a log; the first entry has 1, and 0 stands before it.
+using log_index = std::uint64_t;
+// Number of an election; each has at most one leader.
+using log_term = std::uint64_t;
+
+// Entries with consecutive indexes that start behind a base. Knows the group's
+// members as of every index it holds.
+class replica_log
+{
+public:
+    // Requires: `entries` have consecutive indexes, the first of which is at
+    // most one above the snapshot's last.
+    replica_log(
+        const messages::snapshot& base,
+        std::vector<messages::log_entry> entries);
+
+    // The index before the first entry held.
+    [[nodiscard]] log_index base_index() const
+    {
+        return base_index_;
+    }
+
+    [[nodiscard]] log_index last_index() const
+    {
+        return base_index_ + entries_.size();
+    }
+
+    [[nodiscard]] log_term last_term() const;
+
+    // Nothing where the index is before the base or after the end.
+    [[nodiscard]] std::optional<log_term> term_at(log_index index) const;
+
+    // Requires: base_index() < index <= last_index().
+    [[nodiscard]] const messages::log_entry& at(log_index index) const
+    {
+        return entries_[index - base_index_ - 1];
+    }
+
+    // The first index of the term that `index` belongs to, as far as held.
+    [[nodiscard]] log_index first_of_term(log_index index) const;
+
+    // Requires: the entry's index is last_index() + 1.
+    void append(messages::log_entry entry);
+
+    // Drops everything above `index`. Requires: index >= base_index().
+    void truncate_after(log_index index);
+
+    // Forgets entries up to and including `index`, which stays as the base.
+    // Requires: base_index() <= index <= last_index().
+    void compact(log_index index);
+
+    // Starts again behind a snapshot, without entries.
+    void reset(const messages::snapshot& base);
+
+    // The group's members as of the last entry, committed or not.
+    [[nodiscard]] const messages::replica_set& members() const
+    {
+        return memberships_.back().members;
+    }
+
+    // The index of the entry that made `members()`.
+    [[nodiscard]] log_index members_index() const
+    {
+        return memberships_.back().index;
+    }
+
+    // The members as of `index`. Requires: index >= base_index().
+    [[nodiscard]] const messages::replica_set&
+    members_at(log_index index) const;
+
+private:
+    struct membership_point
+    {
+        log_index index = 0;
+        messages::replica_set members;
+    };
+
+    log_index base_index_ = 0;
+    log_term base_term_ = 0;
+    std::deque<messages::log_entry> entries_;
+    // Rising indexes; the first one is at or below the base.
+    std::vector<membership_point> memberships_;
+};
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/control/replica_test.cpp
@@ -0,0 +1,178 @@
+#include "nutmegusher/control/test_cluster.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegusher::control_test
+{
+namespace
+{
+
+constexpr std::uint64_t seed = 20261202;
+
+// Proposes at whoever leads until it is acknowledged.
+void accept(cluster& hosts, const std::string& item)
+{
+    ASSERT_TRUE(hosts.run_until(
+        [&]
+        {
+            auto* leader = hosts.leader();
+            return leader != nullptr && hosts.propose(*leader, item);
+        }));
+    ASSERT_TRUE(hosts.run_until(
+        [&]
+        {
+            return hosts.acknowledged(item);
+        }));
+}
+
+bool all_hold(cluster& hosts, const std::string& item)
+{
+    for (auto& each : hosts.hosts)
+    {
+        if (!each.up())
+        {
+            continue;
+        }
+        const auto& items = each.running().machine().items();
+        if (items.empty() || items.back() != item)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+TEST(replica, one_host_alone_accepts)
+{
+    cluster hosts(1, seed);
+    accept(hosts, "a");
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, what_is_accepted_reaches_all)
+{
+    cluster hosts(3, seed);
+    for (int i = 0; i < 100; ++i)
+    {
+        accept(hosts, "item-" + std::to_string(i));
+    }
+    EXPECT_TRUE(hosts.run_until(
+        [&]
+        {
+            return all_hold(hosts, "item-99");
+        }));
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, an_isolated_leader_neither_accepts_nor_answers_reads)
+{
+    cluster hosts(3, seed);
+    accept(hosts, "before");
+    auto& old_leader = *hosts.leader();
+    hosts.cut({old_leader.name()});
+    EXPECT_TRUE(hosts.propose(old_leader, "lost"));
+    EXPECT_TRUE(hosts.read(old_leader));
+    ASSERT_TRUE(hosts.run_until(
+        [&]
+        {
+            return !old_leader.leads();
+        }));
+    EXPECT_FALSE(hosts.propose(old_leader, "refused"));
+    EXPECT_FALSE(hosts.read(old_leader));
+    EXPECT_EQ(old_leader.reads_done, 0U);
+    EXPECT_EQ(old_leader.reads_failed_count, 1U);
+    accept(hosts, "after");
+    hosts.heal();
+    EXPECT_TRUE(hosts.run_until(
+        [&]
+        {
+            return all_hold(hosts, "after");
+        }));
+    EXPECT_FALSE(hosts.acknowledged("lost"));
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, a_frozen_leader_that_wakes_late_refuses_at_once)
+{
+    cluster hosts(3, seed);
+    accept(hosts, "before");
+    auto& old_leader = *hosts.leader();
+    old_leader.frozen = true;
+    accept(hosts, "meanwhile");
+    old_leader.frozen = false;
+    EXPECT_FALSE(hosts.read(old_leader));
+    EXPECT_FALSE(hosts.propose(old_leader, "late"));
+    EXPECT_TRUE(hosts.run_until(
+        [&]
+        {
+            return all_hold(hosts, "meanwhile");
+        }));
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, a_host_that_returns_from_a_cut_deposes_nobody)
+{
+    cluster hosts(3, seed);
+    accept(hosts, "before");
+    auto& leader = *hosts.leader();
+    const auto term = leader.running().core().term();
+    auto& other = &leader == &hosts.hosts[0] ? hosts.hosts[1] : hosts.hosts[0];
+    hosts.cut({other.name()});
+    hosts.run(std::chrono::seconds(10));
+    hosts.heal();
+    hosts.run(std::chrono::seconds(3));
+    EXPECT_TRUE(leader.leads());
+    EXPECT_EQ(leader.running().core().term(), term);
+}
+
+TEST(replica, leadership_passes_to_the_chosen_voter)
+{
+    cluster hosts(3, seed);
+    accept(hosts, "before");
+    auto& leader = *hosts.leader();
+    auto& next = &leader == &hosts.hosts[0] ? hosts.hosts[1] : hosts.hosts[0];
+    const auto asked = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(leader.running().core().transfer_leadership(
+                next.id(), hosts.now));
+            return true;
+        },
+        []
+        {
+            return false;
+        });
+    EXPECT_TRUE(asked);
+    EXPECT_TRUE(hosts.run_until(
+        [&]
+        {
+            return next.leads() && !leader.leads();
+        },
+        std::chrono::milliseconds(100)));
+    accept(hosts, "after");
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, a_follower_far_behind_gets_a_snapshot)
+{
+    cluster hosts(3, seed, {16, 0.0, 4});
+    accept(hosts, "first");
+    auto& leader = *hosts.leader();
+    auto& other = &leader == &hosts.hosts[0] ? hosts.hosts[1] : hosts.hosts[0];
+    hosts.cut({other.name()});
+    for (int i = 0; i < 100; ++i)
+    {
+        accept(hosts, "item-" + std::to_string(i));
+    }
+    hosts.heal();
+    EXPECT_TRUE(hosts.run_until(
+        [&]
+        {
+            return all_hold(hosts, "item-99");
+        }));
+    EXPECT_GT(other.running().snapshot_index(), 1U);
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+} // namespace
+} // namespace nutmegusher::control_test
--- /dev/null
+++ b/nutmegusher/control/replicated_group.hpp
@@ -0,0 +1,310 @@
+// A state machine kept the same on several hosts: replica, storage and machine
+// in one, without network and threads.
+#ifndef NUTMEGUSHER_CONTROL_REPLICATED_GROUP_HPP
+#define NUTMEGUSHER_CONTROL_REPLICATED_GROUP_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/control/disk.hpp"
+#include "nutmegusher/control/group_storage.hpp"
+#include "nutmegusher/control/replica.hpp"
+#include "nutmegusher/control/state_machine.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace nutmegusher
+{
+
+// When a snapshot is due: enough entries, and a log that outweighs the last
+// snapshot, so that the cost of snapshots stays a fixed share of all writing.
+struct snapshot_policy
+{
+    std::uint64_t entries_between = 4096;
+    double log_to_snapshot_ratio = 2.0;
+    // Kept in the log behind a snapshot, for followers that lag a little.
+    std::uint64_t entries_kept = 1024;
+};
+
+// Told of what happens in a turn, in this order for each committed entry.
+template <class T, class Result>
+concept group_listener = requires(
+    T& listener,
+    messages::replica_message message,
+    const messages::log_entry& entry,
+    const messages::replica_set& members,
+    Result result,
+    confirmed_read read,
+    read_ticket ticket,
+    leadership present)
+{
+    listener.send(std::move(message));
+    listener.applied(entry, std::move(result));
+    listener.members_changed(members);
+    listener.restored();
+    listener.read_confirmed(read);
+    listener.read_failed(ticket);
+    listener.leadership_changed(present);
+};
+
+// One group on one host. After any failure of `turn` the group must be
+// destroyed: what it promised last may not be durable. Opening it again is the
+// same as a restart.
+template <disk Disk, state_machine Machine>
+class replicated_group
+{
+public:
+    using result_type = typename Machine::result_type;
+
+    // Requires: disk and engine outlive the group. `must_exist`: the group was
+    // used before, so that missing files are a failure.
+    [[nodiscard]] static leaf::result<std::unique_ptr<replicated_group>> open(
+        const replica_settings& settings,
+        const snapshot_policy& policy,
+        Disk& target,
+        bool must_exist,
+        random_engine& engine,
+        time_point now)
+    {
+        group_storage<Disk> storage(target, settings.group);
+        BOOST_LEAF_AUTO(recovered, storage.load(must_exist));
+        Machine machine;
+        if (!recovered.base.state().empty())
+        {
+            BOOST_LEAF_ASSIGN(
+                machine, Machine::restore(recovered.base.state()));
+        }
+        const auto base = recovered.base.last_index();
+        recovered.base.clear_state();
+        BOOST_LEAF_AUTO(
+            core, replica::create(settings, std::move(recovered), engine, now));
+        // Not make_unique: the constructor is private.
+        return std::unique_ptr<replicated_group>(new replicated_group(
+            policy,
+            std::move(storage),
+            std::move(machine),
+            std::move(core),
+            base));
+    }
+
+    // Writes the first snapshot of a new group. Requires: the group was never
+    // opened on this disk.
+    [[nodiscard]] static leaf::result<void> found(
+        Disk& target, std::uint32_t group, const messages::replica_set& members)
+    {
+        messages::snapshot first;
+        first.set_last_index(1);
+        first.set_last_term(1);
+        *first.mutable_members() = members;
+        messages::log_frame frame;
+        frame.mutable_state()->set_term(1);
+        frame.mutable_state()->set_commit(1);
+        group_storage<Disk> storage(target, group);
+        return storage.save_snapshot(first, frame);
+    }
+
+    [[nodiscard]] replica& core()
+    {
+        return core_;
+    }
+
+    [[nodiscard]] const replica& core() const
+    {
+        return core_;
+    }
+
+    [[nodiscard]] const Machine& machine() const
+    {
+        return machine_;
+    }
+
+    // The last entry that `machine` has applied.
+    [[nodiscard]] log_index applied() const
+    {
+        return applied_;
+    }
+
+    // The last entry that the durable snapshot covers.
+    [[nodiscard]] log_index snapshot_index() const
+    {
+        return snapshot_index_;
+    }
+
+    [[nodiscard]] const group_storage<Disk>& storage() const
+    {
+        return storage_;
+    }
+
+    // Persists, sends and applies whatever is due. Fails with
+    // `storage_failure`, or with what `Machine::restore` fails with.
+    template <group_listener<result_type> Listener>
+    [[nodiscard]] leaf::result<void> turn(Listener& listener, time_point now)
+    {
+        while (auto ready = core_.take_ready(now))
+        {
+            BOOST_LEAF_CHECK(perform(*ready, listener));
+        }
+        if (snapshot_due())
+        {
+            BOOST_LEAF_CHECK(take_snapshot());
+        }
+        return {};
+    }
+
+    // Makes a snapshot now and drops the log behind it.
+    [[nodiscard]] leaf::result<void> take_snapshot()
+    {
+        messages::snapshot content;
+        content.set_last_index(applied_);
+        content.set_last_term(core_.log().term_at(applied_).value_or(0));
+        *content.mutable_members() = core_.log().members_at(applied_);
+        content.set_state(machine_.snapshot());
+        BOOST_LEAF_CHECK(storage_.save_snapshot(content, kept_log()));
+        snapshot_index_ = applied_;
+        core_.compact(applied_ - std::min(applied_, policy_.entries_kept));
+        return {};
+    }
+
+private:
+    replicated_group(
+        const snapshot_policy& policy,
+        group_storage<Disk> storage,
+        Machine machine,
+        replica core,
+        log_index base)
+        : policy_(policy)
+        , storage_(std::move(storage))
+        , machine_(std::move(machine))
+        , core_(std::move(core))
+        , applied_(base)
+        , snapshot_index_(base)
+    {
+        core_.set_snapshot_source(
+            [this]
+            {
+                return durable_snapshot();
+            });
+    }
+
+    std::optional<messages::snapshot> durable_snapshot()
+    {
+        return leaf::try_handle_all(
+            [&]
+            {
+                return storage_.read_snapshot();
+            },
+            []
+            {
+                return std::optional<messages::snapshot>();
+            });
+    }
+
+    template <class Listener>
+    leaf::result<void> perform(replica_ready& ready, Listener& listener)
+    {
+        for (auto& message : ready.early_messages)
+        {
+            listener.send(std::move(message));
+        }
+        if (ready.must_sync)
+        {
+            BOOST_LEAF_CHECK(storage_.save(ready));
+            core_.saved();
+        }
+        for (auto& message : ready.messages)
+        {
+            listener.send(std::move(message));
+        }
+        if (ready.install)
+        {
+            BOOST_LEAF_CHECK(restore(*ready.install));
+            listener.restored();
+            listener.members_changed(ready.install->members());
+        }
+        for (const auto& entry : ready.committed)
+        {
+            apply(entry, listener);
+        }
+        report(ready, listener);
+        return {};
+    }
+
+    leaf::result<void> restore(const messages::snapshot& content)
+    {
+        machine_ = Machine();
+        if (!content.state().empty())
+        {
+            BOOST_LEAF_ASSIGN(machine_, Machine::restore(content.state()));
+        }
+        applied_ = content.last_index();
+        snapshot_index_ = applied_;
+        return {};
+    }
+
+    template <class Listener>
+    void apply(const messages::log_entry& entry, Listener& listener)
+    {
+        applied_ = entry.index();
+        if (entry.has_membership())
+        {
+            listener.members_changed(entry.membership());
+        }
+        else if (!entry.has_no_operation())
+        {
+            listener.applied(entry, machine_.apply(entry));
+        }
+    }
+
+    template <class Listener>
+    void report(const replica_ready& ready, Listener& listener)
+    {
+        for (const auto& read : ready.reads)
+        {
+            listener.read_confirmed(read);
+        }
+        for (const auto ticket : ready.failed_reads)
+        {
+            listener.read_failed(ticket);
+        }
+        if (ready.changed_leadership)
+        {
+            listener.leadership_changed(*ready.changed_leadership);
+        }
+    }
+
+    [[nodiscard]] bool snapshot_due() const
+    {
+        const auto ratio = policy_.log_to_snapshot_ratio;
+        const auto weight = ratio * double(storage_.snapshot_bytes());
+        return applied_ - snapshot_index_ >= policy_.entries_between &&
+               double(storage_.log_bytes()) >= weight;
+    }
+
+    // The log file that goes with a snapshot of `applied_`.
+    [[nodiscard]] messages::log_frame kept_log() const
+    {
+        messages::log_frame frame;
+        frame.mutable_state()->set_term(core_.hard_state().term());
+        frame.mutable_state()->set_voted_for(core_.hard_state().voted_for());
+        frame.mutable_state()->set_commit(core_.commit());
+        const auto& log = core_.log();
+        for (auto i = applied_ + 1; i <= log.last_index(); ++i)
+        {
+            *frame.add_entries() = log.at(i);
+        }
+        return frame;
+    }
+
+    snapshot_policy policy_;
+    group_storage<Disk> storage_;
+    Machine machine_;
+    replica core_;
+    log_index applied_;
+    log_index snapshot_index_;
+};
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/control/test_cluster.cpp
@@ -0,0 +1,473 @@
+#include "nutmegusher/control/test_cluster.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace nutmegusher::control_test
+{
+
+namespace
+{
+
+constexpr char separator = '\n';
+
+} // namespace
+
+std::string journal::apply(const messages::log_entry& entry)
+{
+    items_.push_back(entry.configuration_change().change_id());
+    return items_.back();
+}
+
+std::string journal::snapshot() const
+{
+    std::string bytes;
+    for (const auto& item : items_)
+    {
+        bytes += item + separator;
+    }
+    return bytes;
+}
+
+leaf::result<journal> journal::restore(std::string_view bytes)
+{
+    journal restored;
+    while (!bytes.empty())
+    {
+        const auto end = bytes.find(separator);
+        restored.items_.emplace_back(bytes.substr(0, end));
+        bytes.remove_prefix(end + 1);
+    }
+    return restored;
+}
+
+host::host(cluster& owner, std::string name)
+    : owner_(owner)
+    , name_(std::move(name))
+{
+}
+
+bool host::start()
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_AUTO(
+                identity, load_identity(disk, host_id(name_), owner_.engine));
+            id_ = replica_id(identity.identity());
+            replica_settings settings;
+            settings.self = id_;
+            settings.timing = owner_.timing;
+            BOOST_LEAF_ASSIGN(
+                group_,
+                group::open(
+                    settings,
+                    owner_.policy,
+                    disk,
+                    false,
+                    owner_.engine,
+                    owner_.now + clock_offset));
+            owner_.check_restored(*this, group_->machine().items());
+            return true;
+        },
+        []
+        {
+            return false;
+        });
+}
+
+void host::crash()
+{
+    group_.reset();
+    open_reads.clear();
+    owner_.waiting_.erase(name_);
+    disk.crash(owner_.engine);
+    frozen = false;
+}
+
+void host::replace_disk()
+{
+    crash();
+    disk.wipe();
+}
+
+void host::turn()
+{
+    if (!up())
+    {
+        return;
+    }
+    const bool good = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(group_->turn(*this, owner_.now + clock_offset));
+            return true;
+        },
+        []
+        {
+            return false;
+        });
+    if (!good)
+    {
+        group_.reset();
+        open_reads.clear();
+        owner_.waiting_.erase(name_);
+    }
+}
+
+void host::tick()
+{
+    if (up() && !frozen)
+    {
+        group_->core().tick(owner_.now + clock_offset);
+        turn();
+    }
+}
+
+void host::send(const messages::replica_message& message)
+{
+    owner_.post(name_, message);
+}
+
+void host::applied(const messages::log_entry& entry, const std::string& item)
+{
+    owner_.note_applied(*this, entry);
+    const auto waiting = owner_.waiting_.find(name_);
+    if (waiting == owner_.waiting_.end())
+    {
+        return;
+    }
+    const auto position = waiting->second.find(entry.index());
+    if (position == waiting->second.end())
+    {
+        return;
+    }
+    if (position->second.first == entry.term())
+    {
+        owner_.acknowledged_.insert(item);
+    }
+    waiting->second.erase(position);
+}
+
+void host::members_changed(const messages::replica_set&)
+{
+}
+
+void host::restored()
+{
+    owner_.check_restored(*this, group_->machine().items());
+}
+
+void host::read_confirmed(confirmed_read read)
+{
+    const auto open = open_reads.find(read.ticket);
+    if (open != open_reads.end())
+    {
+        owner_.note_read(*this, read, open->second);
+        open_reads.erase(open);
+        ++reads_done;
+    }
+}
+
+void host::read_failed(read_ticket ticket)
+{
+    open_reads.erase(ticket);
+    ++reads_failed_count;
+}
+
+void host::leadership_changed(leadership present)
+{
+    if (present.leader == id_)
+    {
+        owner_.note_leader(*this);
+    }
+}
+
+cluster::cluster(std::size_t size, std::uint64_t seed, snapshot_policy given)
+    : engine(seed)
+    , policy(given)
+{
+    for (std::size_t i = 0; i < size; ++i)
+    {
+        auto& added = add_host("h" + std::to_string(i + 1));
+        if (!added.start())
+        {
+            fail("a host doesn't start on an empty disk");
+        }
+    }
+    auto& founder = hosts.front();
+    founder.crash();
+    const bool founded = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(group::found(founder.disk, 0, all_voters()));
+            return true;
+        },
+        []
+        {
+            return false;
+        });
+    if (!founded || !founder.start())
+    {
+        fail("the group can't be founded");
+    }
+}
+
+host& cluster::add_host(const std::string& name)
+{
+    return hosts.emplace_back(*this, name);
+}
+
+messages::replica_set cluster::all_voters() const
+{
+    messages::replica_set members;
+    for (const auto& each : hosts)
+    {
+        auto& member = *members.add_members();
+        member.set_identity(each.id().value());
+        member.set_host(each.name());
+        member.set_voter(true);
+    }
+    return members;
+}
+
+void cluster::run(duration length)
+{
+    const auto end = now + length;
+    while (now < end)
+    {
+        now += step_length;
+        deliver();
+        for (auto& each : hosts)
+        {
+            each.tick();
+        }
+    }
+}
+
+void cluster::deliver()
+{
+    while (!network_.empty() && network_.begin()->first <= now)
+    {
+        const auto next = std::move(network_.begin()->second);
+        network_.erase(network_.begin());
+        if (cut_.contains(next.from) != cut_.contains(next.to))
+        {
+            continue;
+        }
+        auto* target = find(replica_id(next.message.to()));
+        if (target == nullptr || !target->up())
+        {
+            continue;
+        }
+        if (target->frozen)
+        {
+            network_.emplace(now + step_length, next);
+            continue;
+        }
+        target->running().core().step(next.message, now + target->clock_offset);
+        target->turn();
+    }
+}
+
+void cluster::post(
+    const std::string& from, const messages::replica_message& message)
+{
+    const auto* target = find(replica_id(message.to()));
+    if (target == nullptr || uniform_below(engine, 100) < faults.lost_percent)
+    {
+        return;
+    }
+    const auto spread =
+        static_cast<std::uint64_t>(faults.longest_delay.count());
+    const auto copies =
+        uniform_below(engine, 100) < faults.repeated_percent ? 2 : 1;
+    for (int i = 0; i < copies; ++i)
+    {
+        const duration delay(
+            static_cast<duration::rep>(uniform_below(engine, spread + 1)));
+        network_.emplace(now + delay, envelope{message, from, target->name()});
+    }
+}
+
+host* cluster::leader()
+{
+    host* best = nullptr;
+    for (auto& each : hosts)
+    {
+        if (each.leads() &&
+            (best == nullptr ||
+             each.running().core().term() > best->running().core().term()))
+        {
+            best = &each;
+        }
+    }
+    return best;
+}
+
+host* cluster::find(replica_id id)
+{
+    const auto found = std::find_if(
+        hosts.begin(),
+        hosts.end(),
+        [id](const host& each)
+        {
+            return each.id() == id;
+        });
+    return found == hosts.end() ? nullptr : &*found;
+}
+
+bool cluster::propose(host& at, const std::string& item)
+{
+    if (!at.up() || at.frozen)
+    {
+        return false;
+    }
+    messages::log_entry entry;
+    entry.mutable_configuration_change()->set_change_id(item);
+    const auto position = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<proposal_position>>
+        {
+            BOOST_LEAF_AUTO(
+                made,
+                at.running().core().propose(entry, now + at.clock_offset));
+            return std::optional(made);
+        },
+        []
+        {
+            return std::optional<proposal_position>();
+        });
+    if (!position)
+    {
+        return false;
+    }
+    waiting_[at.name()][position->index] = {position->term, item};
+    at.turn();
+    return true;
+}
+
+bool cluster::read(host& at)
+{
+    if (!at.up() || at.frozen)
+    {
+        return false;
+    }
+    const auto ticket = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<read_ticket>>
+        {
+            BOOST_LEAF_AUTO(
+                made, at.running().core().read(now + at.clock_offset));
+            return std::optional(made);
+        },
+        []
+        {
+            return std::optional<read_ticket>();
+        });
+    if (!ticket)
+    {
+        return false;
+    }
+    std::size_t known = 0;
+    for (std::size_t i = 0; i < order_.size(); ++i)
+    {
+        if (acknowledged_.contains(order_[i]))
+        {
+            known = i + 1;
+        }
+    }
+    at.open_reads[*ticket] = known;
+    at.turn();
+    return true;
+}
+
+bool cluster::propose_membership(host& at, const messages::replica_set& members)
+{
+    if (!at.up() || at.frozen)
+    {
+        return false;
+    }
+    const bool done = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(at.running().core().propose_members(
+                members, now + at.clock_offset));
+            return true;
+        },
+        []
+        {
+            return false;
+        });
+    at.turn();
+    return done;
+}
+
+void cluster::cut(const std::set<std::string>& side)
+{
+    cut_ = side;
+}
+
+void cluster::heal()
+{
+    cut_.clear();
+}
+
+void cluster::note_applied(host& at, const messages::log_entry& entry)
+{
+    const auto text = std::to_string(entry.term()) + "/" +
+                      entry.configuration_change().change_id();
+    const auto [known, added] = committed_.emplace(entry.index(), text);
+    if (!added && known->second != text)
+    {
+        fail(
+            at.name() + " applied " + text + " where " + known->second +
+            " was committed");
+    }
+    if (added)
+    {
+        order_.push_back(entry.configuration_change().change_id());
+    }
+    check_restored(at, at.running().machine().items());
+}
+
+void cluster::check_restored(
+    const host& at, const std::vector<std::string>& items)
+{
+    const bool is_prefix =
+        items.size() <= order_.size() &&
+        (items.empty() || items.back() == order_[items.size() - 1]);
+    if (!is_prefix)
+    {
+        fail(at.name() + " holds a state that was never committed");
+    }
+}
+
+void cluster::note_leader(host& at)
+{
+    auto& core = at.running().core();
+    const auto [known, added] = leaders_.emplace(core.term(), at.id());
+    if (!added && known->second != at.id())
+    {
+        fail("two leaders in term " + std::to_string(core.term()));
+    }
+}
+
+void cluster::note_read(host& at, confirmed_read read, std::size_t known)
+{
+    auto& running = at.running();
+    if (running.applied() < read.index ||
+        running.machine().items().size() < known)
+    {
+        fail(at.name() + " answered a read with an older state");
+    }
+}
+
+void cluster::fail(const std::string& what)
+{
+    if (violation_.empty())
+    {
+        violation_ = what;
+    }
+}
+
+} // namespace nutmegusher::control_test
