--- /dev/null
+++ b/testing/execution_log.hpp
@@ -0,0 +1,85 @@
+// What a stand-in upstream has run, by key and by token: the truth that the
+// oracles hold callers' answers against.
+#ifndef NUTMEGUSHER_TESTING_EXECUTION_LOG_HPP
+#define NUTMEGUSHER_TESTING_EXECUTION_LOG_HPP
+
+#include "nutmegusher/base/base.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace nutmegusher::test_support
+{
+
+// Whose call it was; empty where the call brought none.
+struct execution_identity
+{
+    // "customer/class/idempotency key".
+    std::string key;
+    // The caller's own mark, header `x-token`.
+    std::string token;
+    // Header `nutmeg-request-id`.
+    std::string request;
+};
+
+struct execution_count
+{
+    std::uint32_t started = 0;
+    std::uint32_t finished = 0;
+};
+
+using execution_counts = std::map<std::string, execution_count, std::less<>>;
+
+// Counts the starts and ends of executions; with a journal the counts survive
+// the process being killed. Thread-safe.
+class execution_log
+{
+public:
+    // Empty `journal`: in memory only. Otherwise reads what the file has and
+    // appends to it.
+    [[nodiscard]] static outcome<
+        std::unique_ptr<execution_log>,
+        boost::system::error_code>
+    open(const std::string& journal);
+
+    ~execution_log();
+    execution_log(const execution_log&) = delete;
+    execution_log& operator=(const execution_log&) = delete;
+
+    void started(const execution_identity& who);
+    void finished(const execution_identity& who);
+
+    [[nodiscard]] execution_counts by_key() const;
+    [[nodiscard]] execution_counts by_token() const;
+    [[nodiscard]] execution_counts by_request() const;
+    [[nodiscard]] execution_count total() const;
+
+    // {"total": {..}, "by_key": {k: {"started", "finished"}}, ...}
+    [[nodiscard]] std::string to_json() const;
+
+private:
+    explicit execution_log(int journal);
+
+    void count(char what, const execution_identity& who);
+    void write_line(char what, const execution_identity& who) const;
+
+    int journal_;
+    mutable std::mutex mutex_;
+    execution_count total_;
+    execution_counts by_key_;
+    execution_counts by_token_;
+    execution_counts by_request_;
+};
+
+// The counts of one journal file; empty where there is none.
+[[nodiscard]] execution_counts read_journal_by_key(const std::string& journal);
+[[nodiscard]] execution_counts
+read_journal_by_token(const std::string& journal);
+
+} // namespace nutmegusher::test_support
+
+#endif
--- /dev/null
+++ b/testing/process.hpp
@@ -0,0 +1,99 @@
+// A driver of the product's processes: start, signal, wait, read the logs.
+#ifndef NUTMEGUSHER_TESTING_PROCESS_HPP
+#define NUTMEGUSHER_TESTING_PROCESS_HPP
+
+#include "nutmegusher/base/base.hpp"
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::test_support
+{
+
+// A folder that is removed with the value.
+class temporary_folder
+{
+public:
+    [[nodiscard]] static outcome<temporary_folder, boost::system::error_code>
+    make();
+
+    // "<folder>/<name>"
+    [[nodiscard]] std::string path(std::string_view name) const;
+
+private:
+    explicit temporary_folder(std::shared_ptr<const std::string> folder);
+
+    std::shared_ptr<const std::string> folder_;
+};
+
+struct process_exit
+{
+    // Exit code, or minus the signal that ended it.
+    int code = 0;
+};
+
+// A child process; ended (SIGKILL) and reaped at the latest with the value.
+class child_process
+{
+public:
+    // `arguments` without the program's name. Both outputs are appended to
+    // the file `log`.
+    [[nodiscard]] static outcome<
+        std::unique_ptr<child_process>,
+        boost::system::error_code>
+    start(
+        const std::string& program,
+        const std::vector<std::string>& arguments,
+        const std::string& log);
+
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    // Does nothing where it has ended.
+    void signal(int number);
+
+    // SIGKILL, and waits for the end.
+    void kill();
+    // SIGSTOP and SIGCONT.
+    void freeze();
+    void thaw();
+
+    // Empty where it still runs after `limit`.
+    std::optional<process_exit> wait_exit(std::chrono::milliseconds limit);
+
+    [[nodiscard]] bool running();
+    [[nodiscard]] pid_t id() const;
+
+    // Highest resident memory up to now, KiB; 0 where unknown.
+    [[nodiscard]] std::uint64_t peak_memory_kib() const;
+    // Processor time used up to now.
+    [[nodiscard]] std::chrono::milliseconds processor_time() const;
+
+private:
+    explicit child_process(pid_t id);
+
+    pid_t id_;
+    std::optional<process_exit> exit_;
+};
+
+// Asks `condition` again and again until it holds; false after `limit`.
+[[nodiscard]] bool wait_until(
+    const std::function<bool()>& condition,
+    std::chrono::milliseconds limit = std::chrono::seconds(30));
+
+// The path of a program of this build, beside the running one.
+[[nodiscard]] std::string built_program(std::string_view name);
+
+[[nodiscard]] std::string read_file(const std::string& path);
+
+} // namespace nutmegusher::test_support
+
+#endif
--- /dev/null
+++ b/testing/slot_queue.hpp
@@ -0,0 +1,65 @@
+// The slots of a stand-in upstream and the calls that wait for one.
+#ifndef NUTMEGUSHER_TESTING_SLOT_QUEUE_HPP
+#define NUTMEGUSHER_TESTING_SLOT_QUEUE_HPP
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <memory>
+
+namespace nutmegusher::test_support::internal
+{
+
+// A call as the upstream sees it; the timer is what it waits on, so that a
+// cancellation wakes it at once.
+struct running_call
+{
+    explicit running_call(const boost::asio::any_io_executor& executor)
+        : wake(executor)
+    {
+    }
+
+    boost::asio::steady_timer wake;
+    bool cancelled = false;
+    bool has_slot = false;
+};
+
+// First in, first out. Not thread-safe.
+class slot_queue
+{
+public:
+    explicit slot_queue(std::uint32_t slots)
+        : slots_(slots)
+    {
+    }
+
+    [[nodiscard]] std::size_t busy() const
+    {
+        return busy_;
+    }
+
+    [[nodiscard]] std::size_t waiting() const
+    {
+        return waiting_.size();
+    }
+
+    // More slots let waiting calls run.
+    void resize(std::uint32_t slots);
+
+    // True where the call got a slot, false where it was cancelled before.
+    boost::asio::awaitable<bool> acquire(std::shared_ptr<running_call> call);
+
+    void release();
+
+private:
+    void admit_waiting();
+
+    std::uint32_t slots_;
+    std::size_t busy_ = 0;
+    std::deque<std::shared_ptr<running_call>> waiting_;
+};
+
+} // namespace nutmegusher::test_support::internal
+
+#endif
