--- /dev/null
+++ b/nutmegusher/node/admission_gate.cpp
@@ -0,0 +1,169 @@
+#include "nutmegusher/node/admission_gate.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+} // namespace
+
+// A suspended `enter`. `verdict` and `timer` are touched on `executor` only.
+struct admission_gate::waiter
+{
+    explicit waiter(asio::any_io_executor on)
+        : executor(on)
+        , timer(on)
+    {
+    }
+
+    asio::any_io_executor executor;
+    asio::steady_timer timer;
+    std::optional<gate_verdict> verdict;
+
+    static void wake(std::shared_ptr<waiter> self, gate_verdict verdict)
+    {
+        auto& executor = self->executor;
+        asio::post(
+            executor,
+            [self = std::move(self), verdict]
+            {
+                self->verdict = verdict;
+                self->timer.cancel();
+            });
+    }
+};
+
+admission_gate::admission_gate(std::uint64_t seed, bool naive)
+    : naive_(naive)
+    , controller_(seed)
+{
+}
+
+admission_gate::~admission_gate() = default;
+
+ticket_id admission_gate::next_ticket()
+{
+    const std::scoped_lock lock(mutex_);
+    return ticket_id(++last_ticket_);
+}
+
+asio::awaitable<gate_verdict> admission_gate::enter(call_facts call)
+{
+    if (naive_)
+    {
+        co_return admitted();
+    }
+    auto executor = co_await asio::this_coro::executor;
+    std::shared_ptr<waiter> mine;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto at = controller_.arrive(call, host_clock().now());
+        deliver(at.others);
+        if (const auto* no = std::get_if<refused>(&at.verdict))
+        {
+            co_return *no;
+        }
+        if (std::holds_alternative<admitted>(at.verdict))
+        {
+            co_return admitted();
+        }
+        mine = std::make_shared<waiter>(executor);
+        mine->timer.expires_at(asio::steady_timer::time_point::max());
+        waiting_.emplace(call.ticket, mine);
+    }
+    while (!mine->verdict)
+    {
+        co_await mine->timer.async_wait(as_tuple_awaitable);
+    }
+    co_return *mine->verdict;
+}
+
+void admission_gate::finish(ticket_id ticket, call_result result)
+{
+    if (naive_)
+    {
+        return;
+    }
+    const std::scoped_lock lock(mutex_);
+    deliver(controller_.finish(ticket, result, host_clock().now()));
+}
+
+void admission_gate::cancel(ticket_id ticket)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = waiting_.find(ticket);
+    if (found == waiting_.end())
+    {
+        return;
+    }
+    waiter::wake(std::move(found->second), gone());
+    waiting_.erase(found);
+    deliver(controller_.cancel(ticket, host_clock().now()));
+}
+
+void admission_gate::tick()
+{
+    const std::scoped_lock lock(mutex_);
+    const auto now = host_clock().now();
+    const auto due = controller_.next_event();
+    if (due && *due <= now)
+    {
+        deliver(controller_.tick(now));
+    }
+}
+
+void admission_gate::begin_warm_up()
+{
+    const std::scoped_lock lock(mutex_);
+    controller_.begin_warm_up(host_clock().now());
+}
+
+void admission_gate::set_leaving(bool leaving)
+{
+    const std::scoped_lock lock(mutex_);
+    deliver(controller_.set_leaving(leaving, host_clock().now()));
+}
+
+admission_level admission_gate::level() const
+{
+    const std::scoped_lock lock(mutex_);
+    return controller_.level(host_clock().now());
+}
+
+admission_state admission_gate::state() const
+{
+    const std::scoped_lock lock(mutex_);
+    return controller_.state();
+}
+
+void admission_gate::deliver(std::span<const settlement> settled)
+{
+    for (const auto& each : settled)
+    {
+        const auto found = waiting_.find(each.ticket);
+        if (found == waiting_.end())
+        {
+            continue;
+        }
+        const auto verdict = std::visit(
+            [](const auto& value)
+            {
+                return gate_verdict(value);
+            },
+            each.verdict);
+        waiter::wake(std::move(found->second), verdict);
+        waiting_.erase(found);
+    }
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/admission_gate.hpp
@@ -0,0 +1,75 @@
+// The admission controller of the upstream on this host, shared by all worker
+// threads: calls suspend here while they wait for their turn.
+#ifndef NUTMEGUSHER_NODE_ADMISSION_GATE_HPP
+#define NUTMEGUSHER_NODE_ADMISSION_GATE_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/policy/policy.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <unordered_map>
+#include <variant>
+
+namespace nutmegusher::node
+{
+
+namespace asio = boost::asio;
+
+// The caller went away while its call waited.
+struct gone
+{
+};
+
+using gate_verdict = std::variant<admitted, refused, gone>;
+
+class admission_gate
+{
+public:
+    // With `naive` everything is admitted, as measurements' baseline.
+    admission_gate(std::uint64_t seed, bool naive);
+    admission_gate(const admission_gate&) = delete;
+    admission_gate& operator=(const admission_gate&) = delete;
+    ~admission_gate();
+
+    // A ticket that no other call has.
+    ticket_id next_ticket();
+
+    // Suspends until the call is let in or refused; resumes on the executor
+    // that it was called on.
+    asio::awaitable<gate_verdict> enter(call_facts call);
+
+    // Requires: `enter` gave `admitted`.
+    void finish(ticket_id ticket, call_result result);
+
+    // The caller of a waiting call went away; its `enter` gives `gone`.
+    void cancel(ticket_id ticket);
+
+    // Does what is due by now; call it every few milliseconds.
+    void tick();
+
+    void begin_warm_up();
+    void set_leaving(bool leaving);
+
+    [[nodiscard]] admission_level level() const;
+    [[nodiscard]] admission_state state() const;
+
+private:
+    struct waiter;
+
+    void deliver(std::span<const settlement> settled);
+
+    const bool naive_;
+    mutable std::mutex mutex_;
+    admission_controller controller_;
+    std::uint64_t last_ticket_ = 0;
+    std::unordered_map<ticket_id, std::shared_ptr<waiter>> waiting_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/call.hpp
@@ -0,0 +1,109 @@
+// What travels with a call: its headers, and the answer of one that is given
+// up on. `docs/INTERFACE.md` describes them for users.
+#ifndef NUTMEGUSHER_NODE_CALL_HPP
+#define NUTMEGUSHER_NODE_CALL_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/execution/execution.hpp"
+#include "nutmegusher/messages/execution.pb.h"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace nutmegusher::node
+{
+
+namespace field
+{
+inline constexpr std::string_view request_id = "nutmeg-request-id";
+inline constexpr std::string_view customer = "nutmeg-customer";
+inline constexpr std::string_view key = "idempotency-key";
+inline constexpr std::string_view timeout = "nutmeg-timeout-ms";
+inline constexpr std::string_view class_name = "nutmeg-class";
+inline constexpr std::string_view rank = "nutmeg-rank";
+inline constexpr std::string_view repeatable = "nutmeg-repeatable";
+inline constexpr std::string_view bulk = "nutmeg-bulk";
+inline constexpr std::string_view attempt = "nutmeg-attempt";
+inline constexpr std::string_view retry_tokens = "nutmeg-retry-tokens";
+inline constexpr std::string_view admission_level = "nutmeg-admission-level";
+inline constexpr std::string_view outcome = "nutmeg-outcome";
+inline constexpr std::string_view reason = "nutmeg-reason";
+inline constexpr std::string_view tries = "nutmeg-tries";
+inline constexpr std::string_view retry_after = "retry-after";
+inline constexpr std::string_view retry_after_ms = "nutmeg-retry-after-ms";
+// From an upstream: this refused call had no effect.
+inline constexpr std::string_view not_run = "nutmeg-not-run";
+} // namespace field
+
+// Why a call was given up on.
+enum class call_reason : std::uint8_t
+{
+    bad_request,
+    missing_key,
+    missing_customer,
+    bad_header,
+    no_such_class,
+    no_such_service,
+    in_progress,
+    key_reused,
+    too_large,
+    fair_share,
+    overload,
+    leaving,
+    no_upstream,
+    starting,
+    claims_unavailable,
+    deadline,
+    upstream_failed,
+    answer_broken,
+    connection_lost,
+    cancelled
+};
+
+[[nodiscard]] std::string_view to_string(call_outcome outcome);
+[[nodiscard]] std::string_view to_string(call_reason reason);
+[[nodiscard]] std::optional<call_outcome> parse_outcome(std::string_view text);
+[[nodiscard]] std::optional<call_reason> parse_reason(std::string_view text);
+
+// The HTTP status of an answer that gives a call up.
+[[nodiscard]] unsigned status_of(call_reason reason);
+
+// A call that is given up on, and when a later try may help (zero: never).
+struct refusal
+{
+    call_reason reason = call_reason::overload;
+    call_outcome result = call_outcome::not_run;
+    duration come_back{};
+};
+
+// The head of the answer that says so.
+[[nodiscard]] wire::response_head to_head(const refusal& refused);
+
+// Reads one back; nothing if the answer isn't a refusal of ours.
+[[nodiscard]] std::optional<refusal>
+refusal_of(const wire::response_head& head);
+
+// A whole number of milliseconds from a header.
+[[nodiscard]] std::optional<duration> parse_milliseconds(std::string_view text);
+[[nodiscard]] std::string to_milliseconds(duration time);
+[[nodiscard]] std::optional<std::uint32_t> parse_count(std::string_view text);
+
+// "host/incarnation/sequence", as the header `nutmeg-attempt` holds it.
+[[nodiscard]] std::string to_text(const messages::attempt& attempt);
+[[nodiscard]] std::optional<messages::attempt>
+parse_attempt(std::string_view text);
+
+// 1 to 128 visible ASCII characters.
+[[nodiscard]] bool is_token(std::string_view text);
+
+// The fields without those whose names start with "nutmeg-".
+[[nodiscard]] wire::headers
+without_own_fields(std::span<const wire::header> fields);
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/claim_filter.cpp
@@ -0,0 +1,234 @@
+#include "nutmegusher/node/claim_filter.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+// Outcomes with larger bodies are kept as a digest only.
+constexpr std::size_t most_stored_bytes = 16384;
+// Before a proposal whose fate is unknown is sent again.
+constexpr duration resend_pause = std::chrono::milliseconds(20);
+// One proposal's time; a change of leader fits into it.
+constexpr duration propose_limit = std::chrono::seconds(1);
+
+messages::stored_answer to_stored(const whole_answer& whole)
+{
+    messages::stored_answer stored;
+    stored.set_status(whole.head.status);
+    for (const auto& item : whole.head.fields)
+    {
+        auto& header = *stored.add_headers();
+        header.set_name(item.name);
+        header.set_value(item.value);
+    }
+    stored.set_body_size(whole.body.size());
+    stored.set_body_digest(stable_hash(whole.body));
+    if (whole.body.size() <= most_stored_bytes)
+    {
+        stored.set_body(whole.body);
+    }
+    else
+    {
+        stored.set_body_dropped(true);
+    }
+    return stored;
+}
+
+call_reason to_reason(outcome_reason reason)
+{
+    switch (reason)
+    {
+    case outcome_reason::deadline:
+        return call_reason::deadline;
+    case outcome_reason::cancelled:
+    case outcome_reason::fenced:
+    case outcome_reason::attempt_expired:
+        return call_reason::cancelled;
+    case outcome_reason::in_progress:
+        return call_reason::in_progress;
+    case outcome_reason::key_reused:
+        return call_reason::key_reused;
+    case outcome_reason::claims_unavailable:
+        return call_reason::claims_unavailable;
+    case outcome_reason::upstream_refused:
+        return call_reason::overload;
+    case outcome_reason::none:
+    case outcome_reason::connection_lost:
+        break;
+    }
+    return call_reason::connection_lost;
+}
+
+// When asking again may help: about the time that the class promises.
+duration come_back_of(const peer_call& call, outcome_reason reason)
+{
+    if (reason == outcome_reason::key_reused)
+    {
+        return duration::zero();
+    }
+    return std::max<duration>(
+        std::chrono::milliseconds(100), call.time_left() / 2);
+}
+
+execution_terms terms_of(const peer_call& call)
+{
+    execution_terms terms;
+    terms.key.set_customer(call.terms.customer.str());
+    terms.key.set_class_name(call.terms.work_class.str());
+    terms.key.set_idempotency_key(call.terms.key);
+    terms.by = call.terms.attempt;
+    terms.executor.set_host(call.here.shared.configured.host.id.str());
+    terms.executor.set_incarnation(call.here.shared.run.value());
+    const auto& head = call.stream->head();
+    request_digest digest(head.method, head.path);
+    digest.update(call.body);
+    terms.request_digest = digest.value();
+    terms.deadline = call.terms.deadline;
+    return terms;
+}
+
+// Performs the steps of one guard until it has ended.
+class claimed_execution
+{
+public:
+    claimed_execution(
+        peer_call& call, std::function<asio::awaitable<void>()> run)
+        : call_(call)
+        , run_(std::move(run))
+        , guard_(terms_of(call))
+    {
+    }
+
+    asio::awaitable<void> perform()
+    {
+        auto step = guard_.begin(host_clock().now(), wall_milliseconds());
+        while (true)
+        {
+            if (step.tell)
+            {
+                co_await tell(*step.tell);
+            }
+            if (step.start_call)
+            {
+                step = co_await start();
+            }
+            else if (step.propose)
+            {
+                auto command = std::move(*step.propose);
+                step = co_await propose(std::move(command));
+            }
+            else
+            {
+                co_return;
+            }
+        }
+    }
+
+private:
+    asio::awaitable<guard_step> propose(messages::claim_command command)
+    {
+        const auto asked = command.action_case();
+        if (call_.cancelled->requested &&
+            asked == messages::claim_command::kStart)
+        {
+            co_return guard_.cancel(
+                wall_milliseconds(), outcome_reason::cancelled);
+        }
+        const auto result = co_await propose_claim(
+            call_.here.peers,
+            call_.here.shared.claims,
+            std::move(command),
+            propose_limit);
+        if (result)
+        {
+            co_return guard_.claim_replied(
+                host_clock().now(), wall_milliseconds(), asked, *result);
+        }
+        log_event(
+            event::claim_unreachable,
+            {{"class", call_.terms.work_class.str()},
+             {"request", call_.terms.request.str()}});
+        asio::steady_timer pause(co_await asio::this_coro::executor);
+        pause.expires_after(resend_pause);
+        co_await pause.async_wait(asio::use_awaitable);
+        co_return guard_.claim_lost(host_clock().now(), wall_milliseconds());
+    }
+
+    asio::awaitable<guard_step> start()
+    {
+        co_await run_();
+        if (call_.answer && !refused_without_effect())
+        {
+            co_return guard_.call_completed(
+                wall_milliseconds(), to_stored(*call_.answer));
+        }
+        const bool never_sent =
+            call_.failure == upstream_failure::not_connected;
+        if (never_sent || call_.answer)
+        {
+            co_return guard_.call_refused(wall_milliseconds());
+        }
+        co_return guard_.call_broken();
+    }
+
+    [[nodiscard]] bool refused_without_effect() const
+    {
+        const auto& head = call_.answer->head;
+        return head.status == 503 &&
+               wire::find_header(head.fields, field::not_run) == "true";
+    }
+
+    asio::awaitable<void> tell(const told_outcome& told)
+    {
+        if (told.outcome == call_outcome::completed)
+        {
+            auto whole = told.answer ? from_stored(*told.answer)
+                                     : std::move(*call_.answer);
+            co_await call_.send(std::move(whole));
+            co_return;
+        }
+        const refusal refused{
+            to_reason(told.reason),
+            told.outcome,
+            come_back_of(call_, told.reason)};
+        co_await call_.refuse(refused);
+    }
+
+    static whole_answer from_stored(const messages::stored_answer& stored)
+    {
+        whole_answer whole;
+        whole.head.status = stored.status();
+        for (const auto& item : stored.headers())
+        {
+            whole.head.fields.push_back({item.name(), item.value()});
+        }
+        whole.head.fields.push_back({"nutmeg-repeated-answer", "true"});
+        if (stored.body_dropped())
+        {
+            whole.head.fields.push_back({"nutmeg-body-dropped", "true"});
+        }
+        whole.body = stored.body();
+        return whole;
+    }
+
+    peer_call& call_;
+    std::function<asio::awaitable<void>()> run_;
+    execution_guard guard_;
+};
+
+} // namespace
+
+asio::awaitable<void> claim_filter::run_claimed(
+    peer_call& call, std::function<asio::awaitable<void>()> run)
+{
+    claimed_execution execution(call, std::move(run));
+    co_await execution.perform();
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/claim_filter.hpp
@@ -0,0 +1,35 @@
+// A call that may not be repeated runs only under its claim.
+#ifndef NUTMEGUSHER_NODE_CLAIM_FILTER_HPP
+#define NUTMEGUSHER_NODE_CLAIM_FILTER_HPP
+
+#include "nutmegusher/node/peer_call.hpp"
+
+#include <functional>
+
+namespace nutmegusher::node
+{
+
+// Load pattern: none; correctness. Without it a client's second try through
+// another daemon, or a late answer, would run the call twice.
+class claim_filter
+{
+public:
+    template <class Next>
+    asio::awaitable<void> operator()(peer_call& call, Next next)
+    {
+        if (call.terms.repeatable)
+        {
+            co_await next();
+            co_return;
+        }
+        co_await run_claimed(call, next);
+    }
+
+private:
+    static asio::awaitable<void>
+    run_claimed(peer_call& call, std::function<asio::awaitable<void>()> run);
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/configuration_controller.hpp
@@ -0,0 +1,102 @@
+// The configuration that this process runs: one immutable snapshot at a time,
+// which only ever moves to a higher revision.
+//
+//     const auto now = configuration.current();
+//     const class_entry* found = now->match("POST", "/disbursement/pay");
+//
+// Safe from every thread.
+#ifndef NUTMEGUSHER_NODE_CONFIGURATION_CONTROLLER_HPP
+#define NUTMEGUSHER_NODE_CONFIGURATION_CONTROLLER_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/messages/configuration.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegusher::node
+{
+
+// One declared class, as decisions use it.
+struct class_entry
+{
+    class_name id;
+    service_name service;
+    std::string method; // empty: any
+    std::string path_prefix;
+    std::uint8_t rank = 0;
+    bool repeatable = true;
+    bool bulk = false;
+    duration target{};
+    std::uint32_t completion_ppm = 0;
+    std::uint64_t hash = 0;
+};
+
+// All classes at one revision.
+class configuration_view
+{
+public:
+    // Requires: the message was accepted by the control hosts.
+    explicit configuration_view(const messages::configuration& from);
+
+    [[nodiscard]] revision at() const
+    {
+        return at_;
+    }
+
+    // The class of a request; nullptr where none matches. `path` starts with
+    // "/<service>"; the longest prefix wins, and of two equally long ones the
+    // one that names the method.
+    [[nodiscard]] const class_entry*
+    match(std::string_view method, std::string_view path) const;
+
+    [[nodiscard]] const class_entry* find(const class_name& id) const;
+
+    // Whether any class names the service.
+    [[nodiscard]] bool knows_service(std::string_view service) const;
+
+    [[nodiscard]] const messages::configuration& message() const
+    {
+        return message_;
+    }
+
+private:
+    revision at_;
+    messages::configuration message_;
+    std::vector<class_entry> classes_;
+    std::unordered_map<std::string, std::vector<std::size_t>> by_service_;
+};
+
+// "disbursement" of "/disbursement/pay?x=1".
+[[nodiscard]] std::string_view service_in_path(std::string_view path);
+
+// The configuration after `delta`; `from` where the delta doesn't follow it.
+[[nodiscard]] messages::configuration apply_delta(
+    const messages::configuration& from,
+    const messages::configuration_delta& delta);
+
+class configuration_controller
+{
+public:
+    configuration_controller();
+
+    [[nodiscard]] std::shared_ptr<const configuration_view> current() const;
+
+    // Moves to a higher revision; anything else changes nothing. True if it
+    // moved.
+    bool accept(const messages::configuration_delta& delta);
+
+private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const configuration_view> view_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/forward_filter.hpp
@@ -0,0 +1,26 @@
+// The end of the entry's chain: sends the call to an upstream's daemon, and
+// tries again elsewhere where that can help.
+#ifndef NUTMEGUSHER_NODE_FORWARD_FILTER_HPP
+#define NUTMEGUSHER_NODE_FORWARD_FILTER_HPP
+
+#include "nutmegusher/node/entry_call.hpp"
+
+namespace nutmegusher::node
+{
+
+class forward_filter
+{
+public:
+    template <class Next>
+    asio::awaitable<void> operator()(entry_call& call, Next)
+    {
+        return run(call);
+    }
+
+private:
+    static asio::awaitable<void> run(entry_call& call);
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/forward_try.cpp
@@ -0,0 +1,378 @@
+#include "nutmegusher/node/forward_try.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr std::size_t piece_bytes = 16384;
+
+bool is_own_or_hop(std::string_view name)
+{
+    return name.starts_with("nutmeg-") || name == field::key ||
+           name == "host" || name == "connection" ||
+           name == "transfer-encoding" || name == "keep-alive" ||
+           name == "expect" || name == "upgrade" || name == "te" ||
+           name == "proxy-connection";
+}
+
+// What goes back to the caller: the upstream's fields, and of ours the
+// outcome.
+wire::headers fields_for_caller(const wire::headers& from)
+{
+    wire::headers fields;
+    for (const auto& item : from)
+    {
+        const bool internal = item.name == field::retry_tokens ||
+                              item.name == field::admission_level;
+        if (!internal && item.name != "content-length")
+        {
+            fields.push_back(item);
+        }
+    }
+    return fields;
+}
+
+std::optional<std::uint64_t> content_length(const wire::response_head& head)
+{
+    const auto text = wire::find_header(head.fields, "content-length");
+    if (!text)
+    {
+        return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    const auto [rest, code] =
+        std::from_chars(text->data(), text->data() + text->size(), value);
+    return code == std::errc() ? std::optional(value) : std::nullopt;
+}
+
+try_failure to_failure(call_reason reason)
+{
+    switch (reason)
+    {
+    case call_reason::leaving:
+        return try_failure::leaving;
+    case call_reason::no_upstream:
+        return try_failure::not_connected;
+    case call_reason::deadline:
+        return try_failure::deadline;
+    case call_reason::upstream_failed:
+        return try_failure::upstream_failed;
+    case call_reason::answer_broken:
+        return try_failure::answer_broken;
+    case call_reason::connection_lost:
+        return try_failure::connection_lost;
+    default:
+        return try_failure::overload;
+    }
+}
+
+} // namespace
+
+forward_try::forward_try(entry_call& call, route to)
+    : call_(call)
+    , to_(std::move(to))
+    , started_(host_clock().now())
+{
+    attempt_.set_entry_host(call.here.attempt_name);
+    attempt_.set_entry_incarnation(call.here.shared.run.value());
+    attempt_.set_sequence(call.here.attempts.next(wall_milliseconds()));
+}
+
+forward_try::~forward_try()
+{
+    report(try_end::neutral);
+}
+
+void forward_try::report(try_end how)
+{
+    if (reported_)
+    {
+        return;
+    }
+    reported_ = true;
+    call_.here.shared.routes.end(
+        call_.work_class->service,
+        to_.handle,
+        call_.work_class->bulk,
+        how,
+        host_clock().now() - started_);
+}
+
+wire::request_head forward_try::make_head(std::uint32_t tokens) const
+{
+    const auto& from = call_.exchange.head();
+    wire::request_head head{from.method, from.path, {}};
+    for (const auto& item : from.fields)
+    {
+        if (!is_own_or_hop(item.name))
+        {
+            head.fields.push_back(item);
+        }
+    }
+    const auto add = [&head](std::string_view name, std::string value)
+    {
+        head.fields.push_back({std::string(name), std::move(value)});
+    };
+    const auto yes_or_no = [](bool value)
+    {
+        return std::string(value ? "yes" : "no");
+    };
+    add(field::request_id, call_.request.str());
+    add(field::class_name, call_.work_class->id.str());
+    add(field::rank, std::to_string(call_.rank));
+    add(field::repeatable, yes_or_no(call_.work_class->repeatable));
+    add(field::bulk, yes_or_no(call_.work_class->bulk));
+    add(field::timeout, to_milliseconds(call_.time_left()));
+    add(field::attempt, to_text(attempt_));
+    add(field::retry_tokens, std::to_string(tokens));
+    if (!call_.customer.empty())
+    {
+        add(field::customer, call_.customer.str());
+    }
+    if (!call_.key.empty())
+    {
+        add(field::key, call_.key);
+    }
+    return head;
+}
+
+asio::awaitable<try_result> forward_try::run()
+{
+    const auto kind = call_.work_class->bulk ? wire::traffic::long_transfers
+                                             : wire::traffic::short_calls;
+    const auto session = co_await call_.here.peers.get(to_.address, kind);
+    if (!session)
+    {
+        co_return not_sent(session.error());
+    }
+    auto& tokens = call_.tokens();
+    const auto split = split_tokens(tokens.count());
+    const bool bodiless = call_.body_complete && call_.body.empty();
+    auto opened = (*session)->open(make_head(split.sent), bodiless);
+    if (!opened)
+    {
+        co_return not_sent(opened.error());
+    }
+    lent_.emplace(tokens.take(split.sent).send());
+    stream_ = *std::move(opened);
+    stream_->expire_after(call_.time_left());
+    if (call_.body_complete)
+    {
+        std::weak_ptr<bool> gone = call_.caller_gone;
+        auto* const stream = stream_.get();
+        call_.exchange.on_disconnect(
+            [gone, stream]
+            {
+                if (const auto flag = gone.lock())
+                {
+                    *flag = true;
+                    stream->cancel();
+                }
+            });
+    }
+    if (!bodiless)
+    {
+        const auto sent = co_await send_body();
+        if (!sent)
+        {
+            co_return failed(sent.error());
+        }
+    }
+    co_return co_await read_answer();
+}
+
+asio::awaitable<outcome<void, wire::stream_failure>> forward_try::send_body()
+{
+    const auto kept = std::as_bytes(std::span(call_.body));
+    auto sent = co_await stream_->write(kept, call_.body_complete);
+    if (call_.body_complete || !sent)
+    {
+        co_return sent;
+    }
+    std::array<std::byte, piece_bytes> piece;
+    while (sent)
+    {
+        const auto got = co_await call_.exchange.read_some(piece);
+        if (!got)
+        {
+            *call_.caller_gone = true;
+            stream_->cancel();
+            co_return wire::stream_failure::cancelled;
+        }
+        const auto bytes = std::span(piece).first(*got);
+        sent = co_await stream_->write(bytes, *got == 0);
+        if (*got == 0)
+        {
+            break;
+        }
+    }
+    co_return sent;
+}
+
+asio::awaitable<try_result> forward_try::read_answer()
+{
+    auto head = co_await stream_->read_head();
+    if (!head)
+    {
+        co_return failed(head.error());
+    }
+    take_feedback(*head);
+    if (const auto refused = refusal_of(*head))
+    {
+        co_return refused_by_peer(*refused);
+    }
+    if (!wire::find_header(head->fields, field::outcome))
+    {
+        co_return failed(wire::stream_failure::protocol);
+    }
+    try_answer answer;
+    answer.head = *std::move(head);
+    const auto most = call_.here.shared.configured.limits.buffered_body_bytes;
+    std::array<std::byte, piece_bytes> piece;
+    while (answer.begin.size() <= most)
+    {
+        const auto got = co_await stream_->read_some(piece);
+        if (!got)
+        {
+            auto failure = failed(got.error());
+            failure.how = try_failure::answer_broken;
+            co_return failure;
+        }
+        if (*got == 0)
+        {
+            answer.whole = true;
+            report(try_end::answer);
+            co_return answer;
+        }
+        answer.begin.append(reinterpret_cast<const char*>(piece.data()), *got);
+    }
+    co_return answer;
+}
+
+asio::awaitable<bool> forward_try::pass_on(try_answer answer)
+{
+    const auto length = content_length(answer.head);
+    wire::response_head head{
+        answer.head.status, fields_for_caller(answer.head.fields)};
+    head.fields.push_back(
+        {std::string(field::tries), std::to_string(call_.tries)});
+    if (answer.whole)
+    {
+        co_return co_await call_.exchange.answer(std::move(head), answer.begin);
+    }
+    bool open = co_await call_.exchange.begin_answer(std::move(head), length);
+    const auto begin = std::as_bytes(std::span(answer.begin));
+    open = open && co_await call_.exchange.write_some(begin);
+    std::array<std::byte, piece_bytes> piece;
+    while (open)
+    {
+        const auto got = co_await stream_->read_some(piece);
+        if (!got)
+        {
+            failed(got.error());
+            log_event(
+                event::answer_broken,
+                {{"class", call_.work_class->id.str()},
+                 {"request", call_.request.str()}});
+            co_return false;
+        }
+        if (*got == 0)
+        {
+            report(try_end::answer);
+            co_return co_await call_.exchange.end_answer();
+        }
+        const auto bytes = std::span(piece).first(*got);
+        open = co_await call_.exchange.write_some(bytes);
+    }
+    stream_->cancel();
+    co_return false;
+}
+
+void forward_try::take_feedback(const wire::response_head& head)
+{
+    const auto back = wire::find_header(head.fields, field::retry_tokens);
+    if (back && lent_)
+    {
+        call_.tokens().put(lent_->bring_back(parse_count(*back).value_or(0)));
+    }
+    const auto text = wire::find_header(head.fields, field::admission_level);
+    const auto level = text ? parse_level(*text) : admission_level();
+    if (!text || !level)
+    {
+        return;
+    }
+    auto& shared = call_.here.shared;
+    shared.routes.on_level(call_.work_class->service, to_.handle, *level);
+    if (call_.part_of)
+    {
+        const auto root = call_.part_of->terms().work_class.str();
+        shared.pressure.on_sub_call_level(stable_hash(root), *level);
+    }
+    else
+    {
+        shared.pressure.on_level(call_.facts(), *level);
+    }
+}
+
+try_failed forward_try::refused_by_peer(const refusal& refused)
+{
+    const auto how = to_failure(refused.reason);
+    const bool unwell = how == try_failure::not_connected ||
+                        how == try_failure::upstream_failed;
+    const bool late =
+        how == try_failure::deadline && refused.result == call_outcome::unknown;
+    report(
+        unwell ? try_end::failure
+        : late ? try_end::silence
+               : try_end::neutral);
+    return {how, refused.result == call_outcome::not_run, refused};
+}
+
+try_failed forward_try::not_sent(wire::stream_failure failure)
+{
+    const bool full = failure == wire::stream_failure::refused;
+    report(full ? try_end::neutral : try_end::failure);
+    log_event(
+        event::connection_failed,
+        {{"to", to_.host.str()}, {"why", wire::to_string(failure)}});
+    const refusal told{
+        call_reason::no_upstream, call_outcome::not_run, shortest_return};
+    return {try_failure::not_connected, true, told};
+}
+
+try_failed forward_try::failed(wire::stream_failure failure)
+{
+    using enum wire::stream_failure;
+    if (failure == silent)
+    {
+        log_event(event::connection_silent, {{"to", to_.host.str()}});
+    }
+    const bool not_run = certainly_not_processed(failure);
+    const auto result = not_run ? call_outcome::not_run : call_outcome::unknown;
+    if (failure == timed_out)
+    {
+        report(try_end::silence);
+        return {
+            try_failure::deadline, not_run, {call_reason::deadline, result}};
+    }
+    report(
+        failure == silent      ? try_end::silence
+        : failure == cancelled ? try_end::neutral
+        : not_run              ? try_end::neutral
+                               : try_end::failure);
+    const auto how = not_run               ? try_failure::leaving
+                     : failure == protocol ? try_failure::answer_broken
+                                           : try_failure::connection_lost;
+    const refusal told{
+        not_run ? call_reason::leaving : call_reason::connection_lost,
+        result,
+        shortest_return};
+    return {how, not_run, told};
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/http_server.cpp
@@ -0,0 +1,544 @@
+#include "nutmegusher/node/http_server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <set>
+#include <utility>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+
+constexpr unsigned http_11 = 11;
+
+wire::request_head to_request_head(const http::request_header<>& from)
+{
+    wire::request_head head;
+    head.method = std::string(from.method_string());
+    head.path = std::string(from.target());
+    for (const auto& field : from)
+    {
+        std::string name(field.name_string());
+        for (char& c : name)
+        {
+            c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+        }
+        head.fields.push_back({std::move(name), std::string(field.value())});
+    }
+    return head;
+}
+
+template <class Message>
+void fill_head(Message& message, const wire::response_head& head, bool keep)
+{
+    message.result(head.status);
+    for (const auto& field : head.fields)
+    {
+        if (field.name != "content-length" &&
+            field.name != "transfer-encoding" && field.name != "connection")
+        {
+            message.insert(field.name, field.value);
+        }
+    }
+    message.keep_alive(keep);
+}
+
+// True where nothing can be read any more from the peer.
+bool peer_has_closed(tcp::socket& socket)
+{
+    char probe = 0;
+    const auto got =
+        ::recv(socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+// The wait for the caller's disconnection; outlives the exchange.
+struct disconnect_watch
+{
+    std::function<void()> gone;
+};
+
+} // namespace
+
+struct http_server::state
+{
+    state(asio::io_context& context, http_handler handler)
+        : acceptor(context)
+        , handler(std::move(handler))
+    {
+    }
+
+    tcp::acceptor acceptor;
+    http_handler handler;
+    http_server_options options;
+    std::set<beast::tcp_stream*> idle;
+    std::size_t connections = 0;
+    std::size_t in_flight = 0;
+    bool stopping = false;
+};
+
+namespace
+{
+
+class beast_exchange final : public caller_exchange
+{
+public:
+    beast_exchange(
+        beast::tcp_stream& stream,
+        beast::flat_buffer& buffer,
+        std::uint32_t header_bytes)
+        : stream_(stream)
+        , buffer_(buffer)
+    {
+        parser_.header_limit(header_bytes);
+        parser_.body_limit(boost::none);
+    }
+
+    ~beast_exchange() override
+    {
+        stop_watch();
+    }
+
+    beast_exchange(const beast_exchange&) = delete;
+    beast_exchange& operator=(const beast_exchange&) = delete;
+
+    asio::awaitable<boost::system::error_code> read_head()
+    {
+        auto [failed, size] = co_await http::async_read_header(
+            stream_, buffer_, parser_, as_tuple_awaitable);
+        if (!failed)
+        {
+            head_ = to_request_head(parser_.get().base());
+            keep_alive_ = parser_.get().keep_alive();
+        }
+        co_return failed;
+    }
+
+    [[nodiscard]] const wire::request_head& head() const override
+    {
+        return head_;
+    }
+
+    asio::awaitable<outcome<std::size_t, caller_failure>>
+    read_some(std::span<std::byte> into) override
+    {
+        if (!co_await send_continue())
+        {
+            co_return caller_failure::disconnected;
+        }
+        auto& body = parser_.get().body();
+        while (!parser_.is_done())
+        {
+            body.data = into.data();
+            body.size = into.size();
+            auto [failed, size] = co_await http::async_read_some(
+                stream_, buffer_, parser_, as_tuple_awaitable);
+            if (failed && failed != http::error::need_buffer)
+            {
+                broken_ = true;
+                co_return to_failure(failed);
+            }
+            if (const auto got = into.size() - body.size; got > 0)
+            {
+                co_return got;
+            }
+        }
+        co_return std::size_t{0};
+    }
+
+    asio::awaitable<bool>
+    answer(wire::response_head head, std::string_view body) override
+    {
+        stop_watch();
+        http::response<http::span_body<const char>> message;
+        message.version(http_11);
+        fill_head(message, head, may_keep());
+        const bool bodiless = is_head_request();
+        message.body() = {body.data(), body.size()};
+        message.content_length(body.size());
+        if (bodiless)
+        {
+            message.body() = {};
+        }
+        http::response_serializer<http::span_body<const char>> serializer(
+            message);
+        auto [failed, size] =
+            bodiless ? co_await http::async_write_header(
+                           stream_, serializer, as_tuple_awaitable)
+                     : co_await http::async_write(
+                           stream_, serializer, as_tuple_awaitable);
+        finished_ = !failed;
+        co_return finished_;
+    }
+
+    asio::awaitable<bool> begin_answer(
+        wire::response_head head, std::optional<std::uint64_t> length) override
+    {
+        stop_watch();
+        response_.version(http_11);
+        fill_head(response_, head, may_keep());
+        if (length)
+        {
+            response_.content_length(*length);
+        }
+        else
+        {
+            response_.chunked(true);
+        }
+        response_.body().data = nullptr;
+        response_.body().more = true;
+        serializer_.emplace(response_);
+        auto [failed, size] = co_await http::async_write_header(
+            stream_, *serializer_, as_tuple_awaitable);
+        co_return !failed;
+    }
+
+    asio::awaitable<bool> write_some(std::span<const std::byte> bytes) override
+    {
+        if (bytes.empty() || is_head_request())
+        {
+            co_return true;
+        }
+        auto& body = response_.body();
+        // Beast's buffer_body takes a mutable pointer but only reads here.
+        body.data = const_cast<std::byte*>(bytes.data());
+        body.size = bytes.size();
+        body.more = true;
+        auto [failed, size] = co_await http::async_write(
+            stream_, *serializer_, as_tuple_awaitable);
+        co_return !failed || failed == http::error::need_buffer;
+    }
+
+    asio::awaitable<bool> end_answer() override
+    {
+        if (is_head_request())
+        {
+            finished_ = true;
+            co_return true;
+        }
+        auto& body = response_.body();
+        body.data = nullptr;
+        body.size = 0;
+        body.more = false;
+        auto [failed, size] = co_await http::async_write(
+            stream_, *serializer_, as_tuple_awaitable);
+        finished_ = !failed;
+        co_return finished_;
+    }
+
+    void on_disconnect(std::function<void()> gone) override
+    {
+        if (!parser_.is_done() || buffer_.size() > 0)
+        {
+            return;
+        }
+        watch_ = std::make_shared<disconnect_watch>();
+        watch_->gone = std::move(gone);
+        std::weak_ptr<disconnect_watch> weak = watch_;
+        auto* socket = &stream_.socket();
+        socket->async_wait(
+            tcp::socket::wait_read,
+            [weak, socket](boost::system::error_code failed)
+            {
+                const auto watch = weak.lock();
+                if (failed || !watch || !peer_has_closed(*socket))
+                {
+                    return;
+                }
+                const auto callback = std::exchange(watch->gone, nullptr);
+                if (callback)
+                {
+                    callback();
+                }
+            });
+    }
+
+    // The whole answer was written and the connection can serve another.
+    [[nodiscard]] bool reusable() const
+    {
+        return finished_ && may_keep();
+    }
+
+    void close_after_answer()
+    {
+        keep_alive_ = false;
+    }
+
+private:
+    static caller_failure to_failure(boost::system::error_code code)
+    {
+        if (code == beast::error::timeout)
+        {
+            return caller_failure::too_slow;
+        }
+        return code.category() == http::make_error_code(http::error::bad_method)
+                                      .category() &&
+                       code != http::error::partial_message &&
+                       code != http::error::end_of_stream
+                   ? caller_failure::malformed
+                   : caller_failure::disconnected;
+    }
+
+    [[nodiscard]] bool is_head_request() const
+    {
+        return parser_.get().method() == http::verb::head;
+    }
+
+    [[nodiscard]] bool may_keep() const
+    {
+        return keep_alive_ && !broken_ && parser_.is_done();
+    }
+
+    asio::awaitable<bool> send_continue()
+    {
+        if (continued_ ||
+            !beast::iequals(parser_.get()[http::field::expect], "100-continue"))
+        {
+            co_return true;
+        }
+        continued_ = true;
+        http::response<http::empty_body> go_on(http::status::continue_, 11);
+        auto [failed, size] =
+            co_await http::async_write(stream_, go_on, as_tuple_awaitable);
+        co_return !failed;
+    }
+
+    void stop_watch()
+    {
+        if (watch_)
+        {
+            watch_.reset();
+            stream_.socket().cancel();
+        }
+    }
+
+    beast::tcp_stream& stream_;
+    beast::flat_buffer& buffer_;
+    http::request_parser<http::buffer_body> parser_;
+    wire::request_head head_;
+    http::response<http::buffer_body> response_;
+    std::optional<http::response_serializer<http::buffer_body>> serializer_;
+    std::shared_ptr<disconnect_watch> watch_;
+    bool keep_alive_ = false;
+    bool continued_ = false;
+    bool broken_ = false;
+    bool finished_ = false;
+};
+
+// Counts a connection or a request for as long as it lives.
+class counted
+{
+public:
+    explicit counted(std::size_t& counter)
+        : counter_(counter)
+    {
+        ++counter_;
+    }
+
+    ~counted()
+    {
+        --counter_;
+    }
+
+    counted(const counted&) = delete;
+    counted& operator=(const counted&) = delete;
+
+private:
+    std::size_t& counter_;
+};
+
+// Lets `stop_accepting` close a connection that waits for a request.
+class idle_mark
+{
+public:
+    idle_mark(std::set<beast::tcp_stream*>& idle, beast::tcp_stream& stream)
+        : idle_(idle)
+        , stream_(stream)
+    {
+        idle_.insert(&stream_);
+    }
+
+    ~idle_mark()
+    {
+        idle_.erase(&stream_);
+    }
+
+    idle_mark(const idle_mark&) = delete;
+    idle_mark& operator=(const idle_mark&) = delete;
+
+private:
+    std::set<beast::tcp_stream*>& idle_;
+    beast::tcp_stream& stream_;
+};
+
+template <class State>
+asio::awaitable<bool> serve_request(
+    State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    beast_exchange exchange(stream, buffer, server.options.header_bytes);
+    boost::system::error_code failed;
+    {
+        const idle_mark mark(server.idle, stream);
+        stream.expires_after(server.options.idle_limit);
+        failed = co_await exchange.read_head();
+    }
+    stream.expires_never();
+    if (failed == http::error::header_limit)
+    {
+        wire::response_head head{
+            431,
+            {{"nutmeg-outcome", "not-run"}, {"nutmeg-reason", "too-large"}}};
+        exchange.close_after_answer();
+        co_await exchange.answer(std::move(head), "");
+    }
+    if (failed)
+    {
+        co_return false;
+    }
+    const counted one(server.in_flight);
+    if (server.stopping)
+    {
+        exchange.close_after_answer();
+    }
+    co_await server.handler(exchange);
+    co_return exchange.reusable() && !server.stopping;
+}
+
+template <class State>
+asio::awaitable<void>
+serve_connection(std::shared_ptr<State> server, tcp::socket socket)
+{
+    const counted one(server->connections);
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    while (co_await serve_request(*server, stream, buffer))
+    {
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream.close();
+}
+
+template <class State>
+asio::awaitable<void> accept_all(std::shared_ptr<State> server)
+{
+    while (server->acceptor.is_open())
+    {
+        auto [failed, socket] =
+            co_await server->acceptor.async_accept(as_tuple_awaitable);
+        if (failed)
+        {
+            continue;
+        }
+        if (server->connections >= server->options.connections)
+        {
+            continue; // closes it
+        }
+        auto executor = server->acceptor.get_executor();
+        asio::co_spawn(
+            executor,
+            serve_connection(server, std::move(socket)),
+            asio::detached);
+    }
+}
+
+} // namespace
+
+leaf::result<std::unique_ptr<http_server>> http_server::listen(
+    asio::io_context& context,
+    tcp::endpoint address,
+    http_handler handler,
+    const http_server_options& options)
+{
+    auto made = std::make_shared<state>(context, std::move(handler));
+    made->options = options;
+    auto& acceptor = made->acceptor;
+    boost::system::error_code failed;
+    acceptor.open(address.protocol(), failed);
+    if (!failed)
+    {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    }
+    if (!failed && options.reuse_port)
+    {
+        using reuse_port =
+            asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+        acceptor.set_option(reuse_port(true), failed);
+    }
+    if (!failed)
+    {
+        acceptor.bind(address, failed);
+    }
+    if (!failed)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed)
+    {
+        return leaf::new_error(listen_error{address, failed});
+    }
+    asio::co_spawn(context, accept_all(made), asio::detached);
+    return std::unique_ptr<http_server>(new http_server(std::move(made)));
+}
+
+http_server::http_server(std::shared_ptr<state> state)
+    : state_(std::move(state))
+{
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+    close_idle();
+}
+
+tcp::endpoint http_server::local_endpoint() const
+{
+    boost::system::error_code ignored;
+    return state_->acceptor.local_endpoint(ignored);
+}
+
+void http_server::stop_accepting()
+{
+    state_->stopping = true;
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+void http_server::close_idle()
+{
+    for (auto* stream : state_->idle)
+    {
+        stream->cancel();
+    }
+}
+
+std::size_t http_server::connections() const
+{
+    return state_->connections;
+}
+
+std::size_t http_server::in_flight() const
+{
+    return state_->in_flight;
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/metrics.cpp
@@ -0,0 +1,210 @@
+#include "nutmegusher/node/metrics.hpp"
+
+#include <boost/histogram.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+namespace bh = boost::histogram;
+namespace json = boost::json;
+
+// Latencies from 50 µs to 60 s, about 12 bins for each factor of ten.
+constexpr unsigned latency_bins = 73;
+constexpr double least_latency_ms = 0.05;
+constexpr double most_latency_ms = 60000.0;
+constexpr std::array quantiles{0.5, 0.9, 0.99, 0.999};
+
+using latency_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using latency_histogram = decltype(bh::make_histogram(
+    latency_axis(latency_bins, least_latency_ms, most_latency_ms)));
+
+std::string_view side_text(call_side side)
+{
+    return side == call_side::entry ? "entry" : "upstream";
+}
+
+struct class_counts
+{
+    std::uint64_t completed = 0;
+    std::uint64_t tries = 0;
+    std::map<std::pair<call_reason, call_outcome>, std::uint64_t> refused;
+    latency_histogram latency = bh::make_histogram(
+        latency_axis(latency_bins, least_latency_ms, most_latency_ms));
+};
+
+using class_key = std::pair<class_name, call_side>;
+
+// The upper edge of the bin that holds the quantile.
+double quantile_of(const latency_histogram& histogram, double quantile)
+{
+    const auto total = bh::algorithm::sum(histogram);
+    double seen = 0;
+    for (const auto& bin : bh::indexed(histogram, bh::coverage::all))
+    {
+        seen += *bin;
+        if (total > 0 && seen >= quantile * total)
+        {
+            return std::min(bin.bin().upper(), most_latency_ms);
+        }
+    }
+    return 0;
+}
+
+std::uint64_t refused_total(const class_counts& counts)
+{
+    std::uint64_t total = 0;
+    for (const auto& [why, count] : counts.refused)
+    {
+        total += count;
+    }
+    return total;
+}
+
+std::string labels_of(const class_key& key)
+{
+    return "class=\"" + key.first.str() + "\",side=\"" +
+           std::string(side_text(key.second)) + "\"";
+}
+
+void expose(std::string& out, const class_key& key, const class_counts& counts)
+{
+    const auto labels = labels_of(key);
+    const auto line =
+        [&out](std::string_view name, const std::string& with, auto value)
+    {
+        out += "nutmegusher_" + std::string(name) + "{" + with + "} " +
+               std::to_string(value) + "\n";
+    };
+    line(
+        "requests_offered_total",
+        labels,
+        counts.completed + refused_total(counts));
+    line("requests_completed_total", labels, counts.completed);
+    line("tries_total", labels, counts.tries);
+    for (const auto& [why, count] : counts.refused)
+    {
+        line(
+            "requests_refused_total",
+            labels + ",reason=\"" + std::string(node::to_string(why.first)) +
+                "\",outcome=\"" + std::string(node::to_string(why.second)) +
+                "\"",
+            count);
+    }
+    for (const auto quantile : quantiles)
+    {
+        line(
+            "latency_milliseconds",
+            labels + ",quantile=\"" + std::to_string(quantile) + "\"",
+            quantile_of(counts.latency, quantile));
+    }
+}
+
+json::object dump_class(const class_key& key, const class_counts& counts)
+{
+    json::object refused;
+    for (const auto& [why, count] : counts.refused)
+    {
+        refused
+            [std::string(node::to_string(why.first)) + "/" +
+             std::string(node::to_string(why.second))] = count;
+    }
+    return {
+        {"class", key.first.str()},
+        {"side", side_text(key.second)},
+        {"completed", counts.completed},
+        {"tries", counts.tries},
+        {"refused", std::move(refused)},
+        {"p50_ms", quantile_of(counts.latency, 0.5)},
+        {"p99_ms", quantile_of(counts.latency, 0.99)}};
+}
+
+} // namespace
+
+struct metrics::shard
+{
+    mutable std::mutex mutex;
+    std::map<class_key, class_counts> classes;
+};
+
+metrics::metrics()
+{
+    for (auto& each : shards_)
+    {
+        each = std::make_unique<shard>();
+    }
+}
+
+metrics::~metrics() = default;
+
+metrics::shard& metrics::shard_of(const class_name& of) const
+{
+    return *shards_[stable_hash(of.str()) % shard_count];
+}
+
+void metrics::completed(
+    call_side side, const class_name& of, duration latency, std::uint32_t tries)
+{
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    auto& shard = shard_of(of);
+    const std::scoped_lock lock(shard.mutex);
+    auto& counts = shard.classes[{of, side}];
+    ++counts.completed;
+    counts.tries += tries;
+    counts.latency(milliseconds(latency).count());
+}
+
+void metrics::refused(
+    call_side side,
+    const class_name& of,
+    call_reason reason,
+    call_outcome result,
+    std::uint32_t tries)
+{
+    auto& shard = shard_of(of);
+    const std::scoped_lock lock(shard.mutex);
+    auto& counts = shard.classes[{of, side}];
+    counts.tries += tries;
+    ++counts.refused[{reason, result}];
+}
+
+std::string metrics::exposition() const
+{
+    std::string out = "# TYPE nutmegusher_requests_offered_total counter\n"
+                      "# TYPE nutmegusher_requests_completed_total counter\n"
+                      "# TYPE nutmegusher_requests_refused_total counter\n"
+                      "# TYPE nutmegusher_tries_total counter\n"
+                      "# TYPE nutmegusher_latency_milliseconds summary\n";
+    for (const auto& each : shards_)
+    {
+        const std::scoped_lock lock(each->mutex);
+        for (const auto& [key, counts] : each->classes)
+        {
+            expose(out, key, counts);
+        }
+    }
+    return out;
+}
+
+json::value metrics::dump() const
+{
+    json::array classes;
+    for (const auto& each : shards_)
+    {
+        const std::scoped_lock lock(each->mutex);
+        for (const auto& [key, counts] : each->classes)
+        {
+            classes.push_back(dump_class(key, counts));
+        }
+    }
+    return classes;
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/peer_call.hpp
@@ -0,0 +1,98 @@
+// One call as the daemon beside the upstream sees it.
+#ifndef NUTMEGUSHER_NODE_PEER_CALL_HPP
+#define NUTMEGUSHER_NODE_PEER_CALL_HPP
+
+#include "nutmegusher/node/call.hpp"
+#include "nutmegusher/node/worker.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace nutmegusher::node
+{
+
+// Set when the peer gave the call up. The callback that is set at the time
+// stops what the call waits for.
+struct cancellation
+{
+    bool requested = false;
+    std::function<void()> stop;
+};
+
+// What the entry daemon sent along.
+struct peer_terms
+{
+    request_id request;
+    class_name work_class;
+    customer_id customer;
+    std::string key;
+    messages::attempt attempt;
+    std::uint8_t rank = 0;
+    bool repeatable = false;
+    bool bulk = false;
+    time_point deadline;
+    std::uint32_t tokens = 0;
+};
+
+// A whole answer, or where a long one comes from.
+struct whole_answer
+{
+    wire::response_head head;
+    std::string body;
+};
+
+struct peer_call
+{
+    peer_call(worker& here, std::shared_ptr<wire::server_stream> stream)
+        : here(here)
+        , stream(std::move(stream))
+        , cancelled(std::make_shared<cancellation>())
+        , arrived(host_clock().now())
+    {
+    }
+
+    worker& here;
+    std::shared_ptr<wire::server_stream> stream;
+    std::shared_ptr<cancellation> cancelled;
+    time_point arrived;
+    peer_terms terms;
+    // The request's body, or its first part.
+    std::string body;
+    bool body_complete = false;
+    std::optional<request_ledger::running_request> running;
+    // For the admission controller.
+    call_result result = call_result::never_started;
+    // Calls that may not be repeated are answered by their claim.
+    std::optional<whole_answer> answer;
+    std::optional<upstream_failure> failure;
+    bool answered = false;
+
+    [[nodiscard]] duration time_left() const
+    {
+        return terms.deadline - host_clock().now();
+    }
+
+    // Adds what every answer to a peer carries: tokens and admission level.
+    void complete_head(wire::response_head& head);
+
+    // Answers with a refusal; does nothing where an answer was begun.
+    asio::awaitable<void> refuse(refusal refused);
+
+    // Answers with a whole answer of the upstream.
+    asio::awaitable<void> send(whole_answer whole);
+};
+
+// Reads the terms; the reason of a refusal where they are malformed.
+[[nodiscard]] outcome<peer_terms, call_reason>
+parse_terms(const wire::request_head& head, const configuration_view& classes);
+
+// Reads the body until its end or until `most` bytes are kept. False: the
+// peer has gone.
+asio::awaitable<bool> read_body(peer_call& call, std::size_t most);
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/pressure_controller.cpp
@@ -0,0 +1,65 @@
+#include "nutmegusher/node/pressure_controller.hpp"
+
+namespace nutmegusher::node
+{
+
+std::optional<refused>
+pressure_controller::check(const call_facts& call, random_engine& engine)
+{
+    if (naive_)
+    {
+        return std::nullopt;
+    }
+    auto& shard = shard_of(call.work_class);
+    const std::scoped_lock lock(shard.mutex);
+    auto no = shard.gate.check(call, host_clock().now());
+    if (no)
+    {
+        no->come_back_after = spread(no->come_back_after, engine);
+    }
+    return no;
+}
+
+void pressure_controller::on_level(
+    const call_facts& call, const admission_level& level)
+{
+    auto& shard = shard_of(call.work_class);
+    const std::scoped_lock lock(shard.mutex);
+    shard.gate.on_level(call, level, host_clock().now());
+}
+
+void pressure_controller::on_sub_call_level(
+    std::uint64_t root_class, const admission_level& level)
+{
+    auto& shard = shard_of(root_class);
+    const std::scoped_lock lock(shard.mutex);
+    shard.levels.on_sub_call_level(root_class, level, host_clock().now());
+}
+
+admission_level pressure_controller::level_for(
+    std::uint64_t work_class, const admission_level& own) const
+{
+    const auto& shard = shards_[work_class % shard_count];
+    const std::scoped_lock lock(shard.mutex);
+    return shard.levels.level_for(work_class, own, host_clock().now());
+}
+
+std::uint32_t pressure_controller::begin_request(
+    std::uint64_t work_class, std::uint64_t key_hash)
+{
+    auto& shard = shard_of(work_class);
+    const std::scoped_lock lock(shard.mutex);
+    const bool again =
+        key_hash != 0 && shard.keys.repeated(key_hash, host_clock().now());
+    return shard.budgets[work_class].begin(again);
+}
+
+void pressure_controller::end_request(
+    std::uint64_t work_class, std::uint32_t given, std::uint32_t left)
+{
+    auto& shard = shard_of(work_class);
+    const std::scoped_lock lock(shard.mutex);
+    shard.budgets[work_class].end(given, std::min(given, left));
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/route_controller.cpp
@@ -0,0 +1,252 @@
+#include "nutmegusher/node/route_controller.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+
+namespace nutmegusher::node
+{
+
+namespace json = boost::json;
+
+struct route_controller::service_routes
+{
+    mutable std::mutex mutex;
+    router route;
+    std::unordered_map<host_id, endpoint> addresses;
+    bool known = false;
+    // For the naive baseline.
+    std::size_t next = 0;
+
+    [[nodiscard]] std::optional<upstream_handle>
+    round_robin(std::span<const upstream_handle> tried);
+};
+
+// The baseline of measurements: each in its turn, whatever is known of it.
+std::optional<upstream_handle> route_controller::service_routes::round_robin(
+    std::span<const upstream_handle> tried)
+{
+    const auto states = route.state();
+    for (std::size_t i = 0; i < states.size(); ++i)
+    {
+        const auto& each = states[(next + i) % states.size()];
+        const bool was_tried =
+            std::find(tried.begin(), tried.end(), each.handle) != tried.end();
+        if (!was_tried && !each.leaving)
+        {
+            next = (next + i + 1) % states.size();
+            return each.handle;
+        }
+    }
+    return std::nullopt;
+}
+
+route_controller::route_controller(const host_settings& here, bool naive)
+    : here_(here)
+    , naive_(naive)
+{
+}
+
+route_controller::~route_controller() = default;
+
+std::shared_ptr<route_controller::service_routes>
+route_controller::find(const service_name& service) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<route_controller::service_routes>
+route_controller::find_or_add(const service_name& service)
+{
+    const std::scoped_lock lock(mutex_);
+    auto& entry = services_[service];
+    if (!entry)
+    {
+        entry = std::make_shared<service_routes>();
+    }
+    return entry;
+}
+
+network_distance
+route_controller::distance_to(const messages::upstream_record& record) const
+{
+    if (record.data_center() == here_.data_center.str())
+    {
+        return network_distance::same_data_center;
+    }
+    return record.region() == here_.region.str()
+               ? network_distance::same_region
+               : network_distance::other_region;
+}
+
+void route_controller::update(
+    const service_name& service,
+    std::span<const messages::upstream_record> records)
+{
+    const auto routes = find_or_add(service);
+    std::vector<candidate> candidates;
+    std::unordered_map<host_id, endpoint> addresses;
+    for (const auto& record : records)
+    {
+        const auto address = parse_endpoint(record.address());
+        if (!address)
+        {
+            continue;
+        }
+        const host_id host(record.host());
+        candidates.push_back(
+            {host,
+             distance_to(record),
+             record.state() != messages::upstream_serving});
+        addresses.emplace(host, *address);
+    }
+    const std::scoped_lock lock(routes->mutex);
+    routes->route.update(candidates, host_clock().now());
+    routes->addresses = std::move(addresses);
+    routes->known = true;
+}
+
+bool route_controller::want(const service_name& service)
+{
+    const std::scoped_lock lock(mutex_);
+    auto& entry = services_[service];
+    if (entry)
+    {
+        return false;
+    }
+    entry = std::make_shared<service_routes>();
+    return true;
+}
+
+std::vector<service_name> route_controller::wanted() const
+{
+    const std::scoped_lock lock(mutex_);
+    std::vector<service_name> names;
+    for (const auto& [service, routes] : services_)
+    {
+        names.push_back(service);
+    }
+    return names;
+}
+
+bool route_controller::known(const service_name& service) const
+{
+    const auto routes = find(service);
+    if (!routes)
+    {
+        return false;
+    }
+    const std::scoped_lock lock(routes->mutex);
+    return routes->known;
+}
+
+std::optional<route> route_controller::start(
+    const service_name& service,
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    random_engine& engine)
+{
+    const auto routes = find(service);
+    if (!routes)
+    {
+        return std::nullopt;
+    }
+    const std::scoped_lock lock(routes->mutex);
+    const auto now = host_clock().now();
+    const auto chosen = naive_ ? routes->round_robin(tried)
+                               : routes->route.choose(call, tried, now, engine);
+    const auto* const host = chosen ? routes->route.host(*chosen) : nullptr;
+    const auto address = host == nullptr ? routes->addresses.end()
+                                         : routes->addresses.find(*host);
+    if (address == routes->addresses.end())
+    {
+        return std::nullopt;
+    }
+    routes->route.on_start(*chosen, call.bulk, now);
+    return route{*chosen, *host, address->second};
+}
+
+void route_controller::end(
+    const service_name& service,
+    upstream_handle at,
+    bool bulk,
+    try_end how,
+    duration elapsed)
+{
+    const auto routes = find(service);
+    if (!routes)
+    {
+        return;
+    }
+    const std::scoped_lock lock(routes->mutex);
+    const auto now = host_clock().now();
+    switch (how)
+    {
+    case try_end::answer:
+        routes->route.on_answer(at, bulk, elapsed, now);
+        break;
+    case try_end::failure:
+        routes->route.on_failure(at, bulk, now);
+        break;
+    case try_end::silence:
+        routes->route.on_silent(at, bulk, now);
+        break;
+    case try_end::neutral:
+        routes->route.on_neutral(at, bulk, now);
+        break;
+    }
+}
+
+void route_controller::on_level(
+    const service_name& service,
+    upstream_handle at,
+    const admission_level& level)
+{
+    if (const auto routes = find(service))
+    {
+        const std::scoped_lock lock(routes->mutex);
+        routes->route.on_level(at, level, host_clock().now());
+    }
+}
+
+bool route_controller::takes_elsewhere(
+    const service_name& service,
+    const call_facts& call,
+    std::span<const upstream_handle> tried) const
+{
+    const auto routes = find(service);
+    if (!routes)
+    {
+        return false;
+    }
+    const std::scoped_lock lock(routes->mutex);
+    return routes->route.takes_elsewhere(call, tried, host_clock().now());
+}
+
+json::value route_controller::dump() const
+{
+    json::object services;
+    for (const auto& service : wanted())
+    {
+        const auto routes = find(service);
+        json::array upstreams;
+        const std::scoped_lock lock(routes->mutex);
+        for (const auto& each : routes->route.state())
+        {
+            using milliseconds = std::chrono::duration<double, std::milli>;
+            upstreams.push_back(json::object{
+                {"host", each.host.str()},
+                {"in_flight", each.in_flight},
+                {"latency_ms", milliseconds(each.latency).count()},
+                {"ejected", each.ejected},
+                {"leaving", each.leaving}});
+        }
+        services[service.str()] = std::move(upstreams);
+    }
+    return services;
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/route_controller.hpp
@@ -0,0 +1,109 @@
+// The upstreams of the services that this daemon calls, and what it has
+// observed of them: one `router` a service, each under a lock of its own.
+#ifndef NUTMEGUSHER_NODE_ROUTE_CONTROLLER_HPP
+#define NUTMEGUSHER_NODE_ROUTE_CONTROLLER_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/messages/sync.pb.h"
+#include "nutmegusher/node/settings.hpp"
+#include "nutmegusher/policy/policy.hpp"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegusher::node
+{
+
+// Where one try goes.
+struct route
+{
+    upstream_handle handle;
+    host_id host;
+    endpoint address;
+};
+
+// How a try ended, for the observations.
+enum class try_end : std::uint8_t
+{
+    answer,
+    failure,
+    silence,
+    neutral
+};
+
+class route_controller
+{
+public:
+    route_controller(const host_settings& here, bool naive);
+    route_controller(const route_controller&) = delete;
+    route_controller& operator=(const route_controller&) = delete;
+    ~route_controller();
+
+    // All upstreams of the service that this daemon is to use.
+    void update(
+        const service_name& service,
+        std::span<const messages::upstream_record> records);
+
+    // Notes that the service is called here. True at the first time: its
+    // upstreams must be asked for.
+    bool want(const service_name& service);
+
+    [[nodiscard]] std::vector<service_name> wanted() const;
+
+    // Whether upstreams of the service were ever told.
+    [[nodiscard]] bool known(const service_name& service) const;
+
+    // Chooses and counts the try as started; `end` must follow.
+    [[nodiscard]] std::optional<route> start(
+        const service_name& service,
+        const call_facts& call,
+        std::span<const upstream_handle> tried,
+        random_engine& engine);
+
+    void
+    end(const service_name& service,
+        upstream_handle at,
+        bool bulk,
+        try_end how,
+        duration elapsed);
+
+    void on_level(
+        const service_name& service,
+        upstream_handle at,
+        const admission_level& level);
+
+    // Whether another upstream would take the call now.
+    [[nodiscard]] bool takes_elsewhere(
+        const service_name& service,
+        const call_facts& call,
+        std::span<const upstream_handle> tried) const;
+
+    [[nodiscard]] boost::json::value dump() const;
+
+private:
+    struct service_routes;
+
+    [[nodiscard]] std::shared_ptr<service_routes>
+    find(const service_name& service) const;
+    std::shared_ptr<service_routes> find_or_add(const service_name& service);
+    [[nodiscard]] network_distance
+    distance_to(const messages::upstream_record& record) const;
+
+    const host_settings here_;
+    const bool naive_;
+    mutable std::mutex mutex_;
+    std::unordered_map<service_name, std::shared_ptr<service_routes>> services_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/settings.cpp
@@ -0,0 +1,675 @@
+#include "nutmegusher/node/settings.hpp"
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+namespace pt = boost::property_tree;
+
+constexpr std::array known{
+    known_setting{"host", "id", "", "name of this host, unique"},
+    known_setting{"host", "data_center", "", "data centre it stands in"},
+    known_setting{"host", "region", "", "region of the data centre"},
+    known_setting{"host", "threads", "2", "worker threads, 1 to 64"},
+    known_setting{"listen", "callers", "", "ip:port for members and clerks"},
+    known_setting{
+        "listen",
+        "upstream",
+        "",
+        "ip:port for the upstream on this host: announcements and sub-calls"},
+    known_setting{"listen", "peers", "", "ip:port for daemons"},
+    known_setting{"listen", "operators", "", "ip:port for operators"},
+    known_setting{
+        "control_hosts",
+        "addresses",
+        "",
+        "ip:port of the control hosts' peer listeners, comma separated"},
+    known_setting{
+        "control",
+        "data_folder",
+        "",
+        "folder of the replicated logs; makes this process a control host"},
+    known_setting{
+        "control",
+        "initial",
+        "",
+        "host=ip:port of the control hosts of the very first start"},
+    known_setting{
+        "control", "claim_groups", "4", "replicated logs of claims, 1 to 64"},
+    known_setting{"control", "role", "voter", "voter or relay"},
+    known_setting{"log", "format", "json", "json or text"},
+    known_setting{
+        "log",
+        "lines_per_second",
+        "20",
+        "lines of one event a second, 1 to 100000"},
+    known_setting{
+        "limits", "connections", "4096", "callers' connections at a time"},
+    known_setting{
+        "limits", "header_bytes", "16384", "request line and headers, bytes"},
+    known_setting{
+        "limits",
+        "buffered_body_bytes",
+        "65536",
+        "bodies kept whole for a second try, bytes"},
+    known_setting{
+        "limits",
+        "claimed_body_bytes",
+        "1048576",
+        "largest request of a class that may not be repeated, bytes"},
+    known_setting{
+        "measurement",
+        "naive",
+        "no",
+        "yes: naive decisions, as a baseline of measurements only"},
+};
+
+constexpr std::uint32_t most_threads = 64;
+constexpr std::uint32_t most_claim_groups = 64;
+constexpr std::uint32_t most_lines = 100000;
+constexpr std::uint32_t most_connections = 1000000;
+constexpr std::uint32_t least_header_bytes = 1024;
+constexpr std::uint32_t most_header_bytes = 1048576;
+constexpr std::uint32_t most_body_bytes = 16777216;
+constexpr std::size_t longest_name = 64;
+
+std::string_view problem_text(settings_problem problem)
+{
+    switch (problem)
+    {
+    case settings_problem::unreadable_file:
+        return "can't be read";
+    case settings_problem::not_ini:
+        return "isn't an INI line";
+    case settings_problem::unknown_section:
+        return "unknown section";
+    case settings_problem::unknown_key:
+        return "unknown key";
+    case settings_problem::missing_key:
+        return "missing";
+    case settings_problem::repeated_key:
+        return "given twice";
+    case settings_problem::bad_address:
+        return "isn't ip:port";
+    case settings_problem::bad_number:
+        return "isn't a whole number";
+    case settings_problem::out_of_range:
+        return "out of range";
+    case settings_problem::bad_name:
+        return "isn't a name (1 to 64 of a-z, A-Z, 0-9, '-', '_', '.')";
+    case settings_problem::bad_choice:
+        return "isn't one of the choices";
+    case settings_problem::empty_list:
+        return "names nothing";
+    }
+    return "refused";
+}
+
+std::string trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t\r");
+    if (first == std::string_view::npos)
+    {
+        return {};
+    }
+    const auto last = text.find_last_not_of(" \t\r");
+    return std::string(text.substr(first, last - first + 1));
+}
+
+std::vector<std::string> split(std::string_view text)
+{
+    std::vector<std::string> parts;
+    std::istringstream in{std::string(text)};
+    std::string part;
+    while (std::getline(in, part, ','))
+    {
+        if (auto item = trimmed(part); !item.empty())
+        {
+            parts.push_back(std::move(item));
+        }
+    }
+    return parts;
+}
+
+// Where each key stands; PropertyTree doesn't keep lines.
+class line_index
+{
+public:
+    explicit line_index(std::string_view text)
+    {
+        std::istringstream in{std::string(text)};
+        std::string raw;
+        std::string section;
+        for (std::size_t line = 1; std::getline(in, raw); ++line)
+        {
+            const auto item = trimmed(raw);
+            if (item.empty() || item.front() == ';' || item.front() == '#')
+            {
+                continue;
+            }
+            if (item.front() == '[')
+            {
+                section = item.substr(1, item.find(']') - 1);
+                sections_.emplace(section, line);
+                continue;
+            }
+            const auto key = trimmed(item.substr(0, item.find('=')));
+            lines_.emplace(section + "." + key, line);
+        }
+    }
+
+    [[nodiscard]] std::size_t
+    line_of(const std::string& section, const std::string& key) const
+    {
+        const auto found = lines_.find(section + "." + key);
+        if (found != lines_.end())
+        {
+            return found->second;
+        }
+        const auto start = sections_.find(section);
+        return start == sections_.end() ? 0 : start->second;
+    }
+
+private:
+    std::map<std::string, std::size_t> lines_;
+    std::map<std::string, std::size_t> sections_;
+};
+
+bool is_name(std::string_view text)
+{
+    const auto allowed = [](char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && text.size() <= longest_name &&
+           std::all_of(text.begin(), text.end(), allowed);
+}
+
+// Reads typed values and fails with the place of each.
+class reader
+{
+public:
+    reader(std::string_view file, std::string_view text, pt::ptree tree)
+        : file_(file)
+        , lines_(text)
+        , tree_(std::move(tree))
+    {
+    }
+
+    [[nodiscard]] leaf::result<void> check_keys() const
+    {
+        for (const auto& [section, keys] : tree_)
+        {
+            if (!has_section(section))
+            {
+                return fail(section, "", "", settings_problem::unknown_section);
+            }
+            for (const auto& [key, value] : keys)
+            {
+                if (!has_key(section, key))
+                {
+                    return fail(
+                        section,
+                        key,
+                        value.data(),
+                        settings_problem::unknown_key);
+                }
+            }
+        }
+        return {};
+    }
+
+    [[nodiscard]] bool has(const char* section) const
+    {
+        return tree_.find(section) != tree_.not_found();
+    }
+
+    [[nodiscard]] std::optional<std::string>
+    text(const std::string& section, const std::string& key) const
+    {
+        const auto found = tree_.find(section);
+        if (found == tree_.not_found())
+        {
+            return std::nullopt;
+        }
+        const auto value = found->second.find(key);
+        if (value == found->second.not_found())
+        {
+            return std::nullopt;
+        }
+        return trimmed(value->second.data());
+    }
+
+    [[nodiscard]] leaf::result<std::string>
+    required(const std::string& section, const std::string& key) const
+    {
+        if (auto value = text(section, key))
+        {
+            return *std::move(value);
+        }
+        return fail(section, key, "", settings_problem::missing_key);
+    }
+
+    template <class Name>
+    [[nodiscard]] leaf::result<Name>
+    required_name(const std::string& section, const std::string& key) const
+    {
+        BOOST_LEAF_AUTO(value, required(section, key));
+        if (!is_name(value))
+        {
+            return fail(section, key, value, settings_problem::bad_name);
+        }
+        return Name(value);
+    }
+
+    [[nodiscard]] leaf::result<endpoint>
+    address(const std::string& section, const std::string& key) const
+    {
+        BOOST_LEAF_AUTO(value, required(section, key));
+        if (const auto parsed = parse_endpoint(value))
+        {
+            return *parsed;
+        }
+        return fail(section, key, value, settings_problem::bad_address);
+    }
+
+    [[nodiscard]] leaf::result<std::optional<endpoint>>
+    optional_address(const std::string& section, const std::string& key) const
+    {
+        if (!text(section, key))
+        {
+            return std::optional<endpoint>();
+        }
+        BOOST_LEAF_AUTO(value, address(section, key));
+        return std::optional<endpoint>(value);
+    }
+
+    [[nodiscard]] leaf::result<std::uint32_t> count(
+        const std::string& section,
+        const std::string& key,
+        std::uint32_t default_value,
+        std::uint32_t least,
+        std::uint32_t most) const
+    {
+        const auto value = text(section, key);
+        if (!value)
+        {
+            return default_value;
+        }
+        std::uint32_t parsed = 0;
+        const auto* const end = value->data() + value->size();
+        const auto [rest, code] = std::from_chars(value->data(), end, parsed);
+        if (code == std::errc::result_out_of_range)
+        {
+            return fail(section, key, *value, settings_problem::out_of_range);
+        }
+        if (code != std::errc() || rest != end)
+        {
+            return fail(section, key, *value, settings_problem::bad_number);
+        }
+        if (parsed < least || parsed > most)
+        {
+            return fail(section, key, *value, settings_problem::out_of_range);
+        }
+        return parsed;
+    }
+
+    // True for `yes`, false for `no`.
+    [[nodiscard]] leaf::result<bool> choice(
+        const std::string& section,
+        const std::string& key,
+        std::string_view yes,
+        std::string_view no,
+        bool default_value) const
+    {
+        const auto value = text(section, key);
+        if (!value)
+        {
+            return default_value;
+        }
+        if (*value != yes && *value != no)
+        {
+            return fail(section, key, *value, settings_problem::bad_choice);
+        }
+        return *value == yes;
+    }
+
+    [[nodiscard]] leaf::result<std::vector<endpoint>>
+    addresses(const std::string& section, const std::string& key) const
+    {
+        BOOST_LEAF_AUTO(value, required(section, key));
+        std::vector<endpoint> all;
+        for (const auto& item : split(value))
+        {
+            const auto parsed = parse_endpoint(item);
+            if (!parsed)
+            {
+                return fail(section, key, item, settings_problem::bad_address);
+            }
+            all.push_back(*parsed);
+        }
+        if (all.empty())
+        {
+            return fail(section, key, value, settings_problem::empty_list);
+        }
+        return all;
+    }
+
+    [[nodiscard]] leaf::result<std::vector<named_address>>
+    named_addresses(const std::string& section, const std::string& key) const
+    {
+        BOOST_LEAF_AUTO(value, required(section, key));
+        std::vector<named_address> all;
+        for (const auto& item : split(value))
+        {
+            const auto equals = item.find('=');
+            const auto parsed =
+                equals == std::string::npos
+                    ? std::nullopt
+                    : parse_endpoint(
+                          trimmed(std::string_view(item).substr(equals + 1)));
+            if (!parsed)
+            {
+                return fail(section, key, item, settings_problem::bad_address);
+            }
+            const auto host = trimmed(std::string_view(item).substr(0, equals));
+            if (!is_name(host))
+            {
+                return fail(section, key, item, settings_problem::bad_name);
+            }
+            all.push_back({host_id(host), *parsed});
+        }
+        if (all.empty())
+        {
+            return fail(section, key, value, settings_problem::empty_list);
+        }
+        return all;
+    }
+
+private:
+    [[nodiscard]] leaf::error_id fail(
+        const std::string& section,
+        const std::string& key,
+        std::string_view value,
+        settings_problem problem) const
+    {
+        return leaf::new_error(settings_error{
+            file_,
+            lines_.line_of(section, key),
+            section,
+            key,
+            std::string(value),
+            problem});
+    }
+
+    static bool has_section(std::string_view section)
+    {
+        return std::any_of(
+            known.begin(),
+            known.end(),
+            [section](const auto& entry)
+            {
+                return entry.section == section;
+            });
+    }
+
+    static bool has_key(std::string_view section, std::string_view key)
+    {
+        return std::any_of(
+            known.begin(),
+            known.end(),
+            [&](const auto& entry)
+            {
+                return entry.section == section && entry.key == key;
+            });
+    }
+
+    std::string file_;
+    line_index lines_;
+    pt::ptree tree_;
+};
+
+leaf::result<host_settings> read_host(const reader& in)
+{
+    host_settings host;
+    BOOST_LEAF_ASSIGN(host.id, in.required_name<host_id>("host", "id"));
+    BOOST_LEAF_ASSIGN(
+        host.data_center,
+        in.required_name<data_center_name>("host", "data_center"));
+    BOOST_LEAF_ASSIGN(
+        host.region, in.required_name<region_name>("host", "region"));
+    BOOST_LEAF_ASSIGN(
+        host.threads,
+        in.count("host", "threads", host.threads, 1, most_threads));
+    return host;
+}
+
+leaf::result<listen_settings> read_listen(const reader& in)
+{
+    listen_settings listen;
+    BOOST_LEAF_ASSIGN(listen.callers, in.optional_address("listen", "callers"));
+    BOOST_LEAF_ASSIGN(
+        listen.upstream, in.optional_address("listen", "upstream"));
+    BOOST_LEAF_ASSIGN(listen.peers, in.address("listen", "peers"));
+    BOOST_LEAF_ASSIGN(listen.operators, in.address("listen", "operators"));
+    return listen;
+}
+
+leaf::result<control_section> read_control(const reader& in)
+{
+    control_section control;
+    BOOST_LEAF_AUTO(folder, in.required("control", "data_folder"));
+    control.data_folder = folder;
+    BOOST_LEAF_ASSIGN(
+        control.initial, in.named_addresses("control", "initial"));
+    BOOST_LEAF_ASSIGN(
+        control.claim_groups,
+        in.count(
+            "control",
+            "claim_groups",
+            control.claim_groups,
+            1,
+            most_claim_groups));
+    BOOST_LEAF_ASSIGN(
+        control.voter, in.choice("control", "role", "voter", "relay", true));
+    return control;
+}
+
+leaf::result<limit_settings> read_limits(const reader& in)
+{
+    limit_settings limits;
+    BOOST_LEAF_ASSIGN(
+        limits.connections,
+        in.count(
+            "limits", "connections", limits.connections, 1, most_connections));
+    BOOST_LEAF_ASSIGN(
+        limits.header_bytes,
+        in.count(
+            "limits",
+            "header_bytes",
+            limits.header_bytes,
+            least_header_bytes,
+            most_header_bytes));
+    BOOST_LEAF_ASSIGN(
+        limits.buffered_body_bytes,
+        in.count(
+            "limits",
+            "buffered_body_bytes",
+            limits.buffered_body_bytes,
+            0,
+            most_body_bytes));
+    BOOST_LEAF_ASSIGN(
+        limits.claimed_body_bytes,
+        in.count(
+            "limits",
+            "claimed_body_bytes",
+            limits.claimed_body_bytes,
+            0,
+            most_body_bytes));
+    return limits;
+}
+
+leaf::result<settings> read_all(const reader& in)
+{
+    settings all;
+    BOOST_LEAF_CHECK(in.check_keys());
+    BOOST_LEAF_ASSIGN(all.host, read_host(in));
+    BOOST_LEAF_ASSIGN(all.listen, read_listen(in));
+    BOOST_LEAF_ASSIGN(
+        all.control_hosts, in.addresses("control_hosts", "addresses"));
+    if (in.has("control"))
+    {
+        BOOST_LEAF_ASSIGN(all.control, read_control(in));
+    }
+    BOOST_LEAF_AUTO(json, in.choice("log", "format", "json", "text", true));
+    all.log.format = json ? log_format::json : log_format::text;
+    BOOST_LEAF_ASSIGN(
+        all.log.lines_per_second,
+        in.count(
+            "log",
+            "lines_per_second",
+            all.log.lines_per_second,
+            1,
+            most_lines));
+    BOOST_LEAF_ASSIGN(all.limits, read_limits(in));
+    BOOST_LEAF_ASSIGN(
+        all.measurement.naive,
+        in.choice("measurement", "naive", "yes", "no", false));
+    return all;
+}
+
+settings_problem problem_of(const pt::ini_parser_error& error)
+{
+    return error.message().find("duplicate") != std::string::npos
+               ? settings_problem::repeated_key
+               : settings_problem::not_ini;
+}
+
+// PropertyTree's INI reader knows only ';' comments.
+std::string without_hash_comments(std::string_view text)
+{
+    std::istringstream in{std::string(text)};
+    std::string out;
+    std::string line;
+    while (std::getline(in, line))
+    {
+        const auto item = trimmed(line);
+        if (!item.empty() && item.front() == '#')
+        {
+            line = ";";
+        }
+        out += line;
+        out += '\n';
+    }
+    return out;
+}
+
+} // namespace
+
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const auto digits = text.substr(colon + 1);
+    const auto* const end = digits.data() + digits.size();
+    const auto [rest, code] = std::from_chars(digits.data(), end, port);
+    if (code != std::errc() || rest != end || digits.empty())
+    {
+        return std::nullopt;
+    }
+    auto host = std::string(text.substr(0, colon));
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code failed;
+    const auto address = boost::asio::ip::make_address(host, failed);
+    if (failed)
+    {
+        return std::nullopt;
+    }
+    return endpoint(address, port);
+}
+
+std::string to_string(const settings_error& error)
+{
+    std::string text = error.file;
+    if (error.line > 0)
+    {
+        text += ":" + std::to_string(error.line);
+    }
+    text += ": ";
+    if (!error.section.empty())
+    {
+        text += "[" + error.section + "] ";
+    }
+    if (!error.key.empty())
+    {
+        text += error.key + ": ";
+    }
+    if (!error.value.empty())
+    {
+        text += "'" + error.value + "' ";
+    }
+    text += problem_text(error.problem);
+    return text;
+}
+
+std::span<const known_setting> known_settings()
+{
+    return known;
+}
+
+leaf::result<settings>
+parse_settings(std::string_view file_name, std::string_view text)
+{
+    pt::ptree tree;
+    try
+    {
+        std::istringstream in(without_hash_comments(text));
+        pt::read_ini(in, tree);
+    }
+    catch (const pt::ini_parser_error& error)
+    {
+        return leaf::new_error(settings_error{
+            std::string(file_name),
+            static_cast<std::size_t>(error.line()),
+            "",
+            "",
+            "",
+            problem_of(error)});
+    }
+    return read_all(reader(file_name, text, std::move(tree)));
+}
+
+leaf::result<settings> read_settings(const std::filesystem::path& file)
+{
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    if (!in || !(text << in.rdbuf()))
+    {
+        return leaf::new_error(settings_error{
+            file.string(), 0, "", "", "", settings_problem::unreadable_file});
+    }
+    return parse_settings(file.string(), text.str());
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/upstream_chain.hpp
@@ -0,0 +1,23 @@
+// What happens to a call at the daemon beside the upstream that runs it:
+// parse -> ledger -> admission -> claim -> the upstream.
+#ifndef NUTMEGUSHER_NODE_UPSTREAM_CHAIN_HPP
+#define NUTMEGUSHER_NODE_UPSTREAM_CHAIN_HPP
+
+#include "nutmegusher/node/worker.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace nutmegusher::node
+{
+
+// Serves one stream of another daemon. Every call ends in a whole answer, a
+// refusal, or a reset stream.
+asio::awaitable<void>
+serve_peer_call(worker& here, std::shared_ptr<wire::server_stream> stream);
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/upstream_client.hpp
@@ -0,0 +1,109 @@
+// HTTP/1.1 towards the upstream on this host: a pool of connections, one call
+// at a time on each. Belongs to one io_context and is used from its thread.
+#ifndef NUTMEGUSHER_NODE_UPSTREAM_CLIENT_HPP
+#define NUTMEGUSHER_NODE_UPSTREAM_CLIENT_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace nutmegusher::node
+{
+
+namespace asio = boost::asio;
+
+enum class upstream_failure : std::uint8_t
+{
+    not_connected, // nothing was sent: it certainly didn't run
+    broken,        // the connection ended before the whole answer
+    timed_out,
+    cancelled,
+    malformed
+};
+
+namespace internal
+{
+struct upstream_call_state;
+struct upstream_pool_state;
+} // namespace internal
+
+// One call on one connection. Its destructor closes the connection unless the
+// answer was read to its clean end.
+class upstream_call
+{
+public:
+    explicit upstream_call(
+        std::unique_ptr<internal::upstream_call_state> state);
+    upstream_call(const upstream_call&) = delete;
+    upstream_call& operator=(const upstream_call&) = delete;
+    ~upstream_call();
+
+    // More of a request body that was announced as streamed; `end` after the
+    // last bytes.
+    asio::awaitable<outcome<void, upstream_failure>>
+    write_some(std::span<const std::byte> bytes, bool end);
+
+    asio::awaitable<outcome<wire::response_head, upstream_failure>> read_head();
+
+    // The answer's length, where the upstream told it. Requires: `read_head`
+    // succeeded.
+    [[nodiscard]] std::optional<std::uint64_t> content_length() const;
+
+    // 0 at the clean end of the answer.
+    asio::awaitable<outcome<std::size_t, upstream_failure>>
+    read_some(std::span<std::byte> into);
+
+    // Closes the connection; what is suspended fails with `cancelled`. The
+    // upstream understands a closed connection as a cancellation.
+    void cancel();
+
+private:
+    std::unique_ptr<internal::upstream_call_state> state_;
+};
+
+// How a call is sent.
+struct upstream_request
+{
+    wire::request_head head;
+    // The whole body, or its first part when `streamed`.
+    std::string_view body;
+    bool streamed = false;
+    // Set for calls that may not be repeated: only a connection used a moment
+    // ago, or a new one, so that a stale one can't make the outcome unknown.
+    bool needs_fresh_connection = false;
+    // For the whole call, from now.
+    duration time_left{};
+};
+
+class upstream_pool
+{
+public:
+    explicit upstream_pool(asio::io_context& context);
+    upstream_pool(const upstream_pool&) = delete;
+    upstream_pool& operator=(const upstream_pool&) = delete;
+    ~upstream_pool();
+
+    // Sends head and body (or its first part). `not_connected` is the only
+    // failure after which the call certainly didn't run.
+    asio::awaitable<outcome<std::unique_ptr<upstream_call>, upstream_failure>>
+    send(asio::ip::tcp::endpoint address, const upstream_request& request);
+
+    [[nodiscard]] std::size_t idle_connections() const;
+
+private:
+    std::shared_ptr<internal::upstream_pool_state> state_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/upstream_filter.cpp
@@ -0,0 +1,320 @@
+#include "nutmegusher/node/upstream_filter.hpp"
+
+#include "nutmegusher/node/upstream_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <array>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr std::size_t piece_bytes = 16384;
+// How long the answer of a call that may not be repeated is waited for after
+// its caller has given up.
+constexpr duration late_answer_limit = std::chrono::seconds(60);
+// The largest answer of a call that may not be repeated.
+constexpr std::size_t most_claimed_answer = 1048576;
+// An upstream that can't be connected to has left or is starting again.
+constexpr duration come_back_elsewhere = std::chrono::milliseconds(50);
+
+upstream_request to_request(const peer_call& call)
+{
+    upstream_request request;
+    request.head = call.stream->head();
+    request.head.fields = without_own_fields(call.stream->head().fields);
+    const auto add = [&request](std::string_view name, std::string value)
+    {
+        request.head.fields.push_back({std::string(name), std::move(value)});
+    };
+    add(field::request_id, call.terms.request.str());
+    add(field::timeout, to_milliseconds(call.time_left()));
+    add(field::class_name, call.terms.work_class.str());
+    add(field::rank, std::to_string(call.terms.rank));
+    if (!call.terms.customer.empty())
+    {
+        add(field::customer, call.terms.customer.str());
+    }
+    request.body = call.body;
+    request.streamed = !call.body_complete;
+    request.needs_fresh_connection = !call.terms.repeatable;
+    request.time_left =
+        call.time_left() +
+        (call.terms.repeatable ? duration::zero() : late_answer_limit);
+    return request;
+}
+
+call_result result_of(upstream_failure failure)
+{
+    switch (failure)
+    {
+    case upstream_failure::not_connected:
+        return call_result::never_started;
+    case upstream_failure::timed_out:
+        return call_result::timed_out;
+    case upstream_failure::cancelled:
+        return call_result::cancelled;
+    case upstream_failure::broken:
+    case upstream_failure::malformed:
+        break;
+    }
+    return call_result::failed;
+}
+
+call_result result_of(unsigned status)
+{
+    if (status == 503)
+    {
+        return call_result::shed_by_upstream;
+    }
+    return status >= 500 ? call_result::failed : call_result::ok;
+}
+
+refusal refusal_of(upstream_failure failure)
+{
+    switch (failure)
+    {
+    case upstream_failure::not_connected:
+        return {
+            call_reason::no_upstream,
+            call_outcome::not_run,
+            come_back_elsewhere};
+    case upstream_failure::timed_out:
+        return {call_reason::deadline, call_outcome::unknown};
+    case upstream_failure::cancelled:
+        return {call_reason::cancelled, call_outcome::unknown};
+    case upstream_failure::broken:
+    case upstream_failure::malformed:
+        break;
+    }
+    return {call_reason::upstream_failed, call_outcome::unknown};
+}
+
+// One call to the upstream, from its first byte to its last.
+class upstream_exchange
+{
+public:
+    explicit upstream_exchange(peer_call& call)
+        : call_(call)
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        const auto at = call_.here.shared.upstream.current();
+        if (!at)
+        {
+            co_await fail(upstream_failure::not_connected);
+            co_return;
+        }
+        const auto request = to_request(call_);
+        auto sent = co_await call_.here.upstreams.send(at->address, request);
+        if (!sent)
+        {
+            co_await fail(sent.error());
+            co_return;
+        }
+        upstream_ = *std::move(sent);
+        stop_when_cancelled();
+        co_await exchange();
+        call_.cancelled->stop = nullptr;
+    }
+
+private:
+    void stop_when_cancelled()
+    {
+        if (!call_.terms.repeatable)
+        {
+            return; // it runs on, so that its outcome becomes known
+        }
+        auto* const upstream = upstream_.get();
+        call_.cancelled->stop = [upstream]
+        {
+            upstream->cancel();
+        };
+        if (call_.cancelled->requested)
+        {
+            upstream->cancel();
+        }
+    }
+
+    asio::awaitable<void> exchange()
+    {
+        if (!call_.body_complete && !co_await pass_request())
+        {
+            co_return;
+        }
+        auto head = co_await upstream_->read_head();
+        if (!head)
+        {
+            co_await fail(head.error());
+            co_return;
+        }
+        call_.result = result_of(head->status);
+        if (!call_.terms.repeatable)
+        {
+            co_await collect(*std::move(head));
+        }
+        else if (call_.result == call_result::shed_by_upstream)
+        {
+            co_await refuse_shed(*head);
+        }
+        else
+        {
+            co_await pass_answer(*std::move(head));
+        }
+    }
+
+    // The rest of a long request body.
+    asio::awaitable<bool> pass_request()
+    {
+        std::array<std::byte, piece_bytes> piece;
+        while (true)
+        {
+            const auto got = co_await call_.stream->read_some(piece);
+            if (!got)
+            {
+                call_.result = call_result::cancelled;
+                co_return false;
+            }
+            const auto bytes = std::span(piece).first(*got);
+            const auto wrote = co_await upstream_->write_some(bytes, *got == 0);
+            if (!wrote)
+            {
+                co_await fail(wrote.error());
+                co_return false;
+            }
+            if (*got == 0)
+            {
+                co_return true;
+            }
+        }
+    }
+
+    asio::awaitable<void> refuse_shed(const wire::response_head& head)
+    {
+        const bool vouched =
+            wire::find_header(head.fields, field::not_run) == "true";
+        const refusal refused{
+            call_reason::overload,
+            vouched ? call_outcome::not_run : call_outcome::unknown,
+            std::chrono::milliseconds(
+                call_.here.shared.admission.level().come_back_after)};
+        co_await call_.refuse(refused);
+        co_await drain();
+    }
+
+    // Reads what is left, so that the connection can be used again.
+    asio::awaitable<void> drain()
+    {
+        std::array<std::byte, piece_bytes> piece;
+        while (true)
+        {
+            const auto got = co_await upstream_->read_some(piece);
+            if (!got || *got == 0)
+            {
+                co_return;
+            }
+        }
+    }
+
+    asio::awaitable<void> collect(wire::response_head head)
+    {
+        whole_answer whole;
+        whole.head = std::move(head);
+        std::array<std::byte, piece_bytes> piece;
+        while (whole.body.size() <= most_claimed_answer)
+        {
+            const auto got = co_await upstream_->read_some(piece);
+            if (!got)
+            {
+                co_await fail(got.error());
+                co_return;
+            }
+            if (*got == 0)
+            {
+                call_.answer = std::move(whole);
+                co_return;
+            }
+            whole.body.append(
+                reinterpret_cast<const char*>(piece.data()), *got);
+        }
+        co_await fail(upstream_failure::malformed);
+    }
+
+    asio::awaitable<void> pass_answer(wire::response_head head)
+    {
+        head.fields.push_back(
+            {std::string(field::outcome),
+             std::string(to_string(call_outcome::completed))});
+        if (const auto length = upstream_->content_length())
+        {
+            head.fields.push_back({"content-length", std::to_string(*length)});
+        }
+        call_.complete_head(head);
+        call_.answered = true;
+        auto wrote = co_await call_.stream->write_head(std::move(head), false);
+        std::array<std::byte, piece_bytes> piece;
+        while (wrote)
+        {
+            const auto got = co_await upstream_->read_some(piece);
+            if (!got)
+            {
+                break_off(got.error());
+                co_return;
+            }
+            const auto bytes = std::span(piece).first(*got);
+            wrote = co_await call_.stream->write(bytes, *got == 0);
+            if (*got == 0)
+            {
+                call_.here.shared.measured.completed(
+                    call_side::upstream,
+                    call_.terms.work_class,
+                    host_clock().now() - call_.arrived,
+                    1);
+                co_return;
+            }
+        }
+        call_.result = call_result::cancelled;
+        upstream_->cancel();
+    }
+
+    // The answer has begun: only a broken stream tells that it isn't whole.
+    void break_off(upstream_failure failure)
+    {
+        call_.result = result_of(failure);
+        log_event(
+            event::answer_broken,
+            {{"class", call_.terms.work_class.str()},
+             {"request", call_.terms.request.str()}});
+        call_.stream->reset();
+    }
+
+    asio::awaitable<void> fail(upstream_failure failure)
+    {
+        call_.result = result_of(failure);
+        call_.failure = failure;
+        if (call_.terms.repeatable)
+        {
+            const auto refused = refusal_of(failure);
+            co_await call_.refuse(refused);
+        }
+    }
+
+    peer_call& call_;
+    std::unique_ptr<upstream_call> upstream_;
+};
+
+} // namespace
+
+asio::awaitable<void> upstream_filter::run(peer_call& call)
+{
+    upstream_exchange exchange(call);
+    co_await exchange.run();
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/worker.hpp
@@ -0,0 +1,73 @@
+// One worker thread's own things, and what all workers share.
+#ifndef NUTMEGUSHER_NODE_WORKER_HPP
+#define NUTMEGUSHER_NODE_WORKER_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/execution/execution.hpp"
+#include "nutmegusher/node/admission_gate.hpp"
+#include "nutmegusher/node/claim_client.hpp"
+#include "nutmegusher/node/configuration_controller.hpp"
+#include "nutmegusher/node/metrics.hpp"
+#include "nutmegusher/node/own_upstream.hpp"
+#include "nutmegusher/node/pressure_controller.hpp"
+#include "nutmegusher/node/route_controller.hpp"
+#include "nutmegusher/node/settings.hpp"
+#include "nutmegusher/node/upstream_client.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace nutmegusher::node
+{
+
+namespace asio = boost::asio;
+
+// The controllers that hold this process's state. Each locks for itself and is
+// safe from every thread.
+struct controllers
+{
+    controllers(const settings& from, incarnation run);
+
+    const settings configured;
+    const incarnation run;
+    configuration_controller configuration;
+    own_upstream upstream;
+    admission_gate admission;
+    request_ledger ledger;
+    pressure_controller pressure;
+    route_controller routes;
+    claim_directory claims;
+    metrics measured;
+    // A graceful shutdown has begun.
+    std::atomic<bool> stopping = false;
+    // Makes the next sync with a control host happen at once; set before the
+    // workers run.
+    std::function<void()> sync_soon = [] {};
+};
+
+// What one thread uses without locks.
+struct worker
+{
+    worker(controllers& shared, std::size_t index);
+
+    // "host#2": a worker's attempts have numbers of their own.
+    std::string attempt_name;
+    controllers& shared;
+    asio::io_context context;
+    wire::session_pool peers;
+    upstream_pool upstreams;
+    random_engine random;
+    attempt_sequence attempts;
+};
+
+// The host's wall time in ms since 1970; only for what outlives the process.
+[[nodiscard]] std::uint64_t wall_milliseconds();
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -345,7 +345,8 @@
     {
         const std::chrono::duration<double> latency(each.health.latency(false));
         states.push_back(
-            {each.where.host,
+            {each.handle,
+             each.where.host,
              each.health.in_flight(),
              std::chrono::duration_cast<duration>(latency),
              each.health.ejected(),
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -62,6 +62,7 @@
 // For the state dump.
 struct upstream_state
 {
+    upstream_handle handle;
     host_id host;
     std::size_t in_flight = 0;
     duration latency{0};
