Add membership: leases, views, subsets and the choice of a control host

Cause: no list of upstreams exists, and at 16,000 daemons nothing may be all-to-all.

Control hosts own the leases of the daemons that sync with them and tell each other only changes. Ruled out: renewals through the replicated log or passed on between control hosts, and gossip among daemons (docs/design).

--- /dev/null
+++ b/nutmegusher/membership/lease_registry.cpp
@@ -0,0 +1,471 @@
+#include "nutmegusher/membership/lease_registry.hpp"
+
+#include <algorithm>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+namespace nutmegusher
+{
+namespace
+{
+
+std::uint64_t to_ms(duration value)
+{
+    using std::chrono::milliseconds;
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+bool newer(
+    const messages::upstream_record& one,
+    const messages::upstream_record& other)
+{
+    return std::tuple(one.incarnation(), one.version()) >
+           std::tuple(other.incarnation(), other.version());
+}
+
+} // namespace
+
+lease_registry::lease_registry(
+    const host_id& self,
+    std::uint64_t epoch,
+    time_point now,
+    lease_options options)
+    : self_(self.str())
+    , epoch_(epoch)
+    , options_(options)
+    , started_(now)
+{
+}
+
+renewal
+lease_registry::renew(time_point now, const messages::sync_request& request)
+{
+    const auto [at, added] = entries_.try_emplace(request.host());
+    auto& [host, value] = *at;
+    if (request.incarnation() < value.incarnation)
+    {
+        return renewal::stale_incarnation;
+    }
+    const bool restarted = request.incarnation() > value.incarnation;
+    value.incarnation = request.incarnation();
+    value.revision = request.configuration_revision();
+    value.renewed_at = now;
+    value.expires_at = now + options_.lease();
+    if (added || restarted || value.owner != self_)
+    {
+        own(host, value);
+    }
+    if (!request.has_own())
+    {
+        set_record(host, value, {}, now);
+    }
+    else if (
+        value.record.service().empty() || newer(request.own(), value.record))
+    {
+        set_record(host, value, request.own(), now);
+    }
+    return renewal::accepted;
+}
+
+void lease_registry::own(const std::string& host, entry& value)
+{
+    value.owner = self_;
+    owned_.put(host, ++stamp_);
+}
+
+void lease_registry::set_record(
+    const std::string& host,
+    entry& value,
+    const messages::upstream_record& record,
+    time_point now)
+{
+    const auto before = value.record.service();
+    const auto& after = record.service();
+    if (before.empty() && after.empty())
+    {
+        return;
+    }
+    value.record = record;
+    if (!before.empty() && before != after)
+    {
+        services_[before].remove(host, ++stamp_, now);
+    }
+    if (!after.empty())
+    {
+        services_[after].put(host, ++stamp_);
+    }
+    if (value.owner == self_)
+    {
+        owned_.put(host, ++stamp_);
+    }
+}
+
+lease_registry::entry_map::iterator
+lease_registry::lose(entry_map::iterator at, time_point now)
+{
+    const auto& [host, value] = *at;
+    if (!value.record.service().empty())
+    {
+        services_[value.record.service()].remove(host, ++stamp_, now);
+    }
+    if (value.owner == self_)
+    {
+        owned_.remove(host, ++stamp_, now);
+    }
+    return entries_.erase(at);
+}
+
+void lease_registry::expire(time_point now)
+{
+    for (auto& [owner, state] : owners_)
+    {
+        if (now - state.heard_at > options_.silent_owner_limit)
+        {
+            let_run_out(now - options_.lease(), owner);
+            // All of them are needed again, should it come back.
+            state.epoch = 0;
+        }
+    }
+    end_handed_over(now);
+    for (auto at = entries_.begin(); at != entries_.end();)
+    {
+        at = at->second.expires_at <= now ? lose(at, now) : std::next(at);
+    }
+    if (now >= next_forget_)
+    {
+        forget_removals(now);
+    }
+    settle(now);
+}
+
+void lease_registry::forget_removals(time_point now)
+{
+    next_forget_ = now + options_.removal_memory;
+    const auto before = now - options_.removal_memory;
+    owned_.forget(before);
+    for (auto& [service, index] : services_)
+    {
+        index.forget(before);
+    }
+}
+
+// A registry that has just started lacks most leases: until the daemons and the
+// other control hosts had time to fill it, absence means nothing.
+void lease_registry::settle(time_point now)
+{
+    if (settled_stamp_ != 0 || now < started_ + options_.lease())
+    {
+        return;
+    }
+    const auto all = options_.other_control_hosts;
+    const bool waited = now >= started_ + options_.settle_limit;
+    const auto needed = waited ? all - all / 2 : all;
+    if (owners_.size() >= needed)
+    {
+        settled_stamp_ = ++stamp_;
+    }
+}
+
+bool lease_registry::needs_complete_list(
+    const messages::sync_request& request) const
+{
+    if (request.registry_epoch() != epoch_ ||
+        request.known_stamp() < settled_stamp_)
+    {
+        return true;
+    }
+    return std::any_of(
+        request.services().begin(),
+        request.services().end(),
+        [&](const std::string& service)
+        {
+            const auto found = services_.find(service);
+            return found != services_.end() &&
+                   !found->second.reaches_back_to(request.known_stamp());
+        });
+}
+
+bool lease_registry::has_news(const messages::sync_request& request) const
+{
+    if (needs_complete_list(request))
+    {
+        return true;
+    }
+    return std::any_of(
+        request.services().begin(),
+        request.services().end(),
+        [&](const std::string& service)
+        {
+            const auto found = services_.find(service);
+            return found != services_.end() &&
+                   found->second.changed_since(request.known_stamp());
+        });
+}
+
+void lease_registry::answer(
+    const messages::sync_request& request, messages::sync_reply& reply) const
+{
+    const bool complete = needs_complete_list(request);
+    const auto since = complete ? 0 : request.known_stamp();
+    for (const auto& service : request.services())
+    {
+        const auto found = services_.find(service);
+        if (found == services_.end())
+        {
+            continue;
+        }
+        found->second.for_each_since(
+            since,
+            [&](const auto& change)
+            {
+                if (!change.gone)
+                {
+                    *reply.add_upstreams() =
+                        entries_.at(std::string(change.host)).record;
+                }
+                else if (!complete)
+                {
+                    reply.add_lost_hosts(std::string(change.host));
+                }
+            });
+    }
+    reply.set_accepted(true);
+    // Before it has settled, a list says who is here, and not who isn't.
+    reply.set_upstreams_complete(complete && settled_stamp_ != 0);
+    reply.set_stamp(stamp_);
+    reply.set_registry_epoch(epoch_);
+}
+
+messages::registry_exchange lease_registry::exchange(const host_id& owner) const
+{
+    messages::registry_exchange out;
+    out.set_from_host(self_);
+    const auto found = owners_.find(owner.str());
+    if (found != owners_.end())
+    {
+        out.set_known_epoch(found->second.epoch);
+        out.set_known_stamp(found->second.stamp);
+    }
+    return out;
+}
+
+messages::registry_update lease_registry::update(
+    time_point now, const messages::registry_exchange& asked) const
+{
+    messages::registry_update out;
+    const bool complete = asked.known_epoch() != epoch_ ||
+                          !owned_.reaches_back_to(asked.known_stamp());
+    owned_.for_each_since(
+        complete ? 0 : asked.known_stamp(),
+        [&](const auto& change)
+        {
+            if (!change.gone)
+            {
+                *out.add_leases() = lease_message(change.host, now);
+            }
+            else if (!complete)
+            {
+                auto& ended = *out.add_leases();
+                ended.set_host(std::string(change.host));
+                ended.set_ended(true);
+            }
+        });
+    out.set_complete(complete);
+    out.set_epoch(epoch_);
+    out.set_stamp(stamp_);
+    *out.mutable_rollout() = own_rollout();
+    return out;
+}
+
+messages::owned_lease
+lease_registry::lease_message(std::string_view host, time_point now) const
+{
+    const auto& value = entries_.at(std::string(host));
+    messages::owned_lease out;
+    out.set_host(std::string(host));
+    out.set_incarnation(value.incarnation);
+    out.set_configuration_revision(value.revision);
+    out.set_age_ms(to_ms(now - value.renewed_at));
+    if (!value.record.service().empty())
+    {
+        *out.mutable_record() = value.record;
+    }
+    return out;
+}
+
+void lease_registry::apply(
+    time_point now,
+    const host_id& owner,
+    const messages::registry_update& update)
+{
+    auto& state = owners_[owner.str()];
+    if (update.complete())
+    {
+        let_run_out(now, owner.str());
+    }
+    for (const auto& lease : update.leases())
+    {
+        apply_lease(now, owner.str(), lease);
+    }
+    state.epoch = update.epoch();
+    state.stamp = update.stamp();
+    state.heard_at = now;
+    state.rollout = update.rollout();
+}
+
+void lease_registry::apply_lease(
+    time_point now,
+    const std::string& owner,
+    const messages::owned_lease& lease)
+{
+    if (lease.ended())
+    {
+        apply_end(now, owner, lease.host());
+        return;
+    }
+    const auto lease_ms = to_ms(options_.lease());
+    if (lease.age_ms() > lease_ms)
+    {
+        return;
+    }
+    const auto renewed_at = now - std::chrono::milliseconds(lease.age_ms());
+    const auto [at, added] = entries_.try_emplace(lease.host());
+    auto& [host, value] = *at;
+    const bool mine = value.owner == self_;
+    const bool heard_later_here = value.incarnation == lease.incarnation() &&
+                                  value.owner != owner &&
+                                  renewed_at <= value.renewed_at;
+    if (!added && (heard_later_here || lease.incarnation() < value.incarnation))
+    {
+        if (mine)
+        {
+            assert_ownership(host);
+        }
+        return;
+    }
+    if (mine)
+    {
+        owned_.erase(host);
+        handed_over_.push_back({now, host});
+    }
+    value.owner = owner;
+    value.incarnation = lease.incarnation();
+    value.revision = lease.configuration_revision();
+    value.renewed_at = renewed_at;
+    value.expires_at = time_point::max();
+    if (!lease.has_record())
+    {
+        set_record(host, value, {}, now);
+    }
+    else if (
+        value.record.service().empty() || newer(lease.record(), value.record))
+    {
+        set_record(host, value, lease.record(), now);
+    }
+}
+
+void lease_registry::apply_end(
+    time_point now, const std::string& owner, const std::string& host)
+{
+    const auto found = entries_.find(host);
+    if (found == entries_.end())
+    {
+        return;
+    }
+    if (found->second.owner == owner)
+    {
+        lose(found, now);
+    }
+    else if (found->second.owner == self_)
+    {
+        assert_ownership(host);
+    }
+}
+
+// Others may believe another owner: it is said again that the daemon lives
+// here.
+void lease_registry::assert_ownership(const std::string& host)
+{
+    owned_.put(host, ++stamp_);
+}
+
+// The new owner announces a daemon that moved. Only when it had time for that,
+// the old one says that its own lease ended, for those who hear just the old
+// one.
+void lease_registry::end_handed_over(time_point now)
+{
+    while (!handed_over_.empty() &&
+           handed_over_.front().at + options_.lease() <= now)
+    {
+        const auto& host = handed_over_.front().host;
+        const auto found = entries_.find(host);
+        if (found == entries_.end() || found->second.owner != self_)
+        {
+            owned_.put_removed(host, ++stamp_, now);
+        }
+        handed_over_.pop_front();
+    }
+}
+
+// Daemons whose owner can't vouch for them any more have one lease's time to
+// renew with another one.
+void lease_registry::let_run_out(time_point now, const std::string& owner)
+{
+    for (auto& [host, value] : entries_)
+    {
+        if (value.owner == owner)
+        {
+            value.expires_at =
+                std::min(value.expires_at, now + options_.lease());
+        }
+    }
+}
+
+void lease_registry::remove_owner(time_point now, const host_id& owner)
+{
+    let_run_out(now, owner.str());
+    owners_.erase(owner.str());
+}
+
+messages::rollout_summary lease_registry::own_rollout() const
+{
+    rollout_tally tally;
+    for (const auto& [host, value] : entries_)
+    {
+        if (value.owner == self_)
+        {
+            tally.add(host, value.revision);
+        }
+    }
+    return tally.summary();
+}
+
+rollout_tally lease_registry::rollout() const
+{
+    rollout_tally tally;
+    tally.add(own_rollout());
+    for (const auto& [owner, state] : owners_)
+    {
+        tally.add(state.rollout);
+    }
+    return tally;
+}
+
+registry_counts lease_registry::counts() const
+{
+    registry_counts out;
+    out.leases = entries_.size();
+    out.services = services_.size();
+    out.stamp = stamp_;
+    out.settled = settled_stamp_ != 0;
+    for (const auto& [host, value] : entries_)
+    {
+        out.owned += value.owner == self_ ? 1 : 0;
+        out.upstreams += value.record.service().empty() ? 0 : 1;
+    }
+    return out;
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/membership/lease_registry_test.cpp
@@ -0,0 +1,183 @@
+#include "nutmegusher/membership/membership.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegusher
+{
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const time_point start(hours(1));
+
+messages::sync_request sync(
+    const std::string& host,
+    const std::string& service,
+    std::uint64_t incarnation = 1,
+    std::uint64_t version = 1)
+{
+    messages::sync_request out;
+    out.set_host(host);
+    out.set_incarnation(incarnation);
+    out.set_configuration_revision(7);
+    if (!service.empty())
+    {
+        auto& own = *out.mutable_own();
+        own.set_host(host);
+        own.set_incarnation(incarnation);
+        own.set_version(version);
+        own.set_service(service);
+        own.set_state(messages::upstream_serving);
+    }
+    return out;
+}
+
+class lease_registry_test : public ::testing::Test
+{
+protected:
+    // A caller's question after its last reply.
+    messages::sync_request question() const
+    {
+        messages::sync_request out;
+        out.add_services("balances");
+        out.set_known_stamp(last.stamp());
+        out.set_registry_epoch(last.registry_epoch());
+        return out;
+    }
+
+    messages::sync_reply next()
+    {
+        const auto asked = question();
+        last.Clear();
+        registry.answer(asked, last);
+        return last;
+    }
+
+    void settle()
+    {
+        registry.expire(start + seconds(6));
+        next();
+    }
+
+    lease_registry registry{host_id("c1"), 77, start};
+    messages::sync_reply last;
+};
+
+TEST_F(lease_registry_test, answers_only_what_changed_for_the_service)
+{
+    settle();
+    registry.renew(start + seconds(6), sync("a", "balances"));
+    next();
+    registry.renew(start + seconds(8), sync("a", "balances"));
+    registry.renew(start + seconds(6), sync("x", "statements"));
+    EXPECT_FALSE(registry.has_news(question()));
+    registry.renew(start + seconds(6), sync("b", "balances"));
+    EXPECT_TRUE(registry.has_news(question()));
+    const auto reply = next();
+    ASSERT_EQ(reply.upstreams_size(), 1);
+    EXPECT_EQ(reply.upstreams(0).host(), "b");
+    EXPECT_FALSE(reply.upstreams_complete());
+    EXPECT_FALSE(registry.has_news(question()));
+}
+
+TEST_F(lease_registry_test, first_answer_is_complete_once_settled)
+{
+    EXPECT_FALSE(next().upstreams_complete());
+    settle();
+    EXPECT_TRUE(last.upstreams_complete());
+    registry.renew(start + seconds(6), sync("a", "balances"));
+    last.set_registry_epoch(5);
+    EXPECT_TRUE(next().upstreams_complete());
+}
+
+TEST_F(lease_registry_test, lease_ends_after_the_missed_renewals)
+{
+    settle();
+    const auto at = start + seconds(10);
+    registry.renew(at, sync("a", "balances"));
+    next();
+    registry.expire(at + seconds(5));
+    EXPECT_FALSE(registry.has_news(question()));
+    registry.expire(at + seconds(6));
+    const auto reply = next();
+    ASSERT_EQ(reply.lost_hosts_size(), 1);
+    EXPECT_EQ(reply.lost_hosts(0), "a");
+    EXPECT_EQ(registry.counts().leases, 0U);
+}
+
+TEST_F(lease_registry_test, higher_incarnation_holds_over_a_higher_version)
+{
+    settle();
+    registry.renew(start, sync("a", "balances", 1, 90));
+    EXPECT_EQ(
+        registry.renew(start, sync("a", "balances", 2, 1)), renewal::accepted);
+    EXPECT_EQ(
+        registry.renew(start, sync("a", "balances", 1, 91)),
+        renewal::stale_incarnation);
+    const auto reply = next();
+    ASSERT_EQ(reply.upstreams_size(), 1);
+    EXPECT_EQ(reply.upstreams(0).incarnation(), 2U);
+}
+
+TEST_F(
+    lease_registry_test,
+    upstream_that_withdraws_or_moves_is_lost_to_the_service)
+{
+    settle();
+    registry.renew(start, sync("a", "balances"));
+    registry.renew(start, sync("b", "balances"));
+    next();
+    registry.renew(start, sync("a", ""));
+    registry.renew(start, sync("b", "statements", 1, 2));
+    EXPECT_EQ(next().lost_hosts_size(), 2);
+}
+
+TEST_F(lease_registry_test, reader_from_before_the_memory_gets_a_complete_list)
+{
+    settle();
+    registry.renew(start, sync("a", "balances"));
+    next();
+    registry.expire(start + seconds(10));
+    registry.expire(start + minutes(30));
+    registry.expire(start + minutes(60));
+    const auto reply = next();
+    EXPECT_TRUE(reply.upstreams_complete());
+    EXPECT_EQ(reply.upstreams_size(), 0);
+}
+
+TEST_F(lease_registry_test, rollout_counts_revisions_and_names_those_that_lag)
+{
+    for (int number = 0; number < 40; ++number)
+    {
+        auto request = sync("d" + std::to_string(number), "balances");
+        request.set_configuration_revision(number < 3 ? 6 : 7);
+        registry.renew(start, request);
+    }
+    const auto rollout = registry.rollout();
+    EXPECT_EQ(rollout.daemons(), 40U);
+    EXPECT_EQ(rollout.daemons_at(revision(7)), 37U);
+    ASSERT_EQ(rollout.lagging(revision(7)).size(), 3U);
+    EXPECT_EQ(rollout.lagging(revision(7))[0].runs, revision(6));
+}
+
+TEST(rollout_tally, merges_revisions_without_promising_too_much)
+{
+    rollout_tally many;
+    for (std::uint64_t runs = 1; runs <= 100; ++runs)
+    {
+        many.add("d" + std::to_string(runs), runs);
+    }
+    rollout_tally sum;
+    sum.add(many.summary());
+    EXPECT_EQ(sum.daemons(), 100U);
+    EXPECT_LE(sum.daemons_at(revision(100)), 1U);
+    EXPECT_EQ(sum.daemons_at(revision(33)), 0U);
+    EXPECT_EQ(sum.lagging(revision(100)).size(), rollout_tally::max_named);
+    EXPECT_EQ(sum.lagging(revision(100))[0].runs, revision(1));
+}
+
+} // namespace
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/membership/registry_exchange_test.cpp
@@ -0,0 +1,187 @@
+// Several control hosts that tell each other what their daemons said.
+#include "nutmegusher/membership/membership.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegusher
+{
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const time_point start(hours(1));
+
+messages::sync_request sync(const std::string& host)
+{
+    messages::sync_request out;
+    out.set_host(host);
+    out.set_incarnation(1);
+    auto& own = *out.mutable_own();
+    own.set_host(host);
+    own.set_incarnation(1);
+    own.set_version(1);
+    own.set_service("balances");
+    return out;
+}
+
+// Fetches what `from` has for `to`.
+void pull(
+    lease_registry& to,
+    const lease_registry& from,
+    const host_id& name,
+    time_point now)
+{
+    to.apply(now, name, from.update(now, to.exchange(name)));
+}
+
+class registry_exchange_test : public ::testing::Test
+{
+protected:
+    const host_id one_id{"c1"};
+    const host_id two_id{"c2"};
+    const host_id three_id{"c3"};
+    lease_options options{.other_control_hosts = 2};
+    lease_registry one{one_id, 1, start, options};
+    lease_registry two{two_id, 2, start, options};
+    lease_registry three{three_id, 3, start, options};
+};
+
+TEST_F(
+    registry_exchange_test,
+    lease_is_known_at_the_others_until_its_owner_ends_it)
+{
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    EXPECT_EQ(two.counts().upstreams, 1U);
+    two.expire(start + minutes(5));
+    EXPECT_EQ(two.counts().upstreams, 1U);
+    one.expire(start + seconds(6));
+    pull(two, one, one_id, start + minutes(5));
+    EXPECT_EQ(two.counts().upstreams, 0U);
+}
+
+TEST_F(registry_exchange_test, only_changes_are_exchanged)
+{
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    one.renew(start + seconds(2), sync("a"));
+    EXPECT_EQ(one.update(start, two.exchange(one_id)).leases_size(), 0);
+    one.renew(start + seconds(2), sync("b"));
+    EXPECT_EQ(one.update(start, two.exchange(one_id)).leases_size(), 1);
+}
+
+TEST_F(registry_exchange_test, daemon_that_moves_is_never_lost)
+{
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    pull(three, one, one_id, start);
+    for (int second = 1; second < 30; ++second)
+    {
+        const auto now = start + seconds(second);
+        two.renew(now, sync("a"));
+        pull(one, two, two_id, now);
+        pull(three, one, one_id, now);
+        pull(three, two, two_id, now);
+        one.expire(now);
+        three.expire(now);
+        ASSERT_EQ(one.counts().upstreams, 1U);
+        ASSERT_EQ(three.counts().upstreams, 1U);
+    }
+    EXPECT_EQ(one.counts().owned, 0U);
+    EXPECT_EQ(two.counts().owned, 1U);
+}
+
+TEST_F(registry_exchange_test, old_owner_waits_for_the_new_one_to_be_heard)
+{
+    one.renew(start, sync("a"));
+    pull(three, one, one_id, start);
+    two.renew(start + seconds(1), sync("a"));
+    pull(one, two, two_id, start + seconds(1));
+    one.expire(start + seconds(1));
+    pull(three, one, one_id, start + seconds(1));
+    EXPECT_EQ(three.counts().upstreams, 1U);
+    // The new owner stays cut off from here, and the old one has no lease.
+    one.expire(start + seconds(7));
+    pull(three, one, one_id, start + seconds(7));
+    EXPECT_EQ(three.counts().upstreams, 0U);
+}
+
+TEST_F(registry_exchange_test, daemon_that_goes_back_and_forth_stays)
+{
+    one.renew(start, sync("a"));
+    two.renew(start + seconds(1), sync("a"));
+    one.renew(start + seconds(2), sync("a"));
+    pull(three, one, one_id, start + seconds(2));
+    pull(three, two, two_id, start + seconds(2));
+    two.expire(start + seconds(7));
+    one.renew(start + seconds(7), sync("a"));
+    pull(one, two, two_id, start + seconds(7));
+    pull(three, two, two_id, start + seconds(7));
+    pull(three, one, one_id, start + seconds(7));
+    EXPECT_EQ(three.counts().upstreams, 1U);
+}
+
+TEST_F(registry_exchange_test, silent_control_host_takes_nobody_along)
+{
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    two.expire(start + hours(1));
+    EXPECT_EQ(two.counts().upstreams, 1U);
+    two.expire(start + hours(3));
+    EXPECT_EQ(two.counts().upstreams, 0U);
+    one.renew(start + hours(3), sync("a"));
+    pull(two, one, one_id, start + hours(3));
+    EXPECT_EQ(two.counts().upstreams, 1U);
+}
+
+TEST_F(registry_exchange_test, replaced_control_host_leaves_one_lease_of_time)
+{
+    one.renew(start, sync("a"));
+    one.renew(start, sync("b"));
+    pull(two, one, one_id, start);
+    two.remove_owner(start + seconds(1), one_id);
+    two.renew(start + seconds(5), sync("b"));
+    two.expire(start + seconds(7));
+    EXPECT_EQ(two.counts().upstreams, 1U);
+}
+
+TEST_F(registry_exchange_test, restarted_control_host_does_not_empty_the_others)
+{
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    lease_registry reborn(one_id, 11, start + seconds(10), options);
+    pull(two, reborn, one_id, start + seconds(10));
+    two.expire(start + seconds(15));
+    EXPECT_EQ(two.counts().upstreams, 1U);
+    reborn.renew(start + seconds(15), sync("a"));
+    pull(two, reborn, one_id, start + seconds(15));
+    two.expire(start + minutes(5));
+    EXPECT_EQ(two.counts().upstreams, 1U);
+}
+
+TEST_F(registry_exchange_test, restarted_control_host_says_nobody_is_missing)
+{
+    one.renew(start, sync("a"));
+    messages::sync_request question;
+    question.add_services("balances");
+
+    messages::sync_reply alone;
+    two.expire(start + seconds(10));
+    two.answer(question, alone);
+    EXPECT_FALSE(alone.upstreams_complete());
+
+    one.renew(start + seconds(11), sync("a"));
+    pull(two, one, one_id, start + seconds(11));
+    pull(two, three, three_id, start + seconds(11));
+    two.expire(start + seconds(11));
+    messages::sync_reply informed;
+    two.answer(question, informed);
+    EXPECT_TRUE(informed.upstreams_complete());
+    EXPECT_EQ(informed.upstreams_size(), 1);
+}
+
+} // namespace
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/membership/subset.cpp
@@ -0,0 +1,91 @@
+#include "nutmegusher/membership/subset.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+
+namespace nutmegusher
+{
+namespace
+{
+
+enum class distance : std::uint8_t
+{
+    same_data_center,
+    same_region,
+    elsewhere
+};
+
+struct ranked
+{
+    distance away;
+    std::uint64_t score;
+    std::string_view host;
+    std::size_t position;
+
+    friend bool operator<(const ranked& one, const ranked& other)
+    {
+        return std::tuple(one.away, one.score, one.host) <
+               std::tuple(other.away, other.score, other.host);
+    }
+};
+
+distance distance_between(const place& here, const place& there)
+{
+    if (here == there)
+    {
+        return distance::same_data_center;
+    }
+    return here.region == there.region ? distance::same_region
+                                       : distance::elsewhere;
+}
+
+} // namespace
+
+std::vector<std::size_t> choose_subset(
+    const host_id& self,
+    const place& here,
+    std::span<const subset_candidate> candidates,
+    const subset_options& options)
+{
+    const auto seed = stable_hash(self.str());
+    std::vector<ranked> all;
+    all.reserve(candidates.size());
+    for (std::size_t position = 0; position < candidates.size(); ++position)
+    {
+        const auto& candidate = candidates[position];
+        all.push_back(
+            {distance_between(here, candidate.at),
+             stable_hash(candidate.host, seed),
+             candidate.host,
+             position});
+    }
+    std::sort(all.begin(), all.end());
+
+    const auto near = static_cast<std::size_t>(std::count_if(
+        all.begin(),
+        all.end(),
+        [](const ranked& one)
+        {
+            return one.away == distance::same_data_center;
+        }));
+    const auto far = all.size() - near;
+    const auto max_near =
+        options.max_size - std::min({options.max_far, far, options.max_size});
+    const auto taken_near = std::min(near, max_near);
+    const auto taken_far = std::min(far, options.max_size - taken_near);
+
+    std::vector<std::size_t> chosen;
+    chosen.reserve(taken_near + taken_far);
+    for (std::size_t place = 0; place < all.size(); ++place)
+    {
+        const bool is_near = place < near;
+        if (is_near ? place < taken_near : place - near < taken_far)
+        {
+            chosen.push_back(all[place].position);
+        }
+    }
+    return chosen;
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/membership/sync_schedule.cpp
@@ -0,0 +1,169 @@
+#include "nutmegusher/membership/sync_schedule.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher
+{
+namespace
+{
+
+duration spread(duration bound, random_engine& random)
+{
+    const auto part = uniform_unit(random) * static_cast<double>(bound.count());
+    return duration(static_cast<duration::rep>(part));
+}
+
+} // namespace
+
+sync_schedule::sync_schedule(
+    host_id self, place here, sync_schedule_options options)
+    : self_(std::move(self))
+    , here_(std::move(here))
+    , options_(options)
+{
+}
+
+void sync_schedule::set_hosts(const std::vector<control_host>& hosts)
+{
+    std::vector<subset_candidate> order;
+    order.reserve(hosts.size());
+    for (const auto& host : hosts)
+    {
+        order.push_back({host.host.str(), host.at});
+    }
+    const subset_options all{.max_size = hosts.size(), .max_far = hosts.size()};
+    std::vector<candidate> next;
+    for (const auto at : choose_subset(self_, here_, order, all))
+    {
+        const auto known = std::find_if(
+            candidates_.begin(),
+            candidates_.end(),
+            [&](const candidate& one)
+            {
+                return one.host == hosts[at];
+            });
+        next.push_back(
+            known != candidates_.end() ? *known : candidate{hosts[at], 0, {}});
+    }
+    std::optional<control_host> used;
+    if (current_ < candidates_.size())
+    {
+        used = candidates_[current_].host;
+    }
+    candidates_ = std::move(next);
+    const auto kept = std::find_if(
+        candidates_.begin(),
+        candidates_.end(),
+        [&](const candidate& one)
+        {
+            return used && one.host == *used;
+        });
+    current_ = kept == candidates_.end()
+                   ? 0
+                   : static_cast<std::size_t>(kept - candidates_.begin());
+    return_at_.reset();
+}
+
+sync_plan sync_schedule::plan(time_point now) const
+{
+    if (candidates_.empty())
+    {
+        return {};
+    }
+    return {&candidates_[position(now)].host, try_at_};
+}
+
+std::size_t sync_schedule::position(time_point now) const
+{
+    return return_at_ && now >= *return_at_ ? return_to_ : current_;
+}
+
+void sync_schedule::succeeded(time_point now, random_engine& random)
+{
+    if (candidates_.empty())
+    {
+        return;
+    }
+    const auto used = position(now);
+    if (used != current_)
+    {
+        return_at_.reset();
+    }
+    current_ = used;
+    candidates_[current_].failures = 0;
+    try_at_ = now;
+    plan_return(now, random);
+}
+
+void sync_schedule::plan_return(time_point now, random_engine& random)
+{
+    if (return_at_ || current_ == 0)
+    {
+        return;
+    }
+    // Those that went silent may be back: each is asked once its backoff is
+    // over, the most wanted first.
+    const auto at = best(now);
+    const auto wanted = at < current_ ? at : std::size_t{0};
+    const auto usable = std::max(now, candidates_[wanted].usable_at);
+    return_to_ = wanted;
+    return_at_ = usable + spread(options_.return_spread, random);
+}
+
+void sync_schedule::failed(time_point now, random_engine& random)
+{
+    if (candidates_.empty())
+    {
+        return;
+    }
+    const auto used = position(now);
+    auto& tried = candidates_[used];
+    ++tried.failures;
+    tried.usable_at = now + backoff(tried.failures, random);
+    const bool was_return = used != current_;
+    return_at_.reset();
+    if (!was_return)
+    {
+        current_ = best(now);
+    }
+    const auto usable = candidates_[current_].usable_at;
+    // The one in use goes on at once after a failed way back.
+    try_at_ = was_return ? now
+                         : std::max(now, usable) +
+                               spread(options_.failover_spread, random);
+    if (was_return)
+    {
+        plan_return(now, random);
+    }
+}
+
+// The most wanted of those that may be tried now, or the one whose backoff is
+// over first.
+std::size_t sync_schedule::best(time_point now) const
+{
+    std::size_t soonest = 0;
+    for (std::size_t at = 0; at < candidates_.size(); ++at)
+    {
+        if (candidates_[at].usable_at <= now)
+        {
+            return at;
+        }
+        if (candidates_[at].usable_at < candidates_[soonest].usable_at)
+        {
+            soonest = at;
+        }
+    }
+    return soonest;
+}
+
+duration sync_schedule::backoff(unsigned failures, random_engine& random) const
+{
+    constexpr unsigned max_doublings = 12;
+    const auto doublings = std::min(failures - 1, max_doublings);
+    const duration raised = options_.first_backoff * (1LL << doublings);
+    const auto full = std::min(raised, options_.max_backoff);
+    return full / 2 + spread(full / 2, random);
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/membership/sync_schedule.hpp
@@ -0,0 +1,106 @@
+// Which control host a daemon syncs with, and when it tries.
+#ifndef NUTMEGUSHER_MEMBERSHIP_SYNC_SCHEDULE_HPP
+#define NUTMEGUSHER_MEMBERSHIP_SYNC_SCHEDULE_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/membership/subset.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmegusher
+{
+
+struct control_host
+{
+    host_id host;
+    // ip:port of its peer listener.
+    std::string address;
+    place at;
+
+    friend bool operator==(const control_host&, const control_host&) = default;
+};
+
+struct sync_schedule_options
+{
+    // After a failure the next control host is tried within this time, spread
+    // evenly: the daemons of a lost one don't arrive at the others at once.
+    duration failover_spread = std::chrono::milliseconds(500);
+    // A control host that failed is left alone so long; doubles with each
+    // failure up to the bound, and half of it is spread.
+    duration first_backoff = std::chrono::seconds(1);
+    duration max_backoff = std::chrono::seconds(60);
+    // When a nearer control host may be used again, daemons go back to it over
+    // this time. 890 daemons of one control host make 15 returns a second.
+    duration return_spread = std::chrono::seconds(60);
+};
+
+// What to do next.
+struct sync_plan
+{
+    // Null where there is none to try.
+    const control_host* target = nullptr;
+    // Not before this.
+    time_point at;
+};
+
+// Prefers a control host of the own data centre, then one of the own region;
+// among equals rendezvous hashing spreads the daemons evenly, and over all the
+// others when one is lost.
+//
+//     sync_schedule schedule(self, here);
+//     schedule.set_hosts(hosts);
+//     const auto plan = schedule.plan(now);   // connect to plan.target
+//     schedule.succeeded(now, random);        // or schedule.failed(now,
+//     random)
+//
+// For one thread.
+class sync_schedule
+{
+public:
+    sync_schedule(host_id self, place here, sync_schedule_options options = {});
+
+    // Those that there are now; what is known of them stays.
+    void set_hosts(const std::vector<control_host>& hosts);
+
+    // The control host to use, and from when on. It changes only by the events
+    // below, and when it is time to go back to a nearer one.
+    [[nodiscard]] sync_plan plan(time_point now) const;
+
+    // A sync with the planned one was answered.
+    void succeeded(time_point now, random_engine& random);
+
+    // It wasn't.
+    void failed(time_point now, random_engine& random);
+
+private:
+    struct candidate
+    {
+        control_host host;
+        unsigned failures = 0;
+        time_point usable_at;
+    };
+
+    [[nodiscard]] std::size_t position(time_point now) const;
+    [[nodiscard]] std::size_t best(time_point now) const;
+    [[nodiscard]] duration
+    backoff(unsigned failures, random_engine& random) const;
+    void plan_return(time_point now, random_engine& random);
+
+    host_id self_;
+    place here_;
+    sync_schedule_options options_;
+    // Most wanted first.
+    std::vector<candidate> candidates_;
+    std::size_t current_ = 0;
+    time_point try_at_;
+    // When to go back to a more wanted one, and to which.
+    std::optional<time_point> return_at_;
+    std::size_t return_to_ = 0;
+};
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/membership/sync_schedule_test.cpp
@@ -0,0 +1,190 @@
+#include "nutmegusher/membership/membership.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace nutmegusher
+{
+namespace
+{
+
+using std::chrono::seconds;
+
+const time_point start(std::chrono::hours(1));
+const place here{data_center_name("a1"), region_name("a")};
+const place near_by{data_center_name("a2"), region_name("a")};
+const place elsewhere{data_center_name("b1"), region_name("b")};
+
+control_host host(const std::string& name, const place& at)
+{
+    return {host_id(name), "127.0.0.1:" + name, at};
+}
+
+class sync_schedule_test : public ::testing::Test
+{
+protected:
+    sync_schedule_test()
+    {
+        schedule.set_hosts(
+            {host("far", elsewhere),
+             host("region", near_by),
+             host("own", here)});
+    }
+
+    std::string target(time_point now) const
+    {
+        return schedule.plan(now).target->host.str();
+    }
+
+    random_engine random{1};
+    sync_schedule schedule{host_id("d"), here};
+};
+
+TEST_F(sync_schedule_test, prefers_the_near_one_and_tries_at_once)
+{
+    EXPECT_EQ(target(start), "own");
+    EXPECT_LE(schedule.plan(start).at, start);
+}
+
+TEST_F(sync_schedule_test, without_hosts_there_is_no_plan)
+{
+    schedule.set_hosts({});
+    EXPECT_EQ(schedule.plan(start).target, nullptr);
+    schedule.failed(start, random);
+    schedule.succeeded(start, random);
+}
+
+TEST_F(sync_schedule_test, fails_over_to_the_next_near_one_within_the_spread)
+{
+    schedule.failed(start, random);
+    EXPECT_EQ(target(start), "region");
+    EXPECT_LE(
+        schedule.plan(start).at,
+        start + sync_schedule_options{}.failover_spread);
+    schedule.failed(start, random);
+    EXPECT_EQ(target(start), "far");
+}
+
+TEST_F(sync_schedule_test, backs_off_when_all_fail)
+{
+    for (int round = 0; round < 30; ++round)
+    {
+        schedule.failed(start, random);
+    }
+    const auto wait = schedule.plan(start).at - start;
+    EXPECT_GE(wait, seconds(30));
+    EXPECT_LE(wait, seconds(61));
+}
+
+TEST_F(sync_schedule_test, goes_back_to_the_near_one_and_stays_there)
+{
+    schedule.failed(start, random);
+    schedule.succeeded(start, random);
+    EXPECT_EQ(target(start), "region");
+    const auto later = start + seconds(70);
+    EXPECT_EQ(target(later), "own");
+    schedule.succeeded(later, random);
+    EXPECT_EQ(target(later + seconds(1)), "own");
+}
+
+TEST_F(sync_schedule_test, failed_way_back_keeps_the_one_in_use)
+{
+    schedule.failed(start, random);
+    schedule.succeeded(start, random);
+    const auto later = start + seconds(70);
+    EXPECT_EQ(target(later), "own");
+    schedule.failed(later, random);
+    EXPECT_EQ(target(later), "region");
+    EXPECT_EQ(schedule.plan(later).at, later);
+    EXPECT_EQ(target(later + seconds(200)), "own");
+}
+
+TEST_F(sync_schedule_test, new_set_of_hosts_keeps_the_one_in_use)
+{
+    schedule.failed(start, random);
+    schedule.succeeded(start, random);
+    schedule.set_hosts(
+        {host("region", near_by), host("own", here), host("new", elsewhere)});
+    EXPECT_EQ(target(start), "region");
+    schedule.set_hosts({host("new", elsewhere)});
+    EXPECT_EQ(target(start), "new");
+}
+
+std::vector<control_host> equal_hosts(int count)
+{
+    std::vector<control_host> out;
+    out.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number)
+    {
+        out.push_back(host("c" + std::to_string(number), here));
+    }
+    return out;
+}
+
+TEST(sync_schedule, daemons_of_a_lost_host_spread_over_all_others)
+{
+    random_engine random(1);
+    std::map<std::string, int> moved;
+    for (int daemon = 0; daemon < 1000; ++daemon)
+    {
+        sync_schedule schedule(host_id("d" + std::to_string(daemon)), here);
+        schedule.set_hosts(equal_hosts(5));
+        if (schedule.plan(start).target->host == host_id("c0"))
+        {
+            schedule.failed(start, random);
+            ++moved[schedule.plan(start).target->host.str()];
+        }
+    }
+    EXPECT_EQ(moved.size(), 4U);
+    for (const auto& [name, count] : moved)
+    {
+        EXPECT_GE(count, 25);
+        EXPECT_LE(count, 80);
+    }
+}
+
+// A data centre of 2,000 daemons comes back after an outage: how many of them
+// turn to its control host within one second.
+int busiest_second_of_return(const sync_schedule_options& options)
+{
+    random_engine random(1);
+    std::map<long, int> by_second;
+    for (int daemon = 0; daemon < 2000; ++daemon)
+    {
+        sync_schedule schedule(
+            host_id("d" + std::to_string(daemon)), here, options);
+        schedule.set_hosts({host("own", here), host("far", elsewhere)});
+        schedule.failed(start, random);
+        schedule.succeeded(start, random);
+        long second = 0;
+        while (schedule.plan(start + seconds(second)).target->host !=
+               host_id("own"))
+        {
+            ++second;
+        }
+        ++by_second[second];
+    }
+    int busiest = 0;
+    for (const auto& [second, count] : by_second)
+    {
+        busiest = std::max(busiest, count);
+    }
+    return busiest;
+}
+
+TEST(sync_schedule, returning_data_center_is_not_stormed)
+{
+    EXPECT_LE(busiest_second_of_return({}), 70);
+    // Without the spread nearly all come within one second.
+    EXPECT_GE(
+        busiest_second_of_return(
+            {.return_spread = std::chrono::milliseconds(1)}),
+        900);
+}
+
+} // namespace
+} // namespace nutmegusher
