--- /dev/null
+++ b/testing/deployment.cpp
@@ -0,0 +1,413 @@
+#include "testing/deployment.hpp"
+
+#include "testing/deployment_plan.hpp"
+
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+
+namespace nutmegusher::test_support
+{
+
+using boost::system::error_code;
+using internal::deployment_plan;
+
+struct deployment::state
+{
+    state(deployment_plan made, temporary_folder where)
+        : plan(std::move(made))
+        , folder(std::move(where))
+    {
+    }
+
+    using process_list = std::vector<std::unique_ptr<child_process>>;
+
+    error_code start_relays();
+    error_code start_control(std::size_t index);
+    error_code start_daemon(std::size_t index);
+    error_code start_upstream(std::size_t index);
+    error_code start_program(
+        std::string_view program,
+        const std::vector<std::string>& arguments,
+        const std::string& name,
+        std::unique_ptr<child_process>& into) const;
+
+    deployment_plan plan;
+    temporary_folder folder;
+    std::vector<std::unique_ptr<relay>> to_upstreams;
+    std::vector<internal::control_link> links;
+    process_list controls;
+    process_list daemons;
+    process_list upstreams;
+};
+
+error_code deployment::state::start_program(
+    std::string_view program,
+    const std::vector<std::string>& arguments,
+    const std::string& name,
+    std::unique_ptr<child_process>& into) const
+{
+    auto started = child_process::start(
+        built_program(program), arguments, folder.path(name + ".log"));
+    if (!started)
+    {
+        return started.error();
+    }
+    into = std::move(*started);
+    return {};
+}
+
+error_code deployment::state::start_relays()
+{
+    for (std::size_t i = 0; i < plan.relayed_upstreams(); ++i)
+    {
+        auto started =
+            relay::start(plan.upstream_relay(i), plan.upstream_address(i));
+        if (!started)
+        {
+            return started.error();
+        }
+        to_upstreams.push_back(std::move(*started));
+    }
+    for (const auto& place : plan.control_links())
+    {
+        auto started = relay::start(place.listen, place.target);
+        if (!started)
+        {
+            return started.error();
+        }
+        links.push_back({place.from, place.to, std::move(*started)});
+    }
+    return {};
+}
+
+error_code deployment::state::start_control(std::size_t index)
+{
+    const std::string name = plan.control_name(index);
+    const auto settings = internal::write_settings(
+        folder, name, plan.control_settings(index, folder.path(name)));
+    return start_program(
+        "nutmegusherd", {"--settings", settings}, name, controls[index]);
+}
+
+error_code deployment::state::start_daemon(std::size_t index)
+{
+    const std::string name = plan.daemon_name(index);
+    const auto settings =
+        internal::write_settings(folder, name, plan.daemon_settings(index));
+    return start_program(
+        "nutmegusherd", {"--settings", settings}, name, daemons[index]);
+}
+
+error_code deployment::state::start_upstream(std::size_t index)
+{
+    const auto& what = plan.options().upstreams[index];
+    const std::string name = "u" + std::to_string(index);
+    const std::vector<std::string> arguments{
+        "--service=" + what.service,
+        "--address=" + plan.upstream_address(index),
+        "--announce-as=" + plan.announced_address(index),
+        "--daemon=" + plan.daemon_upstream(index),
+        "--journal=" + folder.path(name + ".journal"),
+        "--behavior=" + what.behavior};
+    return start_program(
+        "stand_in_upstream", arguments, name, upstreams[index]);
+}
+
+outcome<std::unique_ptr<deployment>, error_code>
+deployment::start(const deployment_options& options)
+{
+    auto block = address_block::reserve();
+    auto folder = temporary_folder::make();
+    if (!block || !folder)
+    {
+        return block ? folder.error() : block.error();
+    }
+    auto made = std::make_unique<state>(
+        deployment_plan(options, std::move(*block)), std::move(*folder));
+    made->controls.resize(options.control_hosts);
+    made->daemons.resize(options.upstreams.size());
+    made->upstreams.resize(options.upstreams.size());
+    error_code error = made->start_relays();
+    for (std::size_t i = 0; i < made->controls.size() && !error; ++i)
+    {
+        error = made->start_control(i);
+    }
+    for (std::size_t i = 0; i < made->daemons.size() && !error; ++i)
+    {
+        error = made->start_daemon(i);
+        error = error ? error : made->start_upstream(i);
+    }
+    if (error)
+    {
+        return error;
+    }
+    return std::unique_ptr<deployment>(new deployment(std::move(made)));
+}
+
+deployment::deployment(std::unique_ptr<state> state)
+    : state_(std::move(state))
+{
+}
+
+deployment::~deployment() = default;
+
+std::size_t deployment::control_count() const
+{
+    return state_->controls.size();
+}
+
+std::size_t deployment::daemon_count() const
+{
+    return state_->daemons.size();
+}
+
+child_process& deployment::control(std::size_t index)
+{
+    return *state_->controls[index];
+}
+
+child_process& deployment::daemon(std::size_t index)
+{
+    return *state_->daemons[index];
+}
+
+child_process& deployment::upstream(std::size_t index)
+{
+    return *state_->upstreams[index];
+}
+
+bool deployment::restart_control(std::size_t index)
+{
+    state_->controls[index].reset();
+    return !state_->start_control(index);
+}
+
+bool deployment::restart_daemon(std::size_t index)
+{
+    state_->daemons[index].reset();
+    return !state_->start_daemon(index);
+}
+
+bool deployment::restart_upstream(std::size_t index)
+{
+    state_->upstreams[index].reset();
+    return !state_->start_upstream(index);
+}
+
+void deployment::empty_control_folder(std::size_t index)
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(
+        state_->folder.path(state_->plan.control_name(index)), ignored);
+}
+
+std::string deployment::control_operators(std::size_t index) const
+{
+    return state_->plan.control_operators(index);
+}
+
+std::vector<std::string> deployment::all_control_operators() const
+{
+    std::vector<std::string> all;
+    for (std::size_t i = 0; i < control_count(); ++i)
+    {
+        all.push_back(control_operators(i));
+    }
+    return all;
+}
+
+std::string deployment::daemon_operators(std::size_t index) const
+{
+    return state_->plan.daemon_operators(index);
+}
+
+std::string deployment::daemon_callers(std::size_t index) const
+{
+    return state_->plan.daemon_callers(index);
+}
+
+std::vector<std::string> deployment::all_daemon_callers() const
+{
+    std::vector<std::string> all;
+    for (std::size_t i = 0; i < daemon_count(); ++i)
+    {
+        all.push_back(daemon_callers(i));
+    }
+    return all;
+}
+
+std::string deployment::upstream_address(std::size_t index) const
+{
+    return state_->plan.upstream_address(index);
+}
+
+relay& deployment::upstream_relay(std::size_t index)
+{
+    return *state_->to_upstreams[index];
+}
+
+void deployment::isolate_control(std::size_t index, bool isolated)
+{
+    relay_behavior behavior;
+    if (isolated)
+    {
+        behavior.to_target = relay_direction::silent;
+        behavior.to_client = relay_direction::silent;
+    }
+    for (auto& link : state_->links)
+    {
+        if (link.from == index || link.to == index)
+        {
+            link.between->set(behavior);
+        }
+    }
+}
+
+bool deployment::declare(const std::vector<declared_class>& classes)
+{
+    std::uint64_t last = 0;
+    for (const auto& item : classes)
+    {
+        const auto change = declaration("declare-" + item.name, 0, item);
+        const auto answer = settle_change(all_control_operators(), change);
+        if (answer.outcome != change_outcome::accepted)
+        {
+            return false;
+        }
+        last = answer.revision;
+    }
+    return wait_in_force(last);
+}
+
+bool deployment::wait_in_force(
+    std::uint64_t revision, std::chrono::milliseconds limit) const
+{
+    const auto runs = [this, revision](std::size_t index)
+    {
+        const auto now = configuration_of(daemon_operators(index));
+        return now && now->revision >= revision;
+    };
+    for (std::size_t i = 0; i < daemon_count(); ++i)
+    {
+        if (state_->daemons[i]->running() && !wait_until(
+                                                 [&]
+                                                 {
+                                                     return runs(i);
+                                                 },
+                                                 limit))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool deployment::wait_served(
+    const std::string& method, const std::string& target) const
+{
+    constexpr unsigned ok = 200;
+    http_request request;
+    request.method = method;
+    request.target = target;
+    for (std::size_t i = 0; i < daemon_count(); ++i)
+    {
+        const auto served = [&]
+        {
+            const auto answer = send_request(daemon_callers(i), request);
+            return answer && answer->status == ok;
+        };
+        if (state_->daemons[i]->running() && !wait_until(served))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void deployment::control_upstream(
+    std::size_t index, const std::string& behavior) const
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/stand-in/control";
+    request.body = behavior;
+    const auto taken = [&]
+    {
+        const auto answer = send_request(upstream_address(index), request);
+        constexpr unsigned ok = 200;
+        return answer && answer->status == ok;
+    };
+    [[maybe_unused]] const bool done = wait_until(taken);
+}
+
+execution_counts deployment::executions_by_token(std::string_view service) const
+{
+    execution_counts sum;
+    for (std::size_t i = 0; i < daemon_count(); ++i)
+    {
+        if (state_->plan.options().upstreams[i].service == service)
+        {
+            const auto journal = "u" + std::to_string(i) + ".journal";
+            const auto counts =
+                read_journal_by_token(state_->folder.path(journal));
+            for (const auto& [token, count] : counts)
+            {
+                sum[token].started += count.started;
+                sum[token].finished += count.finished;
+            }
+        }
+    }
+    return sum;
+}
+
+std::string deployment::logs() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < control_count(); ++i)
+    {
+        const auto name = state_->plan.control_name(i) + ".log";
+        text += "== " + name + "\n" + file(name);
+    }
+    for (std::size_t i = 0; i < daemon_count(); ++i)
+    {
+        const auto name = state_->plan.daemon_name(i) + ".log";
+        text += "== " + name + "\n" + file(name);
+    }
+    return text;
+}
+
+std::string deployment::file(std::string_view name) const
+{
+    return read_file(state_->folder.path(name));
+}
+
+std::vector<declared_class> association_classes()
+{
+    declared_class payout;
+    payout.name = "payout";
+    payout.service = "disbursement";
+    payout.method = "POST";
+    payout.path_prefix = "/pay";
+    payout.rank = 0;
+    payout.repeatable = false;
+    payout.latency_ms = 3000;
+    declared_class view;
+    view.name = "view";
+    view.service = "balances";
+    view.rank = 1;
+    declared_class fund;
+    fund.name = "fund";
+    fund.service = "funds";
+    fund.rank = 2;
+    declared_class statement;
+    statement.name = "statement";
+    statement.service = "statements";
+    statement.rank = 3;
+    statement.bulk = true;
+    statement.latency_ms = 30'000;
+    return {payout, view, fund, statement};
+}
+
+} // namespace nutmegusher::test_support
--- /dev/null
+++ b/testing/deployment.hpp
@@ -0,0 +1,128 @@
+// A whole deployment as processes on loopback: control hosts, and a daemon
+// beside each stand-in upstream.
+//
+//     auto here = deployment::start({.upstreams = {{"disbursement"}}});
+//     (*here)->declare(association_classes());
+//     (*here)->daemon(0).kill();
+//     (*here)->restart_daemon(0);
+#ifndef NUTMEGUSHER_TESTING_DEPLOYMENT_HPP
+#define NUTMEGUSHER_TESTING_DEPLOYMENT_HPP
+
+#include "testing/address_block.hpp"
+#include "testing/execution_log.hpp"
+#include "testing/operator_client.hpp"
+#include "testing/process.hpp"
+#include "testing/relay.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::test_support
+{
+
+// A daemon and the upstream beside it.
+struct deployed_upstream
+{
+    std::string service;
+    // As for POST /stand-in/control.
+    std::string behavior = "{}";
+    std::string data_center = "dc-1";
+};
+
+struct deployment_options
+{
+    std::uint32_t control_hosts = 3;
+    std::vector<deployed_upstream> upstreams;
+    // Naive decisions, as a baseline.
+    bool naive = false;
+    // Each daemon reaches its upstream through a relay.
+    bool relay_to_upstreams = false;
+    // Each control host reaches every other one, and each daemon each control
+    // host, through a relay of its own.
+    bool relay_to_control = false;
+};
+
+// All processes end with the value.
+class deployment
+{
+public:
+    // Starts all processes; doesn't wait for them.
+    [[nodiscard]] static outcome<
+        std::unique_ptr<deployment>,
+        boost::system::error_code>
+    start(const deployment_options& options);
+
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    [[nodiscard]] std::size_t control_count() const;
+    [[nodiscard]] std::size_t daemon_count() const;
+
+    [[nodiscard]] child_process& control(std::size_t index);
+    [[nodiscard]] child_process& daemon(std::size_t index);
+    [[nodiscard]] child_process& upstream(std::size_t index);
+
+    // Start again what has ended, on the same settings and folders.
+    bool restart_control(std::size_t index);
+    bool restart_daemon(std::size_t index);
+    bool restart_upstream(std::size_t index);
+
+    // Removes the data folder. Requires: the process has ended.
+    void empty_control_folder(std::size_t index);
+
+    [[nodiscard]] std::string control_operators(std::size_t index) const;
+    [[nodiscard]] std::vector<std::string> all_control_operators() const;
+    [[nodiscard]] std::string daemon_operators(std::size_t index) const;
+    [[nodiscard]] std::string daemon_callers(std::size_t index) const;
+    [[nodiscard]] std::vector<std::string> all_daemon_callers() const;
+    [[nodiscard]] std::string upstream_address(std::size_t index) const;
+
+    // Requires: `relay_to_upstreams`.
+    [[nodiscard]] relay& upstream_relay(std::size_t index);
+
+    // Cuts a control host off silently from all others and from the daemons,
+    // or joins it again. Requires: `relay_to_control`.
+    void isolate_control(std::size_t index, bool isolated);
+
+    // Declares the classes and waits until every daemon runs them and knows
+    // its own upstream. False where it doesn't happen.
+    [[nodiscard]] bool declare(const std::vector<declared_class>& classes);
+
+    // Until every running daemon in `daemons` runs `revision` or a later one.
+    [[nodiscard]] bool wait_in_force(
+        std::uint64_t revision,
+        std::chrono::milliseconds limit = std::chrono::seconds(30)) const;
+
+    // Until a call to each service through each daemon is answered.
+    [[nodiscard]] bool
+    wait_served(const std::string& method, const std::string& target) const;
+
+    void control_upstream(std::size_t index, const std::string& behavior) const;
+
+    // Sum of the executions of a service's upstreams, killed ones included.
+    [[nodiscard]] execution_counts
+    executions_by_token(std::string_view service) const;
+
+    // The logs of all processes, for a test that fails.
+    [[nodiscard]] std::string logs() const;
+
+    // A settings file or log, for looking at.
+    [[nodiscard]] std::string file(std::string_view name) const;
+
+private:
+    struct state;
+
+    explicit deployment(std::unique_ptr<state> state);
+
+    std::unique_ptr<state> state_;
+};
+
+// Classes of the Association: payouts before views before statements.
+[[nodiscard]] std::vector<declared_class> association_classes();
+
+} // namespace nutmegusher::test_support
+
+#endif
--- /dev/null
+++ b/testing/deployment_plan.cpp
@@ -0,0 +1,196 @@
+#include "testing/deployment_plan.hpp"
+
+#include <fstream>
+
+namespace nutmegusher::test_support::internal
+{
+
+namespace
+{
+
+constexpr std::uint32_t first_control = 1;
+constexpr std::uint32_t first_daemon = 11;
+constexpr std::uint32_t first_link = 240;
+constexpr std::uint16_t callers_port = 8000;
+constexpr std::uint16_t upstream_port = 8001;
+constexpr std::uint16_t peers_port = 8002;
+constexpr std::uint16_t operators_port = 8003;
+constexpr std::uint16_t service_port = 9000;
+constexpr std::uint16_t relay_port = 9100;
+constexpr std::uint16_t first_link_port = 7000;
+
+std::uint32_t control_ip(std::size_t index)
+{
+    return first_control + static_cast<std::uint32_t>(index);
+}
+
+std::uint32_t daemon_ip(std::size_t index)
+{
+    return first_daemon + static_cast<std::uint32_t>(index);
+}
+
+std::string host_section(const std::string& name, const std::string& place)
+{
+    return "[host]\nid = " + name + "\ndata_center = " + place +
+           "\nregion = region-1\n";
+}
+
+} // namespace
+
+deployment_plan::deployment_plan(
+    const deployment_options& options, address_block block)
+    : options_(options)
+    , block_(std::move(block))
+{
+}
+
+std::string deployment_plan::control_name(std::size_t index) const
+{
+    return "c" + std::to_string(index);
+}
+
+std::string deployment_plan::daemon_name(std::size_t index) const
+{
+    return "d" + std::to_string(index);
+}
+
+std::string deployment_plan::control_operators(std::size_t index) const
+{
+    return block_.address(control_ip(index), operators_port);
+}
+
+std::string deployment_plan::daemon_operators(std::size_t index) const
+{
+    return block_.address(daemon_ip(index), operators_port);
+}
+
+std::string deployment_plan::daemon_callers(std::size_t index) const
+{
+    return block_.address(daemon_ip(index), callers_port);
+}
+
+std::string deployment_plan::daemon_upstream(std::size_t index) const
+{
+    return block_.address(daemon_ip(index), upstream_port);
+}
+
+std::string deployment_plan::upstream_address(std::size_t index) const
+{
+    return block_.address(daemon_ip(index), service_port);
+}
+
+std::string deployment_plan::upstream_relay(std::size_t index) const
+{
+    return block_.address(daemon_ip(index), relay_port);
+}
+
+std::string deployment_plan::announced_address(std::size_t index) const
+{
+    return options_.relay_to_upstreams ? upstream_relay(index)
+                                       : upstream_address(index);
+}
+
+std::size_t deployment_plan::relayed_upstreams() const
+{
+    return options_.relay_to_upstreams ? options_.upstreams.size() : 0;
+}
+
+std::string deployment_plan::control_peers(std::size_t index) const
+{
+    return block_.address(control_ip(index), peers_port);
+}
+
+std::string
+deployment_plan::control_address(std::size_t from, std::size_t to) const
+{
+    if (!options_.relay_to_control || from == to)
+    {
+        return control_peers(to);
+    }
+    return block_.address(
+        first_link + static_cast<std::uint32_t>(to),
+        static_cast<std::uint16_t>(first_link_port + from));
+}
+
+std::vector<control_link_place> deployment_plan::control_links() const
+{
+    std::vector<control_link_place> places;
+    if (!options_.relay_to_control)
+    {
+        return places;
+    }
+    for (std::size_t to = 0; to < options_.control_hosts; ++to)
+    {
+        for (std::size_t from = 0; from < options_.control_hosts; ++from)
+        {
+            if (from != to)
+            {
+                places.push_back(
+                    {from, to, control_address(from, to), control_peers(to)});
+            }
+        }
+        places.push_back(
+            {any_daemon,
+             to,
+             control_address(any_daemon, to),
+             control_peers(to)});
+    }
+    return places;
+}
+
+std::string deployment_plan::control_addresses(std::size_t from) const
+{
+    std::string text;
+    for (std::size_t to = 0; to < options_.control_hosts; ++to)
+    {
+        text += (to == 0 ? "" : ", ") + control_address(from, to);
+    }
+    return text;
+}
+
+std::string deployment_plan::control_settings(
+    std::size_t index, const std::string& data_folder) const
+{
+    std::string initial;
+    for (std::size_t to = 0; to < options_.control_hosts; ++to)
+    {
+        initial += (to == 0 ? "" : ", ") + control_name(to) + "=" +
+                   control_address(index, to);
+    }
+    return host_section(control_name(index), "dc-1") +
+           "\n[listen]\npeers = " + control_peers(index) +
+           "\noperators = " + control_operators(index) +
+           "\n\n[control_hosts]\naddresses = " + control_addresses(index) +
+           "\n\n[control]\ndata_folder = " + data_folder +
+           "\ninitial = " + initial + "\n";
+}
+
+std::string deployment_plan::daemon_settings(std::size_t index) const
+{
+    const auto& what = options_.upstreams[index];
+    const auto peers = block_.address(daemon_ip(index), peers_port);
+    std::string text =
+        host_section(daemon_name(index), what.data_center) +
+        "\n[listen]\ncallers = " + daemon_callers(index) +
+        "\nupstream = " + daemon_upstream(index) + "\npeers = " + peers +
+        "\noperators = " + daemon_operators(index) +
+        "\n\n[control_hosts]\naddresses = " + control_addresses(any_daemon) +
+        "\n";
+    if (options_.naive)
+    {
+        text += "\n[measurement]\nnaive = yes\n";
+    }
+    return text;
+}
+
+std::string write_settings(
+    const temporary_folder& folder,
+    const std::string& name,
+    const std::string& text)
+{
+    const auto path = folder.path(name + ".ini");
+    std::ofstream(path) << text;
+    return path;
+}
+
+} // namespace nutmegusher::test_support::internal
--- /dev/null
+++ b/testing/deployment_plan.hpp
@@ -0,0 +1,80 @@
+// Names, addresses and settings of a deployment's processes.
+#ifndef NUTMEGUSHER_TESTING_DEPLOYMENT_PLAN_HPP
+#define NUTMEGUSHER_TESTING_DEPLOYMENT_PLAN_HPP
+
+#include "testing/deployment.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::test_support::internal
+{
+
+// Stands for all daemons as the `from` of a link.
+inline constexpr std::size_t any_daemon = 50;
+
+// Where a relay between two parts of the control plane stands.
+struct control_link_place
+{
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::string listen;
+    std::string target;
+};
+
+struct control_link
+{
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::unique_ptr<relay> between;
+};
+
+class deployment_plan
+{
+public:
+    deployment_plan(const deployment_options& options, address_block block);
+
+    [[nodiscard]] const deployment_options& options() const
+    {
+        return options_;
+    }
+
+    [[nodiscard]] std::string control_name(std::size_t index) const;
+    [[nodiscard]] std::string daemon_name(std::size_t index) const;
+    [[nodiscard]] std::string control_operators(std::size_t index) const;
+    [[nodiscard]] std::string daemon_operators(std::size_t index) const;
+    [[nodiscard]] std::string daemon_callers(std::size_t index) const;
+    [[nodiscard]] std::string daemon_upstream(std::size_t index) const;
+    [[nodiscard]] std::string upstream_address(std::size_t index) const;
+    [[nodiscard]] std::string upstream_relay(std::size_t index) const;
+    // The relay's address where there is one.
+    [[nodiscard]] std::string announced_address(std::size_t index) const;
+
+    [[nodiscard]] std::size_t relayed_upstreams() const;
+    [[nodiscard]] std::vector<control_link_place> control_links() const;
+
+    [[nodiscard]] std::string
+    control_settings(std::size_t index, const std::string& data_folder) const;
+    [[nodiscard]] std::string daemon_settings(std::size_t index) const;
+
+private:
+    [[nodiscard]] std::string control_peers(std::size_t index) const;
+    // A control host as `from` reaches it.
+    [[nodiscard]] std::string
+    control_address(std::size_t from, std::size_t to) const;
+    [[nodiscard]] std::string control_addresses(std::size_t from) const;
+
+    deployment_options options_;
+    address_block block_;
+};
+
+// Writes "<name>.ini" into the folder and returns its path.
+[[nodiscard]] std::string write_settings(
+    const temporary_folder& folder,
+    const std::string& name,
+    const std::string& text);
+
+} // namespace nutmegusher::test_support::internal
+
+#endif
--- /dev/null
+++ b/testing/oracle.hpp
@@ -0,0 +1,47 @@
+// Holds what callers were told against what the upstreams ran.
+#ifndef NUTMEGUSHER_TESTING_ORACLE_HPP
+#define NUTMEGUSHER_TESTING_ORACLE_HPP
+
+#include "testing/execution_log.hpp"
+#include "testing/load_client.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::test_support
+{
+
+enum class violation_kind : std::uint8_t
+{
+    ran_twice,         // a keyed call started more than once
+    not_run_but_ran,   // told "not run", and started
+    completed_not_run, // told "completed", and never finished
+    wrong_answer       // a clean answer that isn't the request's whole own one
+};
+
+struct violation
+{
+    violation_kind kind = violation_kind::ran_twice;
+    std::string class_name;
+    std::string token;
+    std::uint32_t started = 0;
+    std::uint32_t finished = 0;
+};
+
+[[nodiscard]] std::string to_text(const std::vector<violation>& violations);
+
+// `counts` are the sums over all upstreams of the classes' services, by token.
+[[nodiscard]] std::vector<violation> check_executions(
+    const std::vector<load_record>& records, const execution_counts& counts);
+
+// Adds `more` to `sum`.
+void add_counts(execution_counts& sum, const execution_counts& more);
+
+// How many records were seen so.
+[[nodiscard]] std::size_t
+count_view(const std::vector<load_record>& records, caller_view view);
+
+} // namespace nutmegusher::test_support
+
+#endif
--- a/testing/stand_in_server.cpp
+++ b/testing/stand_in_server.cpp
@@ -164,7 +164,9 @@
     {
         const json::object body{
             {"service", options_.service},
-            {"address", options_.address},
+            {"address",
+             options_.announce_as.empty() ? options_.address
+                                          : options_.announce_as},
             {"state", behavior_.state}};
         http_request request;
         request.method = "PUT";
--- a/testing/stand_in_upstream.hpp
+++ b/testing/stand_in_upstream.hpp
@@ -28,6 +28,8 @@
     std::string service;
     // "ip:port" to listen on.
     std::string address;
+    // What it announces; empty: `address`. For a relay in between.
+    std::string announce_as;
     // "ip:port" of its daemon's `upstream` listener; empty: no daemon.
     std::string daemon;
     // Where executions are noted; empty: in memory only.
--- a/testing/stand_in_upstream_main.cpp
+++ b/testing/stand_in_upstream_main.cpp
@@ -19,6 +19,9 @@
     options.add_options()(
         "service", "its service", cxxopts::value<std::string>())(
         "address", "ip:port to listen on", cxxopts::value<std::string>())(
+        "announce-as",
+        "ip:port to announce where it isn't the address",
+        cxxopts::value<std::string>()->default_value(""))(
         "daemon",
         "ip:port of its daemon's upstream listener",
         cxxopts::value<std::string>()->default_value(""))(
@@ -49,6 +52,7 @@
     ts::stand_in_options options;
     options.service = parsed["service"].as<std::string>();
     options.address = parsed["address"].as<std::string>();
+    options.announce_as = parsed["announce-as"].as<std::string>();
     options.daemon = parsed["daemon"].as<std::string>();
     options.journal = parsed["journal"].as<std::string>();
     options.behavior = *behavior;
--- a/testing/testing.hpp
+++ b/testing/testing.hpp
@@ -9,9 +9,12 @@
 #define NUTMEGUSHER_TESTING_TESTING_HPP
 
 #include "testing/address_block.hpp"
+#include "testing/deployment.hpp"
 #include "testing/execution_log.hpp"
 #include "testing/http_client.hpp"
 #include "testing/load_client.hpp"
+#include "testing/operator_client.hpp"
+#include "testing/oracle.hpp"
 #include "testing/patterned_body.hpp"
 #include "testing/process.hpp"
 #include "testing/relay.hpp"
