--- /dev/null
+++ b/nutmegusher/node/daemon.cpp
@@ -0,0 +1,470 @@
+#include "nutmegusher/node/daemon.hpp"
+
+#include "nutmegusher/node/control_part.hpp"
+#include "nutmegusher/node/entry_chain.hpp"
+#include "nutmegusher/node/http_server.hpp"
+#include "nutmegusher/node/json_messages.hpp"
+#include "nutmegusher/node/operator_api.hpp"
+#include "nutmegusher/node/sync_client.hpp"
+#include "nutmegusher/node/upstream_chain.hpp"
+#include "nutmegusher/node/worker.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <array>
+#include <csignal>
+#include <latch>
+#include <thread>
+#include <vector>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+
+// Waiting calls expire and stalls are noticed at this grain; well below the
+// shortest target of a class (tens of milliseconds).
+constexpr duration tick_interval = std::chrono::milliseconds(2);
+constexpr duration upstream_check_interval = std::chrono::milliseconds(500);
+// A graceful shutdown: first the others hear of it, then what is in flight
+// ends, then what is still open is closed.
+constexpr duration leave_notice = std::chrono::milliseconds(500);
+constexpr duration drain_limit = std::chrono::seconds(60);
+constexpr duration drain_step = std::chrono::milliseconds(20);
+constexpr duration idle_grace = std::chrono::milliseconds(300);
+constexpr std::size_t announcement_bytes = 4096;
+constexpr std::string_view control_prefix = "/control/";
+constexpr std::string_view announce_path = "/nutmegusher/announce";
+
+void log_upstream_change(upstream_change change, const service_name& service)
+{
+    switch (change)
+    {
+    case upstream_change::appeared:
+    case upstream_change::starting:
+        log_event(event::upstream_announced, {{"service", service.str()}});
+        break;
+    case upstream_change::leaving:
+        log_event(event::upstream_leaving, {{"service", service.str()}});
+        break;
+    case upstream_change::lost:
+        log_event(event::upstream_lost, {{"service", service.str()}});
+        break;
+    case upstream_change::none:
+        break;
+    }
+}
+
+// The listeners of one worker.
+struct listeners
+{
+    std::unique_ptr<http_server> callers;
+    std::unique_ptr<http_server> upstream;
+    std::unique_ptr<wire::server> peers;
+};
+
+http_server_options options_for(const settings& from)
+{
+    http_server_options options;
+    options.connections = from.limits.connections / from.host.threads + 1;
+    options.header_bytes = from.limits.header_bytes;
+    options.reuse_port = true;
+    return options;
+}
+
+} // namespace
+
+struct daemon::state
+{
+    state(const settings& from, incarnation run) : shared(from, run)
+    {
+        for (std::size_t i = 0; i < from.host.threads; ++i)
+        {
+            workers.push_back(std::make_unique<worker>(shared, i));
+        }
+        listening.resize(workers.size());
+        sync = std::make_unique<sync_client>(first());
+        shared.sync_soon = [this]
+        { asio::post(first().context, [this] { sync->sync_now(); }); };
+    }
+
+    // The worker that also does what is done once a process.
+    worker& first()
+    {
+        return *workers.front();
+    }
+
+    leaf::result<void> open();
+    leaf::result<void> open_worker(std::size_t index);
+    operator_sources make_sources();
+
+    asio::awaitable<void>
+    serve_peer(worker& here, std::shared_ptr<wire::server_stream> stream);
+    asio::awaitable<void>
+    serve_own_upstream(worker& here, caller_exchange& exchange);
+    asio::awaitable<void> take_announcement(caller_exchange& exchange);
+    void apply(upstream_change change, const service_name& service);
+
+    asio::awaitable<void> run_ticks();
+    asio::awaitable<void> watch_upstream();
+    asio::awaitable<void> wait_for_signal();
+    asio::awaitable<void> shut_down();
+    asio::awaitable<void> wait_until_served();
+    asio::awaitable<bool> stop_workers();
+    [[nodiscard]] asio::awaitable<std::size_t> in_flight();
+
+    controllers shared;
+    std::vector<std::unique_ptr<worker>> workers;
+    std::vector<listeners> listening;
+    std::unique_ptr<sync_client> sync;
+    std::unique_ptr<control_part> control;
+    std::unique_ptr<http_server> operators;
+    operator_sources sources;
+    std::optional<asio::signal_set> signals;
+    bool shutting_down = false;
+};
+
+leaf::result<void> daemon::state::open()
+{
+    if (shared.configured.control)
+    {
+        BOOST_LEAF_ASSIGN(control, control_part::start(first()));
+    }
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        BOOST_LEAF_CHECK(open_worker(i));
+    }
+    sources = make_sources();
+    http_server_options options;
+    BOOST_LEAF_ASSIGN(
+        operators,
+        http_server::listen(
+            first().context,
+            shared.configured.listen.operators,
+            [this](caller_exchange& exchange)
+            { return serve_operator(first(), sources, exchange); },
+            options));
+    return {};
+}
+
+leaf::result<void> daemon::state::open_worker(std::size_t index)
+{
+    auto& here = *workers[index];
+    auto& own = listening[index];
+    const auto& listen = shared.configured.listen;
+    const auto options = options_for(shared.configured);
+    if (listen.callers)
+    {
+        BOOST_LEAF_ASSIGN(
+            own.callers,
+            http_server::listen(
+                here.context,
+                *listen.callers,
+                [&here](caller_exchange& exchange) {
+                    return serve_request(
+                        here, exchange, request_origin::caller);
+                },
+                options));
+    }
+    if (listen.upstream)
+    {
+        BOOST_LEAF_ASSIGN(
+            own.upstream,
+            http_server::listen(
+                here.context,
+                *listen.upstream,
+                [this, &here](caller_exchange& exchange)
+                { return serve_own_upstream(here, exchange); },
+                options));
+    }
+    BOOST_LEAF_ASSIGN(
+        own.peers,
+        wire::server::listen(
+            here.context,
+            listen.peers,
+            [this, &here](std::shared_ptr<wire::server_stream> stream)
+            { return serve_peer(here, std::move(stream)); },
+            wire::session_options(),
+            true));
+    return {};
+}
+
+operator_sources daemon::state::make_sources()
+{
+    operator_sources made;
+    made.sync = [this] { return sync->dump(); };
+    made.drain = [this]
+    { asio::co_spawn(first().context, shut_down(), asio::detached); };
+    if (control)
+    {
+        made.control = control->answers();
+    }
+    return made;
+}
+
+asio::awaitable<void> daemon::state::serve_peer(
+    worker& here, std::shared_ptr<wire::server_stream> stream)
+{
+    if (stream->head().path.starts_with(control_prefix))
+    {
+        if (control)
+        {
+            co_await control->serve(here, std::move(stream));
+        }
+        else
+        {
+            wire::response_head head{404, {}};
+            co_await stream->write_head(std::move(head), true);
+        }
+        co_return;
+    }
+    co_await serve_peer_call(here, std::move(stream));
+}
+
+asio::awaitable<void> daemon::state::serve_own_upstream(
+    worker& here, caller_exchange& exchange)
+{
+    if (exchange.head().path == announce_path)
+    {
+        co_await take_announcement(exchange);
+        co_return;
+    }
+    co_await serve_request(here, exchange, request_origin::own_upstream);
+}
+
+asio::awaitable<void>
+daemon::state::take_announcement(caller_exchange& exchange)
+{
+    std::string text;
+    std::array<std::byte, announcement_bytes> piece;
+    while (text.size() <= announcement_bytes)
+    {
+        const auto got = co_await exchange.read_some(piece);
+        if (!got)
+        {
+            co_return;
+        }
+        if (*got == 0)
+        {
+            break;
+        }
+        text.append(reinterpret_cast<const char*>(piece.data()), *got);
+    }
+    std::optional<json_error> wrong;
+    std::optional<announcement> said;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_ASSIGN(said, parse_announcement(text));
+            return {};
+        },
+        [&](const json_error& error) { wrong = error; },
+        [&] { wrong = json_error{}; });
+    if (wrong)
+    {
+        const auto body = json::serialize(to_json(*wrong));
+        wire::response_head head{400, {{"content-type", "application/json"}}};
+        co_await exchange.answer(std::move(head), body);
+        co_return;
+    }
+    apply(shared.upstream.announce(*said, host_clock().now()), said->service);
+    wire::response_head head{204, {}};
+    co_await exchange.answer(std::move(head), "");
+}
+
+void daemon::state::apply(upstream_change change, const service_name& service)
+{
+    if (change == upstream_change::none)
+    {
+        return;
+    }
+    log_upstream_change(change, service);
+    const bool serves = change == upstream_change::appeared;
+    if (serves)
+    {
+        shared.admission.begin_warm_up();
+    }
+    shared.admission.set_leaving(!serves || shared.stopping);
+    shared.sync_soon();
+}
+
+asio::awaitable<void> daemon::state::run_ticks()
+{
+    asio::steady_timer timer(first().context);
+    while (true)
+    {
+        shared.admission.tick();
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(as_tuple_awaitable);
+    }
+}
+
+asio::awaitable<void> daemon::state::watch_upstream()
+{
+    asio::steady_timer timer(first().context);
+    while (true)
+    {
+        timer.expires_after(upstream_check_interval);
+        co_await timer.async_wait(as_tuple_awaitable);
+        const auto own = shared.upstream.record();
+        const auto service = service_name(own ? own->service() : "");
+        apply(shared.upstream.expire(host_clock().now()), service);
+    }
+}
+
+asio::awaitable<void> daemon::state::wait_for_signal()
+{
+    signals.emplace(first().context, SIGTERM, SIGINT);
+    co_await signals->async_wait(as_tuple_awaitable);
+    co_await shut_down();
+}
+
+// Each worker's servers are asked on its own thread.
+asio::awaitable<std::size_t> daemon::state::in_flight()
+{
+    std::size_t count = shared.ledger.size();
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        auto& own = listening[i];
+        const auto ask = [&own]() -> asio::awaitable<std::size_t>
+        {
+            co_return own.peers->open_streams() +
+                (own.callers ? own.callers->in_flight() : 0) +
+                (own.upstream ? own.upstream->in_flight() : 0);
+        };
+        count += co_await asio::co_spawn(
+            workers[i]->context, ask(), asio::use_awaitable);
+    }
+    co_return count;
+}
+
+asio::awaitable<void> daemon::state::wait_until_served()
+{
+    asio::steady_timer timer(first().context);
+    const auto until = host_clock().now() + drain_limit;
+    while (co_await in_flight() > 0 && host_clock().now() < until)
+    {
+        timer.expires_after(drain_step);
+        co_await timer.async_wait(as_tuple_awaitable);
+    }
+}
+
+// True: nothing was cut.
+asio::awaitable<bool> daemon::state::stop_workers()
+{
+    const bool clean = co_await in_flight() == 0;
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        auto& own = listening[i];
+        const auto stop = [&own]() -> asio::awaitable<void>
+        {
+            co_await own.peers->stop_gracefully(std::chrono::seconds(1));
+            if (own.callers)
+            {
+                own.callers->close_idle();
+            }
+            if (own.upstream)
+            {
+                own.upstream->stop_accepting();
+                own.upstream->close_idle();
+            }
+        };
+        co_await asio::co_spawn(
+            workers[i]->context, stop(), asio::use_awaitable);
+    }
+    co_return clean;
+}
+
+asio::awaitable<void> daemon::state::shut_down()
+{
+    if (std::exchange(shutting_down, true))
+    {
+        co_return;
+    }
+    log_event(event::process_stopping, {});
+    shared.stopping = true;
+    shared.upstream.leave();
+    sync->sync_now();
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        auto* const callers = listening[i].callers.get();
+        if (callers != nullptr)
+        {
+            asio::post(
+                workers[i]->context, [callers] { callers->stop_accepting(); });
+        }
+    }
+    asio::steady_timer timer(first().context);
+    timer.expires_after(leave_notice);
+    co_await timer.async_wait(as_tuple_awaitable);
+    shared.admission.set_leaving(true);
+    if (control)
+    {
+        co_await control->hand_over();
+    }
+    co_await wait_until_served();
+    timer.expires_after(idle_grace);
+    co_await timer.async_wait(as_tuple_awaitable);
+    sync->stop();
+    const bool clean = co_await stop_workers();
+    if (control)
+    {
+        control->stop();
+    }
+    log_event(event::process_stopped, {{"cut", !clean}});
+    for (auto& each : workers)
+    {
+        each->context.stop();
+    }
+}
+
+leaf::result<std::unique_ptr<daemon>> daemon::start(const settings& from)
+{
+    const incarnation run(wall_milliseconds());
+    auto made = std::make_unique<state>(from, run);
+    BOOST_LEAF_CHECK(made->open());
+    return std::unique_ptr<daemon>(new daemon(std::move(made)));
+}
+
+daemon::daemon(std::unique_ptr<state> state) : state_(std::move(state))
+{
+}
+
+daemon::~daemon() = default;
+
+void daemon::run()
+{
+    auto& first = state_->first().context;
+    asio::co_spawn(first, state_->sync->run(), asio::detached);
+    asio::co_spawn(first, state_->run_ticks(), asio::detached);
+    asio::co_spawn(first, state_->watch_upstream(), asio::detached);
+    asio::co_spawn(first, state_->wait_for_signal(), asio::detached);
+    log_event(
+        event::process_started,
+        {{"host", state_->shared.configured.host.id.str()}});
+    std::vector<std::jthread> threads;
+    for (std::size_t i = 1; i < state_->workers.size(); ++i)
+    {
+        auto& context = state_->workers[i]->context;
+        threads.emplace_back([&context] { context.run(); });
+    }
+    first.run();
+}
+
+void daemon::stop()
+{
+    asio::co_spawn(
+        state_->first().context, state_->shut_down(), asio::detached);
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/daemon_main.cpp
@@ -0,0 +1,126 @@
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/control/control.hpp"
+#include "nutmegusher/node/daemon.hpp"
+#include "nutmegusher/node/http_server.hpp"
+#include "nutmegusher/node/settings.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+
+namespace
+{
+
+namespace leaf = boost::leaf;
+using namespace nutmegusher;
+using namespace nutmegusher::node;
+
+constexpr int exit_failed = 1;
+constexpr int exit_bad_input = 2;
+constexpr const char* version = "0.1.0";
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options(
+        "nutmegusherd",
+        "The daemon beside an upstream, and the control host where the "
+        "settings have a [control] section.");
+    auto add = options.add_options();
+    add("s,settings", "INI file, see docs/SETTINGS.md",
+        cxxopts::value<std::string>());
+    add("check", "read the settings, say what is wrong, and end");
+    add("h,help", "this text");
+    add("version", "the version");
+    return options;
+}
+
+std::string to_text(const endpoint& address)
+{
+    std::ostringstream text;
+    text << address;
+    return text.str();
+}
+
+int report(const std::string& what, int code)
+{
+    std::cerr << "nutmegusherd: " << what << "\n";
+    return code;
+}
+
+int run(const std::string& file, bool check_only)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int>
+        {
+            BOOST_LEAF_AUTO(read, read_settings(file));
+            if (check_only)
+            {
+                std::cout << file << ": good\n";
+                return EXIT_SUCCESS;
+            }
+            start_logging(
+                read.log.format, read.host.id.str(), read.log.lines_per_second);
+            BOOST_LEAF_AUTO(process, daemon::start(read));
+            process->run();
+            return EXIT_SUCCESS;
+        },
+        [](const settings_error& error)
+        { return report(to_string(error), exit_bad_input); },
+        [](const listen_error& error)
+        {
+            return report(
+                "can't listen on " + to_text(error.address) + ": " +
+                    error.code.message(),
+                exit_failed);
+        },
+        [](const wire::listen_failure& error)
+        {
+            return report(
+                "can't listen on " + to_text(error.address) + ": " +
+                    error.cause.message(),
+                exit_failed);
+        },
+        [](const leaf::error_info& info)
+        {
+            std::ostringstream text;
+            text << "can't start: " << info;
+            return report(text.str(), exit_failed);
+        });
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    // A peer that has gone is an error of its connection, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto options = make_options();
+    try
+    {
+        const auto given = options.parse(count, arguments);
+        if (given.count("help") > 0)
+        {
+            std::cout << options.help() << "\n";
+            return EXIT_SUCCESS;
+        }
+        if (given.count("version") > 0)
+        {
+            std::cout << "nutmegusherd " << version << "\n";
+            return EXIT_SUCCESS;
+        }
+        if (given.count("settings") == 0)
+        {
+            return report("--settings FILE is needed", exit_bad_input);
+        }
+        return run(
+            given["settings"].as<std::string>(), given.count("check") > 0);
+    }
+    catch (const cxxopts::OptionException& error)
+    {
+        return report(error.what(), exit_bad_input);
+    }
+}
--- /dev/null
+++ b/nutmegusher/node/operator_api.hpp
@@ -0,0 +1,42 @@
+// What operators ask of a process over HTTP; `docs/INTERFACE.md` lists it.
+#ifndef NUTMEGUSHER_NODE_OPERATOR_API_HPP
+#define NUTMEGUSHER_NODE_OPERATOR_API_HPP
+
+#include "nutmegusher/node/http_server.hpp"
+#include "nutmegusher/node/worker.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <string>
+
+namespace nutmegusher::node
+{
+
+// A control host's own answers; empty functions on a plain daemon.
+struct control_answers
+{
+    std::function<boost::json::value()> state;
+    std::function<boost::json::value()> history;
+    std::function<boost::json::value()> rollout;
+    // Body of `POST /v1/control/replace`; the answer's status and body.
+    std::function<asio::awaitable<std::pair<unsigned, boost::json::value>>(
+        std::string body)>
+        replace;
+};
+
+struct operator_sources
+{
+    std::function<boost::json::value()> sync;
+    std::function<void()> drain;
+    control_answers control;
+};
+
+// Serves one request of an operator. Runs on the worker `here`.
+asio::awaitable<void> serve_operator(
+    worker& here, const operator_sources& sources, caller_exchange& exchange);
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/sync_client.cpp
@@ -0,0 +1,280 @@
+#include "nutmegusher/node/sync_client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+
+#include <array>
+#include <utility>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+
+// How long a control host may hold a sync without news: half of the lease's
+// renewal interval, so that one lost exchange costs no lease.
+constexpr duration poll_wait = std::chrono::seconds(1);
+// On top of it, before the control host counts as failed.
+constexpr duration answer_limit = std::chrono::milliseconds(1500);
+constexpr std::size_t piece_bytes = 16384;
+constexpr std::size_t most_reply_bytes = 64 * 1024 * 1024;
+
+std::vector<control_host> seeds(const settings& from)
+{
+    std::vector<control_host> hosts;
+    for (const auto& address : from.control_hosts)
+    {
+        std::ostringstream text;
+        text << address;
+        control_host host;
+        host.host = host_id(text.str());
+        host.address = text.str();
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+
+place place_of(const host_settings& host)
+{
+    return {host.data_center, host.region};
+}
+
+} // namespace
+
+sync_client::sync_client(worker& here)
+    : here_(here),
+      view_(
+          here.shared.configured.host.id,
+          place_of(here.shared.configured.host)),
+      schedule_(
+          here.shared.configured.host.id,
+          place_of(here.shared.configured.host)),
+      wake_(here.context)
+{
+    schedule_.set_hosts(seeds(here.shared.configured));
+}
+
+asio::awaitable<void> sync_client::run()
+{
+    while (!stopped_)
+    {
+        const auto plan = schedule_.plan(host_clock().now());
+        if (plan.target == nullptr)
+        {
+            co_return;
+        }
+        if (plan.at > host_clock().now())
+        {
+            wake_.expires_at(plan.at);
+            co_await wake_.async_wait(as_tuple_awaitable);
+            continue;
+        }
+        const auto target = *plan.target;
+        co_await sync_with(target);
+    }
+}
+
+void sync_client::sync_now()
+{
+    news_ = true;
+    if (poll_)
+    {
+        poll_->cancel();
+    }
+}
+
+void sync_client::stop()
+{
+    stopped_ = true;
+    wake_.cancel();
+    sync_now();
+}
+
+asio::awaitable<void> sync_client::sync_with(const control_host& target)
+{
+    const auto at = parse_endpoint(target.address);
+    for (const auto& service : here_.shared.routes.wanted())
+    {
+        view_.want(service);
+    }
+    news_ = false;
+    const auto request = make_request();
+    const auto reply = at ? co_await exchange(*at, request) : std::nullopt;
+    if (!reply && news_)
+    {
+        co_return; // the poll was ended on purpose
+    }
+    const bool answered = reply && reply->accepted();
+    if (answered)
+    {
+        schedule_.succeeded(host_clock().now(), here_.random);
+        take(*reply);
+    }
+    else
+    {
+        schedule_.failed(host_clock().now(), here_.random);
+    }
+    note_reached(target.address, answered);
+}
+
+asio::awaitable<std::optional<messages::sync_reply>> sync_client::exchange(
+    const endpoint& at, const messages::sync_request& request)
+{
+    const auto session = co_await here_.peers.get(at);
+    if (!session)
+    {
+        co_return std::nullopt;
+    }
+    const wire::request_head head{"POST", "/control/sync", {}};
+    auto opened = (*session)->open(head, false);
+    if (!opened)
+    {
+        co_return std::nullopt;
+    }
+    poll_ = *std::move(opened);
+    poll_->expire_after(
+        std::chrono::milliseconds(request.wait_ms()) + answer_limit);
+    const auto body = request.SerializeAsString();
+    const auto sent =
+        co_await poll_->write(std::as_bytes(std::span(body)), true);
+    const auto answer = co_await poll_->read_head();
+    std::string text;
+    bool whole = false;
+    std::array<std::byte, piece_bytes> piece;
+    while (sent && answer && answer->status == 200 &&
+           text.size() <= most_reply_bytes)
+    {
+        const auto got = co_await poll_->read_some(piece);
+        if (!got || *got == 0)
+        {
+            whole = got.has_value();
+            break;
+        }
+        text.append(reinterpret_cast<const char*>(piece.data()), *got);
+    }
+    poll_.reset();
+    messages::sync_reply reply;
+    if (!whole || !reply.ParseFromString(text))
+    {
+        co_return std::nullopt;
+    }
+    co_return reply;
+}
+
+messages::sync_request sync_client::make_request() const
+{
+    const auto& shared = here_.shared;
+    const auto& host = shared.configured.host;
+    const auto running = shared.configuration.current()->at();
+    messages::sync_request request;
+    request.set_host(host.id.str());
+    request.set_incarnation(shared.run.value());
+    request.set_data_center(host.data_center.str());
+    request.set_region(host.region.str());
+    request.set_configuration_revision(running.value());
+    if (const auto own = shared.upstream.record())
+    {
+        *request.mutable_own() = *own;
+    }
+    view_.subscribe(request);
+    request.set_linearizable(!confirmed_);
+    const auto wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
+    request.set_wait_ms(
+        confirmed_ ? static_cast<std::uint32_t>(wait.count()) : 0);
+    return request;
+}
+
+void sync_client::take(const messages::sync_reply& reply)
+{
+    auto& shared = here_.shared;
+    if (shared.configuration.accept(reply.delta()))
+    {
+        log_event(
+            event::configuration_in_force,
+            {{"revision", shared.configuration.current()->at().value()}});
+    }
+    confirmed_ = confirmed_ || reply.linearizable();
+    take_control_hosts(reply);
+    view_.apply(reply);
+    update_routes();
+}
+
+void sync_client::take_control_hosts(const messages::sync_reply& reply)
+{
+    std::vector<control_host> hosts;
+    std::vector<endpoint> addresses;
+    for (const auto& item : reply.control_hosts())
+    {
+        control_host host;
+        host.host = host_id(item.host());
+        host.address = item.address();
+        host.at = {
+            data_center_name(item.data_center()), region_name(item.region())};
+        hosts.push_back(std::move(host));
+        if (const auto parsed = parse_endpoint(item.address()))
+        {
+            addresses.push_back(*parsed);
+        }
+    }
+    std::vector<std::optional<endpoint>> leaders;
+    for (const auto& leader : reply.claim_leaders())
+    {
+        leaders.push_back(parse_endpoint(leader));
+    }
+    here_.shared.claims.update(std::move(leaders), std::move(addresses));
+    if (!hosts.empty())
+    {
+        schedule_.set_hosts(hosts);
+    }
+}
+
+// All wanted services, also empty ones: a service without upstreams is known.
+void sync_client::update_routes()
+{
+    messages::sync_request subscribed;
+    view_.subscribe(subscribed);
+    for (const auto& service : subscribed.services())
+    {
+        std::vector<messages::upstream_record> records;
+        for (const auto* record : view_.subset(service_name(service)))
+        {
+            records.push_back(*record);
+        }
+        here_.shared.routes.update(service_name(service), records);
+    }
+}
+
+void sync_client::note_reached(const std::string& address, bool reached)
+{
+    const std::scoped_lock lock(mutex_);
+    control_address_ = address;
+    if (reached)
+    {
+        last_reply_ = host_clock().now();
+    }
+    if (reached_ != reached)
+    {
+        reached_ = reached;
+        log_event(
+            reached ? event::control_reached : event::control_unreachable,
+            {{"control_host", address}});
+    }
+}
+
+boost::json::value sync_client::dump() const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        host_clock().now() - last_reply_);
+    return boost::json::object{
+        {"control_host", control_address_},
+        {"reached", reached_},
+        {"last_reply_ms_ago", reached_ ? age.count() : -1}};
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/sync_server.cpp
@@ -0,0 +1,350 @@
+#include "nutmegusher/node/sync_server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+
+#include <array>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+
+// Between two exchanges with one other control host: a new upstream is known
+// everywhere within twice of it.
+constexpr duration exchange_interval = std::chrono::milliseconds(100);
+constexpr duration exchange_limit = std::chrono::milliseconds(500);
+constexpr std::size_t piece_bytes = 16384;
+constexpr std::size_t most_request_bytes = 1024 * 1024;
+// A daemon can't make a control host hold its sync for longer.
+constexpr duration longest_wait = std::chrono::seconds(5);
+
+asio::awaitable<std::optional<std::string>>
+read_all(wire::server_stream& stream)
+{
+    std::string text;
+    std::array<std::byte, piece_bytes> piece;
+    while (text.size() <= most_request_bytes)
+    {
+        const auto got = co_await stream.read_some(piece);
+        if (!got)
+        {
+            co_return std::nullopt;
+        }
+        if (*got == 0)
+        {
+            co_return text;
+        }
+        text.append(reinterpret_cast<const char*>(piece.data()), *got);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void>
+write_all(wire::server_stream& stream, const std::string& body)
+{
+    wire::response_head head{200, {}};
+    const auto begun =
+        co_await stream.write_head(std::move(head), body.empty());
+    if (begun && !body.empty())
+    {
+        co_await stream.write(std::as_bytes(std::span(body)), true);
+    }
+}
+
+asio::awaitable<void> refuse(wire::server_stream& stream)
+{
+    wire::response_head head{400, {}};
+    co_await stream.write_head(std::move(head), true);
+}
+
+bool is_empty(const messages::configuration_delta& delta)
+{
+    return !delta.has_full() && delta.changes().empty();
+}
+
+lease_options make_lease_options(const control_source& source)
+{
+    lease_options options;
+    const auto hosts = source.control_hosts().size();
+    options.other_control_hosts = hosts > 0 ? hosts - 1 : 0;
+    return options;
+}
+
+} // namespace
+
+// A sync that is held until there is news.
+struct sync_server::waiter
+{
+    explicit waiter(asio::any_io_executor on) : executor(on), timer(on)
+    {
+    }
+
+    asio::any_io_executor executor;
+    asio::steady_timer timer;
+
+    static void wake(std::shared_ptr<waiter> self)
+    {
+        auto& executor = self->executor;
+        asio::post(
+            executor, [self = std::move(self)] { self->timer.cancel(); });
+    }
+};
+
+sync_server::sync_server(
+    host_id self, incarnation run, control_source source)
+    : self_(std::move(self)), source_(std::move(source)),
+      registry_(
+          self_,
+          run.value(),
+          host_clock().now(),
+          make_lease_options(source_))
+{
+}
+
+sync_server::~sync_server() = default;
+
+asio::awaitable<void>
+sync_server::serve(const std::shared_ptr<wire::server_stream>& stream)
+{
+    const auto body = co_await read_all(*stream);
+    if (!body)
+    {
+        co_await refuse(*stream);
+        co_return;
+    }
+    if (stream->head().path == "/control/registry")
+    {
+        messages::registry_exchange asked;
+        if (!asked.ParseFromString(*body))
+        {
+            co_await refuse(*stream);
+            co_return;
+        }
+        std::string reply;
+        {
+            const std::scoped_lock lock(mutex_);
+            reply = registry_.update(host_clock().now(), asked)
+                        .SerializeAsString();
+        }
+        co_await write_all(*stream, reply);
+        co_return;
+    }
+    messages::sync_request request;
+    if (!request.ParseFromString(*body) || request.host().empty())
+    {
+        co_await refuse(*stream);
+        co_return;
+    }
+    const auto reply = co_await answer(std::move(request));
+    const auto text = reply.SerializeAsString();
+    co_await write_all(*stream, text);
+}
+
+asio::awaitable<messages::sync_reply>
+sync_server::answer(messages::sync_request request)
+{
+    messages::sync_reply reply;
+    bool changed = false;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto before = registry_.counts().stamp;
+        const auto renewed = registry_.renew(host_clock().now(), request);
+        reply.set_accepted(renewed == renewal::accepted);
+        changed = registry_.counts().stamp != before;
+    }
+    if (!reply.accepted())
+    {
+        co_return reply;
+    }
+    if (changed)
+    {
+        notify();
+    }
+    if (request.linearizable())
+    {
+        reply.set_linearizable(co_await source_.confirm());
+    }
+    const duration wait = std::chrono::milliseconds(request.wait_ms());
+    const auto until = host_clock().now() + std::min(wait, longest_wait);
+    co_await wait_for_news(request, until);
+    *reply.mutable_delta() =
+        source_.changes_since(revision(request.configuration_revision()));
+    for (auto& leader : source_.claim_leaders())
+    {
+        reply.add_claim_leaders(std::move(leader));
+    }
+    for (auto& host : source_.control_hosts())
+    {
+        *reply.add_control_hosts() = std::move(host);
+    }
+    const std::scoped_lock lock(mutex_);
+    registry_.answer(request, reply);
+    co_return reply;
+}
+
+bool sync_server::has_news(const messages::sync_request& request) const
+{
+    const auto delta =
+        source_.changes_since(revision(request.configuration_revision()));
+    if (!is_empty(delta))
+    {
+        return true;
+    }
+    const std::scoped_lock lock(mutex_);
+    return registry_.has_news(request) || stopped_;
+}
+
+asio::awaitable<void> sync_server::wait_for_news(
+    const messages::sync_request& request, time_point until)
+{
+    const auto mine =
+        std::make_shared<waiter>(co_await asio::this_coro::executor);
+    {
+        const std::scoped_lock lock(mutex_);
+        waiters_.push_back(mine);
+    }
+    while (host_clock().now() < until && !has_news(request))
+    {
+        mine->timer.expires_at(until);
+        co_await mine->timer.async_wait(as_tuple_awaitable);
+    }
+}
+
+void sync_server::notify()
+{
+    const std::scoped_lock lock(mutex_);
+    for (auto& each : waiters_)
+    {
+        if (auto waiting = each.lock())
+        {
+            waiter::wake(std::move(waiting));
+        }
+    }
+}
+
+asio::awaitable<void> sync_server::exchange_leases(wire::session_pool& peers)
+{
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    while (true)
+    {
+        for (auto& other : source_.control_hosts())
+        {
+            // One that doesn't answer must not hold up the others.
+            if (other.host() != self_.str() && begin_exchange(other.host()))
+            {
+                asio::co_spawn(
+                    pause.get_executor(),
+                    exchange_with(peers, std::move(other)),
+                    asio::detached);
+            }
+        }
+        bool changed = false;
+        {
+            const std::scoped_lock lock(mutex_);
+            if (stopped_)
+            {
+                co_return;
+            }
+            const auto before = registry_.counts().stamp;
+            registry_.expire(host_clock().now());
+            changed = registry_.counts().stamp != before;
+            std::erase_if(
+                waiters_, [](const auto& each) { return each.expired(); });
+        }
+        if (changed)
+        {
+            notify();
+        }
+        pause.expires_after(exchange_interval);
+        co_await pause.async_wait(as_tuple_awaitable);
+    }
+}
+
+bool sync_server::begin_exchange(const std::string& host)
+{
+    const std::scoped_lock lock(mutex_);
+    return exchanging_.insert(host).second;
+}
+
+void sync_server::end_exchange(const std::string& host)
+{
+    const std::scoped_lock lock(mutex_);
+    exchanging_.erase(host);
+}
+
+asio::awaitable<void> sync_server::exchange_with(
+    wire::session_pool& peers, messages::control_host other)
+{
+    const auto at = parse_endpoint(other.address());
+    std::string body;
+    {
+        const std::scoped_lock lock(mutex_);
+        body = registry_.exchange(host_id(other.host())).SerializeAsString();
+    }
+    outcome<std::string, wire::stream_failure> answer =
+        wire::stream_failure::not_connected;
+    if (at)
+    {
+        answer = co_await wire::call(
+            peers, *at, "/control/registry", body, exchange_limit);
+    }
+    end_exchange(other.host());
+    messages::registry_update update;
+    if (!answer || !update.ParseFromString(*answer))
+    {
+        co_return;
+    }
+    bool changed = false;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto before = registry_.counts().stamp;
+        registry_.apply(
+            host_clock().now(), host_id(other.host()), update);
+        changed = registry_.counts().stamp != before;
+    }
+    if (changed)
+    {
+        notify();
+    }
+}
+
+void sync_server::stop()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        stopped_ = true;
+    }
+    notify();
+}
+
+rollout_tally sync_server::rollout() const
+{
+    const std::scoped_lock lock(mutex_);
+    return registry_.rollout();
+}
+
+boost::json::value sync_server::dump() const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto counts = registry_.counts();
+    return boost::json::object{
+        {"leases", counts.leases},
+        {"owned", counts.owned},
+        {"upstreams", counts.upstreams},
+        {"services", counts.services},
+        {"stamp", counts.stamp},
+        {"settled", counts.settled}};
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/sync_server.hpp
@@ -0,0 +1,88 @@
+// A control host's side of the exchange with daemons, and with the other
+// control hosts about their leases.
+#ifndef NUTMEGUSHER_NODE_SYNC_SERVER_HPP
+#define NUTMEGUSHER_NODE_SYNC_SERVER_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/membership/membership.hpp"
+#include "nutmegusher/node/settings.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::node
+{
+
+namespace asio = boost::asio;
+
+// What the sync needs of the replicated logs; each is safe from every thread.
+struct control_source
+{
+    std::function<messages::configuration_delta(revision)> changes_since;
+    // Waits until what this host runs is known to be the latest that a
+    // majority has accepted. False: no majority answers.
+    std::function<asio::awaitable<bool>()> confirm;
+    // ip:port of the leaders by claim group, empty where unknown.
+    std::function<std::vector<std::string>()> claim_leaders;
+    std::function<std::vector<messages::control_host>()> control_hosts;
+};
+
+// Safe from every thread.
+class sync_server
+{
+public:
+    sync_server(host_id self, incarnation run, control_source source);
+    sync_server(const sync_server&) = delete;
+    sync_server& operator=(const sync_server&) = delete;
+    ~sync_server();
+
+    // Serves "/control/sync" and "/control/registry".
+    asio::awaitable<void>
+    serve(const std::shared_ptr<wire::server_stream>& stream);
+
+    // Wakes the syncs that wait: the configuration has changed.
+    void notify();
+
+    // Exchanges leases with the other control hosts until `stop`; runs on the
+    // thread of `peers`.
+    asio::awaitable<void> exchange_leases(wire::session_pool& peers);
+
+    void stop();
+
+    [[nodiscard]] rollout_tally rollout() const;
+    [[nodiscard]] boost::json::value dump() const;
+
+private:
+    struct waiter;
+
+    asio::awaitable<messages::sync_reply> answer(messages::sync_request request);
+    asio::awaitable<void> wait_for_news(
+        const messages::sync_request& request, time_point until);
+    [[nodiscard]] bool has_news(const messages::sync_request& request) const;
+    asio::awaitable<void>
+    exchange_with(wire::session_pool& peers, messages::control_host other);
+    // False where an exchange with that host is still under way.
+    bool begin_exchange(const std::string& host);
+    void end_exchange(const std::string& host);
+
+    const host_id self_;
+    const control_source source_;
+    mutable std::mutex mutex_;
+    lease_registry registry_;
+    std::vector<std::weak_ptr<waiter>> waiters_;
+    std::set<std::string> exchanging_;
+    bool stopped_ = false;
+};
+
+} // namespace nutmegusher::node
+
+#endif
