Test wire on loopback: cuts, silence, stops, limits, pooling

One reset is submitted for a stream at most. - nghttp2 sends a PING before a GOAWAY that was queued earlier, so the answer didn't prove that the peer had read the notice of a stop. The PING is submitted when the notice has been written. - After a PING was answered the next check came only at the silence limit; it comes at the PING interval now.

A capturing lambda inside a co_await expression was destroyed twice (g++ 12) in a test; all are named first.

--- a/nutmegusher/wire/client_stream.cpp
+++ b/nutmegusher/wire/client_stream.cpp
@@ -57,6 +57,11 @@
     return connection_->write(stream_, part, end);
 }
 
+std::size_t client_stream::buffered_bytes() const
+{
+    return stream_->inbound.size();
+}
+
 void client_stream::expire_after(duration left)
 {
     auto& context = connection_->context();
--- a/nutmegusher/wire/client_stream.hpp
+++ b/nutmegusher/wire/client_stream.hpp
@@ -51,6 +51,9 @@
     [[nodiscard]] boost::asio::awaitable<outcome<void, stream_failure>>
     write(std::span<const std::byte> part, bool end);
 
+    // Bytes of the response's body that wait to be read; for dumps and tests.
+    [[nodiscard]] std::size_t buffered_bytes() const;
+
     // After `left` whatever isn't complete fails with `timed_out`, and the
     // peer is told to stop.
     void expire_after(duration left);
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -60,17 +60,41 @@
     // open, closes.
     void stop_gracefully();
 
-    [[nodiscard]] asio::io_context& context() const;
-    [[nodiscard]] tcp_socket& socket();
-    [[nodiscard]] const session_options& options() const;
-    [[nodiscard]] bool ready() const;
-    [[nodiscard]] bool closed() const;
-    [[nodiscard]] stream_failure failure() const;
+    [[nodiscard]] asio::io_context& context() const
+    {
+        return context_;
+    }
+    [[nodiscard]] tcp_socket& socket()
+    {
+        return socket_;
+    }
+    [[nodiscard]] const session_options& options() const
+    {
+        return options_;
+    }
+    [[nodiscard]] bool ready() const
+    {
+        return ready_;
+    }
+    [[nodiscard]] bool closed() const
+    {
+        return closed_;
+    }
+    [[nodiscard]] stream_failure failure() const
+    {
+        return failure_;
+    }
     // Notified when it gets ready, or closes.
-    [[nodiscard]] signal& opened();
+    [[nodiscard]] signal& opened()
+    {
+        return opened_;
+    }
     [[nodiscard]] bool usable() const;
     [[nodiscard]] bool has_free_stream() const;
-    [[nodiscard]] std::size_t open_streams() const;
+    [[nodiscard]] std::size_t open_streams() const
+    {
+        return streams_.size();
+    }
     // Server: running handlers, and responses that are still to be sent.
     [[nodiscard]] std::size_t streams_in_flight() const;
 
@@ -107,7 +131,7 @@
     void stream_closed(std::int32_t id, std::uint32_t code);
 
 private:
-    // connection.cpp: the socket and the time.
+    // connection.cpp: the socket.
     void wait_readable();
     void read_ready();
     bool read_batch();
@@ -117,12 +141,14 @@
     void gather();
     void written(const error_code& error);
     void finish_if_done();
+    [[nodiscard]] bool busy() const;
+
+    // connection_time.cpp.
     void linger();
     void plan_tick();
     void tick();
-    [[nodiscard]] bool busy() const;
 
-    // connection_streams.cpp: the streams.
+    // connection_streams.cpp and connection_frames.cpp.
     [[nodiscard]] std::shared_ptr<stream> make_stream(std::int32_t id);
     [[nodiscard]] stream* find(std::int32_t id) const;
     void resume(stream& target);
@@ -132,6 +158,7 @@
     void headers_received(const nghttp2_frame& frame);
     void remote_end(stream& target);
     void local_end(stream& target);
+    void ask_for_shutdown_confirmation();
     void shutdown_confirmed();
 
     asio::io_context& context_;
--- /dev/null
+++ b/nutmegusher/wire/connection_time.cpp
@@ -0,0 +1,104 @@
+// The part of a connection that time drives: handshake, liveness, idleness,
+// the end.
+#include "nutmegusher/base/events.hpp"
+#include "nutmegusher/wire/connection.hpp"
+
+#include <sstream>
+
+namespace nutmegusher::wire::internal
+{
+namespace
+{
+
+std::string peer_name(const tcp_socket& socket)
+{
+    error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    std::ostringstream text;
+    text << peer;
+    return text.str();
+}
+
+} // namespace
+
+void connection::limit_handshake()
+{
+    tick_.expires_after(options_.connect_timeout);
+    const auto expired = [weak = weak_from_this()](const error_code& error)
+    {
+        const auto self = weak.lock();
+        if (self && !error && !self->ready_)
+        {
+            self->lose(stream_failure::timed_out);
+        }
+    };
+    tick_.async_wait(expired);
+}
+
+// Closing while bytes of the peer are unread would make TCP drop what was
+// sent last; so only the sending side ends, until the peer closes too.
+void connection::linger()
+{
+    if (lingering_)
+    {
+        return;
+    }
+    lingering_ = true;
+    error_code ignored;
+    socket_.shutdown(tcp_socket::shutdown_send, ignored);
+    tick_.expires_after(options_.linger_limit);
+    const auto expired = [weak = weak_from_this()](const error_code& error)
+    {
+        const auto self = weak.lock();
+        if (self && !error)
+        {
+            self->lose(stream_failure::cut);
+        }
+    };
+    tick_.async_wait(expired);
+}
+
+void connection::plan_tick()
+{
+    const bool recently_busy = busy() || used_since_tick_;
+    used_since_tick_ = false;
+    last_tick_ = std::chrono::steady_clock::now();
+    tick_.expires_after(liveness_.plan_tick(recently_busy));
+    const auto due = [weak = weak_from_this()](const error_code& error)
+    {
+        const auto self = weak.lock();
+        if (self && !error && !self->closed_ && !self->lingering_)
+        {
+            self->tick();
+        }
+    };
+    tick_.async_wait(due);
+}
+
+void connection::tick()
+{
+    const auto elapsed = std::chrono::steady_clock::now() - last_tick_;
+    const auto action = liveness_.tick(elapsed, busy());
+    if (action == liveness::action::give_up)
+    {
+        const auto peer = peer_name(socket_);
+        log_event(event::connection_silent, {{"peer", peer}});
+        lose(stream_failure::silent);
+        return;
+    }
+    if (action == liveness::action::send_ping)
+    {
+        nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+        schedule_flush();
+    }
+    const bool idle = !busy() && !used_since_tick_;
+    idle_ = idle ? idle_ + elapsed : duration::zero();
+    if (role_ == side::client && idle_ >= options_.idle_limit)
+    {
+        lose(stream_failure::cut);
+        return;
+    }
+    plan_tick();
+}
+
+} // namespace nutmegusher::wire::internal
--- a/nutmegusher/wire/liveness.cpp
+++ b/nutmegusher/wire/liveness.cpp
@@ -42,8 +42,9 @@
     }
     const auto next_limit =
         suspect_ ? silence_limit_ + give_up_limit_ : silence_limit_;
-    planned_ = std::max<duration>(
+    const auto left = std::max<duration>(
         next_limit - unanswered_, std::chrono::milliseconds(1));
+    planned_ = std::min(left, ping_interval_);
     return planned_;
 }
 
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -188,7 +188,8 @@
         owner->handler_started();
         auto handle = std::make_shared<server_stream>(owner, std::move(begun));
         // The coroutine refers to the handler's own state.
-        auto finished = [owner, handler = handler_](std::exception_ptr)
+        auto finished =
+            [owner, handler = handler_](const std::exception_ptr& /*thrown*/)
         {
             // Whatever it was, the stream is reset where it isn't ended.
             owner->handler_finished();
@@ -210,7 +211,7 @@
 
 leaf::result<std::unique_ptr<server>> server::listen(
     boost::asio::io_context& context,
-    boost::asio::ip::tcp::endpoint address,
+    const boost::asio::ip::tcp::endpoint& address,
     stream_handler handler,
     session_options options,
     bool reuse_port)
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -43,7 +43,7 @@
     // Errors: listen_failure.
     [[nodiscard]] static leaf::result<std::unique_ptr<server>> listen(
         boost::asio::io_context& context,
-        boost::asio::ip::tcp::endpoint address,
+        const boost::asio::ip::tcp::endpoint& address,
         stream_handler handler,
         session_options options,
         bool reuse_port);
--- /dev/null
+++ b/nutmegusher/wire/server_stop_test.cpp
@@ -0,0 +1,170 @@
+#include "nutmegusher/wire/wire_test_support.hpp"
+
+namespace nutmegusher::wire
+{
+namespace
+{
+
+asio::awaitable<void> stop(server& stopped, duration limit, bool& done)
+{
+    co_await stopped.stop_gracefully(limit);
+    done = true;
+}
+
+asio::awaitable<void> graceful_stop(asio::io_context& context)
+{
+    gate watched;
+    const auto server = listen_or_fail(context, behind(watched));
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto body = make_body(3, 200000);
+    const auto stream = (*session)->open(post("/echo"), false);
+    EXPECT_TRUE(stream);
+    const auto bytes = std::as_bytes(std::span(body));
+    const auto entered = [&watched]
+    {
+        return watched.entered == 1;
+    };
+    co_await until(entered);
+
+    bool stopped = false;
+    asio::co_spawn(context, stop(*server, test_limit, stopped), asio::detached);
+    const auto going_away = [&session]
+    {
+        return !(*session)->usable();
+    };
+    co_await until(going_away);
+    const auto late = (*session)->open(get("/late"), true);
+    EXPECT_FALSE(late);
+    EXPECT_EQ(late.error(), stream_failure::not_connected);
+    EXPECT_FALSE(stopped);
+
+    watched.open = true;
+    const auto written = co_await (*stream)->write(bytes, true);
+    EXPECT_TRUE(written);
+    const auto answer = co_await finish(**stream);
+    EXPECT_TRUE(answer);
+    EXPECT_TRUE(answer == body);
+    const auto has_stopped = [&stopped]
+    {
+        return stopped;
+    };
+    co_await until(has_stopped);
+    EXPECT_EQ(server->connections(), 0U);
+    EXPECT_EQ(watched.cancelled, 0);
+}
+
+TEST(server, a_graceful_stop_cuts_nothing_in_flight)
+{
+    asio::io_context context(1);
+    run(context, graceful_stop(context));
+}
+
+struct request_tally
+{
+    int whole = 0;
+    int not_processed = 0;
+    int other = 0;
+    int running = 0;
+};
+
+// Asks again and again until the server takes no more.
+asio::awaitable<void>
+ask_until_stopped(client_session& session, request_tally& tally)
+{
+    ++tally.running;
+    for (;;)
+    {
+        const auto stream = session.open(get("/"), true);
+        if (!stream)
+        {
+            break;
+        }
+        const auto answer = co_await finish(**stream);
+        if (answer)
+        {
+            ++tally.whole;
+            continue;
+        }
+        const bool unprocessed = certainly_not_processed(answer.error());
+        ++(unprocessed ? tally.not_processed : tally.other);
+    }
+    --tally.running;
+}
+
+asio::awaitable<void> stop_under_load(asio::io_context& context)
+{
+    int handled = 0;
+    const auto serve = [&handled](std::shared_ptr<server_stream> stream)
+        -> asio::awaitable<void>
+    {
+        ++handled;
+        co_await echo(stream);
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    request_tally tally;
+    for (int i = 0; i < 50; ++i)
+    {
+        asio::co_spawn(
+            context, ask_until_stopped(**session, tally), asio::detached);
+    }
+    const auto under_load = [&tally]
+    {
+        return tally.whole > 1000;
+    };
+    co_await until(under_load);
+    co_await server->stop_gracefully(test_limit);
+    const auto all_ended = [&tally]
+    {
+        return tally.running == 0;
+    };
+    co_await until(all_ended);
+    EXPECT_EQ(tally.other, 0);
+    // What was said not to be processed wasn't.
+    EXPECT_EQ(handled, tally.whole);
+}
+
+TEST(server, a_stop_under_load_answers_or_refuses_each_request)
+{
+    asio::io_context context(1);
+    run(context, stop_under_load(context));
+}
+
+asio::awaitable<void> stop_limit(asio::io_context& context)
+{
+    gate watched;
+    const auto server = listen_or_fail(context, behind(watched));
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto stream = (*session)->open(get("/"), true);
+    EXPECT_TRUE(stream);
+    const auto entered = [&watched]
+    {
+        return watched.entered == 1;
+    };
+    co_await until(entered);
+    co_await server->stop_gracefully(std::chrono::milliseconds(50));
+    EXPECT_EQ(server->connections(), 0U);
+    const auto answer = co_await finish(**stream);
+    EXPECT_FALSE(answer);
+    EXPECT_EQ(answer.error(), stream_failure::cut);
+    const auto told = [&watched]
+    {
+        return watched.cancelled == 1;
+    };
+    co_await until(told);
+}
+
+TEST(server, a_stop_ends_at_its_limit)
+{
+    asio::io_context context(1);
+    run(context, stop_limit(context));
+}
+
+} // namespace
+} // namespace nutmegusher::wire
--- /dev/null
+++ b/nutmegusher/wire/server_test.cpp
@@ -0,0 +1,266 @@
+#include "nutmegusher/wire/wire_test_relay.hpp"
+
+namespace nutmegusher::wire
+{
+namespace
+{
+
+asio::awaitable<void> cancel_reaches_handler(asio::io_context& context)
+{
+    gate watched;
+    const auto server = listen_or_fail(context, behind(watched));
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    {
+        const auto dropped = (*session)->open(get("/"), true);
+        EXPECT_TRUE(dropped);
+        const auto entered = [&watched]
+        {
+            return watched.entered == 1;
+        };
+        co_await until(entered);
+    }
+    const auto told = [&watched]
+    {
+        return watched.cancelled == 1;
+    };
+    co_await until(told);
+    const auto lost = (*session)->open(get("/"), true);
+    EXPECT_TRUE(lost);
+    const auto entered_again = [&watched]
+    {
+        return watched.entered == 2;
+    };
+    co_await until(entered_again);
+    (*session)->close();
+    const auto told_again = [&watched]
+    {
+        return watched.cancelled == 2;
+    };
+    co_await until(told_again);
+    const auto none_open = [&server]
+    {
+        return server->open_streams() == 0;
+    };
+    co_await until(none_open);
+}
+
+TEST(server, a_dropped_stream_and_a_lost_connection_cancel_the_handler)
+{
+    asio::io_context context(1);
+    run(context, cancel_reaches_handler(context));
+}
+
+asio::awaitable<void> no_answer(asio::io_context& context)
+{
+    const auto serve =
+        [](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        if (stream->head().path == "/throw")
+        {
+            throw std::runtime_error("a handler's fault");
+        }
+        static_cast<void>(co_await stream->write_head(response_head{}, false));
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    for (const std::string path : {"/throw", "/half"})
+    {
+        const auto stream = (*session)->open(get(path), true);
+        EXPECT_TRUE(stream);
+        const auto answer = co_await finish(**stream);
+        EXPECT_FALSE(answer);
+        EXPECT_EQ(answer.error(), stream_failure::reset);
+    }
+}
+
+TEST(server, a_handler_without_a_whole_answer_resets_the_stream)
+{
+    asio::io_context context(1);
+    run(context, no_answer(context));
+}
+
+asio::awaitable<void> limit_of_streams(asio::io_context& context)
+{
+    gate watched;
+    session_options few;
+    few.max_concurrent_streams = 3;
+    const auto server = listen_or_fail(context, behind(watched), few);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    std::vector<std::unique_ptr<client_stream>> held;
+    for (int i = 0; i < 3; ++i)
+    {
+        auto stream = (*session)->open(get("/"), true);
+        EXPECT_TRUE(stream);
+        held.push_back(std::move(*stream));
+    }
+    const auto more = (*session)->open(get("/"), true);
+    EXPECT_FALSE(more);
+    EXPECT_EQ(more.error(), stream_failure::refused);
+    watched.open = true;
+}
+
+TEST(server, more_streams_than_the_limit_are_refused)
+{
+    asio::io_context context(1);
+    run(context, limit_of_streams(context));
+}
+
+// A client that opens and resets streams as fast as it can, while handlers
+// don't notice.
+asio::awaitable<void> rapid_reset(asio::io_context& context)
+{
+    std::size_t running = 0;
+    std::size_t most = 0;
+    bool finish_all = false;
+    const auto serve =
+        [&](std::shared_ptr<server_stream>) -> asio::awaitable<void>
+    {
+        ++running;
+        most = std::max(most, running);
+        const auto allowed = [&finish_all]
+        {
+            return finish_all;
+        };
+        co_await until(allowed);
+        --running;
+    };
+    session_options few;
+    few.max_concurrent_streams = 10;
+    const auto server = listen_or_fail(context, serve, few);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    for (int i = 0; i < 200; ++i)
+    {
+        {
+            const auto dropped = (*session)->open(get("/"), true);
+            EXPECT_TRUE(dropped);
+            co_await sleep_for(std::chrono::microseconds(200));
+        }
+        const auto client_has_none = [&session]
+        {
+            return (*session)->open_streams() == 0;
+        };
+        co_await until(client_has_none);
+    }
+    EXPECT_LE(most, 20U);
+    EXPECT_GE(most, 10U);
+    finish_all = true;
+    const auto none_running = [&running]
+    {
+        return running == 0;
+    };
+    co_await until(none_running);
+}
+
+TEST(server, streams_reset_at_once_start_a_bounded_number_of_handlers)
+{
+    asio::io_context context(1);
+    run(context, rapid_reset(context));
+}
+
+// The preface and empty SETTINGS of a client, then PINGs without end.
+asio::awaitable<void> ping_flood(asio::io_context& context)
+{
+    session_options strict;
+    strict.max_control_frames_per_second = 50;
+    const auto server = listen_or_fail(context, echo, strict);
+    tcp::socket socket(context);
+    co_await socket.async_connect(
+        server->local_endpoint(), asio::use_awaitable);
+    const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+    const std::string ping("\0\0\10\6\0\0\0\0\0abcdefgh", 17);
+    auto bytes = preface + settings;
+    for (int i = 0; i < 200; ++i)
+    {
+        bytes += ping;
+    }
+    co_await asio::async_write(
+        socket, asio::buffer(bytes), asio::use_awaitable);
+    const auto none_connected = [&server]
+    {
+        return server->connections() == 0;
+    };
+    co_await until(none_connected);
+}
+
+TEST(server, a_flood_of_pings_closes_the_connection)
+{
+    asio::io_context context(1);
+    run(context, ping_flood(context));
+}
+
+asio::awaitable<void> silent_from_the_start(asio::io_context& context)
+{
+    session_options quick;
+    quick.connect_timeout = std::chrono::milliseconds(50);
+    quick.max_connections = 2;
+    const auto server = listen_or_fail(context, echo, quick);
+    std::vector<tcp::socket> sockets;
+    for (int i = 0; i < 5; ++i)
+    {
+        sockets.emplace_back(context);
+        co_await sockets.back().async_connect(
+            server->local_endpoint(), asio::use_awaitable);
+    }
+    const auto some_connected = [&server]
+    {
+        return server->connections() > 0;
+    };
+    co_await until(some_connected);
+    EXPECT_LE(server->connections(), 2U);
+    const auto none_connected = [&server]
+    {
+        return server->connections() == 0;
+    };
+    co_await until(none_connected);
+}
+
+TEST(server, connections_are_limited_and_must_speak_in_time)
+{
+    asio::io_context context(1);
+    run(context, silent_from_the_start(context));
+}
+
+TEST(server, an_address_in_use_is_a_typed_failure)
+{
+    asio::io_context context(1);
+    const auto first = listen_or_fail(context, echo);
+    const auto taken = first->local_endpoint();
+    bool typed = false;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_CHECK(
+                server::listen(context, taken, echo, session_options{}, false));
+            return {};
+        },
+        [&](const listen_failure& failure)
+        {
+            typed = failure.address == taken && failure.cause.failed();
+        },
+        [] {});
+    EXPECT_TRUE(typed);
+}
+
+TEST(server, two_servers_share_an_address_where_asked)
+{
+    asio::io_context context(1);
+    auto first =
+        server::listen(context, any_port(), echo, session_options{}, true);
+    ASSERT_TRUE(first);
+    const auto shared = (*first)->local_endpoint();
+    auto second =
+        server::listen(context, shared, echo, session_options{}, true);
+    EXPECT_TRUE(second);
+}
+
+} // namespace
+} // namespace nutmegusher::wire
--- a/nutmegusher/wire/session_pool.cpp
+++ b/nutmegusher/wire/session_pool.cpp
@@ -313,8 +313,8 @@
 session_pool::get(
     boost::asio::ip::tcp::endpoint peer, traffic kind, time_point deadline)
 {
-    const internal::pool_key key{peer, kind};
-    return state_->get(key, deadline);
+    internal::pool_key key{std::move(peer), kind};
+    return state_->get(std::move(key), deadline);
 }
 
 std::shared_ptr<client_session> session_pool::find(
--- /dev/null
+++ b/nutmegusher/wire/session_pool_test.cpp
@@ -0,0 +1,235 @@
+#include "nutmegusher/wire/wire_test_relay.hpp"
+
+namespace nutmegusher::wire
+{
+namespace
+{
+
+asio::awaitable<void> get_into(
+    session_pool& pool, tcp::endpoint peer, std::vector<client_session*>& all)
+{
+    const auto session = co_await pool.get(peer);
+    EXPECT_TRUE(session);
+    all.push_back(session->get());
+}
+
+asio::awaitable<void> share(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, echo);
+    session_pool pool(context, session_options{});
+    std::vector<client_session*> all;
+    for (int i = 0; i < 20; ++i)
+    {
+        asio::co_spawn(
+            context,
+            get_into(pool, server->local_endpoint(), all),
+            asio::detached);
+    }
+    const auto all_have_one = [&all]
+    {
+        return all.size() == 20;
+    };
+    co_await until(all_have_one);
+    EXPECT_EQ(std::ranges::count(all, all.front()), 20);
+    EXPECT_EQ(pool.sessions(), 1U);
+    const auto bulk =
+        co_await pool.get(server->local_endpoint(), traffic::long_transfers);
+    EXPECT_TRUE(bulk);
+    EXPECT_NE(bulk->get(), all.front());
+    EXPECT_EQ(pool.sessions(), 2U);
+}
+
+TEST(session_pool, callers_share_one_connect_but_not_with_transfers)
+{
+    asio::io_context context(1);
+    run(context, share(context));
+}
+
+asio::awaitable<void> hold(std::shared_ptr<server_stream> stream)
+{
+    const auto cancelled = [stream]
+    {
+        return stream->cancelled();
+    };
+    co_await until(cancelled);
+}
+
+asio::awaitable<void> full_sessions(asio::io_context& context)
+{
+    session_options few;
+    few.max_concurrent_streams = 2;
+    few.max_sessions_per_endpoint = 3;
+    const auto server = listen_or_fail(context, hold, few);
+    session_pool pool(context, few);
+    std::vector<std::unique_ptr<client_stream>> held;
+    for (int i = 0; i < 6; ++i)
+    {
+        const auto session = co_await pool.get(server->local_endpoint());
+        EXPECT_TRUE(session);
+        auto stream = (*session)->open(get("/"), true);
+        EXPECT_TRUE(stream);
+        held.push_back(std::move(*stream));
+    }
+    EXPECT_EQ(pool.sessions(), 3U);
+    const auto none = co_await pool.get(server->local_endpoint());
+    EXPECT_FALSE(none);
+    EXPECT_EQ(none.error(), stream_failure::refused);
+    held.pop_back();
+    const auto last = [&pool, &server]
+    {
+        return pool.find(server->local_endpoint()) != nullptr;
+    };
+    co_await until(last);
+}
+
+TEST(session_pool, another_session_is_opened_where_all_are_full)
+{
+    asio::io_context context(1);
+    run(context, full_sessions(context));
+}
+
+asio::awaitable<void> idle(asio::io_context& context)
+{
+    session_options quick;
+    quick.ping_interval = std::chrono::milliseconds(10);
+    quick.idle_ping_interval = std::chrono::milliseconds(20);
+    quick.idle_limit = std::chrono::milliseconds(60);
+    const auto server = listen_or_fail(context, echo);
+    session_pool pool(context, quick);
+    const auto first =
+        co_await call(pool, server->local_endpoint(), "/", "one", test_limit);
+    EXPECT_EQ(first, std::string("one"));
+    const auto none_pooled = [&pool]
+    {
+        return pool.sessions() == 0;
+    };
+    co_await until(none_pooled);
+    const auto none_connected = [&server]
+    {
+        return server->connections() == 0;
+    };
+    co_await until(none_connected);
+    const auto second =
+        co_await call(pool, server->local_endpoint(), "/", "two", test_limit);
+    EXPECT_EQ(second, std::string("two"));
+}
+
+TEST(session_pool, an_idle_session_is_closed_and_replaced_on_demand)
+{
+    asio::io_context context(1);
+    run(context, idle(context));
+}
+
+asio::awaitable<void> nobody_listens(asio::io_context& context)
+{
+    tcp::endpoint closed_port;
+    {
+        const tcp::acceptor acceptor(context, any_port());
+        closed_port = acceptor.local_endpoint();
+    }
+    session_options options;
+    options.connect_backoff = std::chrono::hours(1);
+    session_pool pool(context, options);
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto session = co_await pool.get(closed_port);
+        EXPECT_FALSE(session);
+        EXPECT_EQ(session.error(), stream_failure::not_connected);
+    }
+}
+
+TEST(session_pool, a_failed_connect_fails_all_that_wait_for_it)
+{
+    asio::io_context context(1);
+    run(context, nobody_listens(context));
+}
+
+asio::awaitable<void> patience(asio::io_context& context)
+{
+    const tcp::acceptor acceptor(context, any_port());
+    session_options slow;
+    slow.connect_timeout = test_limit;
+    session_pool pool(context, slow);
+    const auto answer = co_await call(
+        pool,
+        acceptor.local_endpoint(),
+        "/",
+        "",
+        std::chrono::milliseconds(30));
+    EXPECT_FALSE(answer);
+    EXPECT_EQ(answer.error(), stream_failure::timed_out);
+}
+
+TEST(session_pool, a_caller_waits_for_a_connect_until_its_own_deadline_only)
+{
+    asio::io_context context(1);
+    run(context, patience(context));
+}
+
+asio::awaitable<void> left_upstream(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, hold);
+    session_pool pool(context, session_options{});
+    const auto peer = server->local_endpoint();
+    {
+        const auto session = co_await pool.get(peer);
+        EXPECT_TRUE(session);
+        const auto stream = (*session)->open(get("/"), true);
+        EXPECT_TRUE(stream);
+        const auto one_open = [&server]
+        {
+            return server->open_streams() == 1;
+        };
+        co_await until(one_open);
+        pool.forget(peer);
+        EXPECT_EQ(pool.sessions(), 0U);
+        EXPECT_EQ(server->open_streams(), 1U);
+    }
+    const auto none_connected = [&server]
+    {
+        return server->connections() == 0;
+    };
+    co_await until(none_connected);
+}
+
+TEST(session_pool, a_forgotten_peer_keeps_its_streams_until_they_end)
+{
+    asio::io_context context(1);
+    run(context, left_upstream(context));
+}
+
+asio::awaitable<void> answers(asio::io_context& context)
+{
+    const auto serve =
+        [](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        if (stream->head().path == "/echo")
+        {
+            co_await echo(stream);
+            co_return;
+        }
+        response_head head;
+        head.status = 404;
+        static_cast<void>(co_await stream->write_head(head, true));
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto peer = server->local_endpoint();
+    session_pool pool(context, session_options{});
+    const auto body = make_body(9, 300000);
+    const auto answer = co_await call(pool, peer, "/echo", body, test_limit);
+    EXPECT_TRUE(answer == body);
+    EXPECT_EQ(
+        co_await call(pool, peer, "/echo", "", test_limit), std::string());
+    const auto unknown = co_await call(pool, peer, "/none", "", test_limit);
+    EXPECT_FALSE(unknown);
+    EXPECT_EQ(unknown.error(), stream_failure::bad_status);
+}
+
+TEST(call, gives_the_whole_answer_or_a_failure)
+{
+    asio::io_context context(1);
+    run(context, answers(context));
+}
+
+} // namespace
+} // namespace nutmegusher::wire
--- /dev/null
+++ b/nutmegusher/wire/silence_test.cpp
@@ -0,0 +1,142 @@
+// Connections that go silent while new ones work.
+#include "nutmegusher/wire/wire_test_relay.hpp"
+
+namespace nutmegusher::wire
+{
+namespace
+{
+
+session_options quick_times()
+{
+    session_options options;
+    options.ping_interval = std::chrono::milliseconds(20);
+    options.idle_ping_interval = std::chrono::milliseconds(100);
+    options.silence_limit = std::chrono::milliseconds(100);
+    options.give_up_limit = std::chrono::milliseconds(100);
+    return options;
+}
+
+// Never answers; the request waits.
+asio::awaitable<void> wait_for_cancel(std::shared_ptr<server_stream> stream)
+{
+    const auto cancelled = [stream]
+    {
+        return stream->cancelled();
+    };
+    co_await until(cancelled);
+}
+
+asio::awaitable<void> request_on_silent_connection(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, wait_for_cancel, quick_times());
+    tcp_relay relay(context, server->local_endpoint());
+    session_pool pool(context, quick_times());
+    const auto first = co_await pool.get(relay.endpoint());
+    EXPECT_TRUE(first);
+    const auto stream = (*first)->open(get("/wait"), true);
+    EXPECT_TRUE(stream);
+    const auto one_open = [&server]
+    {
+        return server->open_streams() == 1;
+    };
+    co_await until(one_open);
+
+    relay.silence();
+    const auto suspect = [&first]
+    {
+        return !(*first)->usable();
+    };
+    co_await until(suspect);
+    const auto second = co_await pool.get(relay.endpoint());
+    EXPECT_TRUE(second);
+    EXPECT_NE(second->get(), first->get());
+    EXPECT_TRUE((*second)->usable());
+
+    const auto head = co_await (*stream)->read_head();
+    EXPECT_FALSE(head);
+    EXPECT_EQ(head.error(), stream_failure::silent);
+    // The server finds out too, so that its handler stops.
+    const auto none_open = [&server]
+    {
+        return server->open_streams() == 0;
+    };
+    co_await until(none_open);
+}
+
+TEST(silence, a_silent_connection_is_replaced_and_its_streams_fail)
+{
+    asio::io_context context(1);
+    run(context, request_on_silent_connection(context));
+}
+
+asio::awaitable<void> idle_silent_connection(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, echo, quick_times());
+    tcp_relay relay(context, server->local_endpoint());
+    session_pool pool(context, quick_times());
+    const auto first = co_await pool.get(relay.endpoint());
+    EXPECT_TRUE(first);
+    relay.silence();
+    const auto suspect = [&first]
+    {
+        return !(*first)->usable();
+    };
+    co_await until(suspect);
+    const auto answer =
+        co_await call(pool, relay.endpoint(), "/echo", "again", test_limit);
+    EXPECT_TRUE(answer);
+    EXPECT_EQ(answer.value(), "again");
+}
+
+TEST(silence, an_idle_connection_that_went_silent_is_found)
+{
+    asio::io_context context(1);
+    run(context, idle_silent_connection(context));
+}
+
+asio::awaitable<void> stopped_process(asio::io_context& context)
+{
+    // The kernel accepts for a process that doesn't run.
+    tcp::acceptor acceptor(context, any_port());
+    auto options = quick_times();
+    options.connect_timeout = std::chrono::milliseconds(200);
+    session_pool pool(context, options);
+    const auto session = co_await pool.get(acceptor.local_endpoint());
+    EXPECT_FALSE(session);
+    EXPECT_EQ(session.error(), stream_failure::timed_out);
+}
+
+TEST(silence, a_process_that_only_accepts_is_not_connected_to)
+{
+    asio::io_context context(1);
+    run(context, stopped_process(context));
+}
+
+// A quiet peer that lives: the handler takes long, the PINGs are answered.
+asio::awaitable<void> long_work(asio::io_context& context)
+{
+    const auto work =
+        [](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        co_await sleep_for(std::chrono::seconds(1));
+        response_head head;
+        static_cast<void>(co_await stream->write_head(head, true));
+    };
+    const auto server = listen_or_fail(context, work, quick_times());
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), quick_times());
+    EXPECT_TRUE(session);
+    const auto stream = (*session)->open(get("/long"), true);
+    EXPECT_TRUE(stream);
+    const auto head = co_await (*stream)->read_head();
+    EXPECT_TRUE(head);
+}
+
+TEST(silence, long_work_is_not_taken_for_silence)
+{
+    asio::io_context context(1);
+    run(context, long_work(context));
+}
+
+} // namespace
+} // namespace nutmegusher::wire
--- a/nutmegusher/wire/stream.hpp
+++ b/nutmegusher/wire/stream.hpp
@@ -56,6 +56,9 @@
     bool head_sent = false;
     bool local_end_queued = false;
     bool local_end_sent = false;
+    // RST_STREAM is on its way; a second one could name a stream that the
+    // peer has never heard of.
+    bool reset_submitted = false;
     // The handler has gone; what the peer still sends isn't wanted.
     bool released = false;
 
--- a/nutmegusher/wire/stream_failure.cpp
+++ b/nutmegusher/wire/stream_failure.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/wire/stream_failure.hpp"
 
+#include <ostream>
+
 namespace nutmegusher::wire
 {
 
@@ -31,6 +33,11 @@
     return "unknown";
 }
 
+std::ostream& operator<<(std::ostream& out, stream_failure failure)
+{
+    return out << to_string(failure);
+}
+
 void throw_exception_from_error(
     stream_failure failure, const boost::source_location& /*where*/)
 {
--- a/nutmegusher/wire/stream_failure.hpp
+++ b/nutmegusher/wire/stream_failure.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <exception>
+#include <iosfwd>
 #include <string_view>
 
 namespace nutmegusher::wire
@@ -38,6 +39,8 @@
 // The enumerator's name, for logs and dumps.
 [[nodiscard]] std::string_view to_string(stream_failure failure);
 
+std::ostream& operator<<(std::ostream& out, stream_failure failure);
+
 // True where the peer certainly didn't begin to process the request.
 [[nodiscard]] constexpr bool certainly_not_processed(stream_failure failure)
 {
--- /dev/null
+++ b/nutmegusher/wire/transfer_test.cpp
@@ -0,0 +1,273 @@
+// Whole bodies, cut bodies, and how much of them is in memory.
+#include "nutmegusher/wire/wire_test_relay.hpp"
+
+namespace nutmegusher::wire
+{
+namespace
+{
+
+constexpr std::size_t dossier_bytes = 50 * 1024 * 1024;
+constexpr std::size_t dossier_part = 40000;
+
+// What the writer has given and the reader has taken.
+struct transfer_tally
+{
+    std::size_t written = 0;
+    std::size_t read = 0;
+    std::size_t most_between = 0;
+
+    void note()
+    {
+        most_between = std::max(most_between, written - read);
+    }
+};
+
+// The bytes at an offset of the dossier; cheap to compute on both ends.
+void fill_dossier(std::span<std::byte> part, std::size_t offset)
+{
+    for (std::size_t i = 0; i < part.size(); ++i)
+    {
+        const auto position = offset + i;
+        part[i] = static_cast<std::byte>(position * 31 + position / 4096);
+    }
+}
+
+template <class Stream>
+asio::awaitable<void> write_dossier(Stream& stream, transfer_tally& tally)
+{
+    std::vector<std::byte> part(dossier_part);
+    while (tally.written < dossier_bytes)
+    {
+        const auto left = dossier_bytes - tally.written;
+        part.resize(std::min(left, dossier_part));
+        fill_dossier(part, tally.written);
+        const bool end = part.size() == left;
+        const auto written = co_await stream.write(part, end);
+        if (!written)
+        {
+            co_return;
+        }
+        tally.written += part.size();
+        tally.note();
+    }
+}
+
+template <class Stream>
+asio::awaitable<bool> read_dossier(Stream& stream, transfer_tally& tally)
+{
+    std::vector<std::byte> part(dossier_part);
+    std::vector<std::byte> expected(dossier_part);
+    bool same = true;
+    for (;;)
+    {
+        const auto count = co_await stream.read_some(part);
+        if (!count || *count == 0)
+        {
+            co_return same&& count&& tally.read == dossier_bytes;
+        }
+        const auto received = std::span(part).first(*count);
+        const auto wanted = std::span(expected).first(*count);
+        fill_dossier(wanted, tally.read);
+        same = same && std::ranges::equal(received, wanted);
+        tally.read += *count;
+    }
+}
+
+// Whatever the reader hasn't taken is within one window and one buffer.
+void expect_bounded(const transfer_tally& tally)
+{
+    const session_options limits;
+    EXPECT_EQ(tally.read, dossier_bytes);
+    EXPECT_LE(
+        tally.most_between,
+        limits.stream_window + limits.write_buffer + dossier_part);
+}
+
+asio::awaitable<void> download(asio::io_context& context)
+{
+    transfer_tally tally;
+    const auto serve =
+        [&tally](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        static_cast<void>(co_await stream->write_head(response_head{}, false));
+        co_await write_dossier(*stream, tally);
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto stream = (*session)->open(get("/dossier"), true);
+    EXPECT_TRUE(stream);
+    // The writer fills all that it may while nobody reads.
+    const auto some_arrived = [&stream]
+    {
+        return (*stream)->buffered_bytes() > 0;
+    };
+    co_await until(some_arrived);
+    co_await sleep_for(std::chrono::milliseconds(50));
+    const bool whole = co_await read_dossier(**stream, tally);
+    EXPECT_TRUE(whole);
+    expect_bounded(tally);
+}
+
+TEST(transfer, a_download_of_fifty_megabytes_is_whole_in_bounded_memory)
+{
+    asio::io_context context(1);
+    run(context, download(context));
+}
+
+asio::awaitable<void> upload(asio::io_context& context)
+{
+    transfer_tally tally;
+    bool whole = false;
+    const auto serve =
+        [&tally,
+         &whole](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        const auto some_arrived = [stream]
+        {
+            return stream->buffered_bytes() > 0;
+        };
+        co_await until(some_arrived);
+        co_await sleep_for(std::chrono::milliseconds(50));
+        whole = co_await read_dossier(*stream, tally);
+        static_cast<void>(co_await stream->write_head(response_head{}, true));
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto stream = (*session)->open(post("/dossier"), false);
+    EXPECT_TRUE(stream);
+    co_await write_dossier(**stream, tally);
+    const auto head = co_await (*stream)->read_head();
+    EXPECT_TRUE(head);
+    EXPECT_TRUE(whole);
+    expect_bounded(tally);
+}
+
+TEST(transfer, an_upload_of_fifty_megabytes_is_whole_in_bounded_memory)
+{
+    asio::io_context context(1);
+    run(context, upload(context));
+}
+
+asio::awaitable<void> lagging_reader(asio::io_context& context)
+{
+    const auto serve =
+        [](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        transfer_tally unused;
+        static_cast<void>(co_await stream->write_head(response_head{}, false));
+        co_await write_dossier(*stream, unused);
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto unread = (*session)->open(get("/unread"), true);
+    EXPECT_TRUE(unread);
+    const session_options limits;
+    const auto window_is_full = [&unread, &limits]
+    {
+        return (*unread)->buffered_bytes() == limits.stream_window;
+    };
+    co_await until(window_is_full);
+    transfer_tally tally;
+    const auto stream = (*session)->open(get("/read"), true);
+    EXPECT_TRUE(stream);
+    EXPECT_TRUE(co_await read_dossier(**stream, tally));
+    EXPECT_EQ((*unread)->buffered_bytes(), limits.stream_window);
+}
+
+TEST(transfer, a_stream_that_nobody_reads_holds_up_no_other)
+{
+    asio::io_context context(1);
+    run(context, lagging_reader(context));
+}
+
+constexpr std::size_t answer_bytes = 3000;
+
+asio::awaitable<void>
+answer_of_known_size(std::shared_ptr<server_stream> stream)
+{
+    static_cast<void>(co_await stream->write_head(response_head{}, false));
+    const auto body = make_body(1, answer_bytes);
+    const auto bytes = std::as_bytes(std::span(body));
+    static_cast<void>(co_await stream->write(bytes, true));
+}
+
+// The connection is cut after each count of bytes in turn.
+asio::awaitable<void> cut_everywhere(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, answer_of_known_size);
+    tcp_relay relay(context, server->local_endpoint());
+    std::size_t whole = 0;
+    std::size_t cut = 0;
+    for (std::size_t limit = 60; limit < answer_bytes + 400; limit += 37)
+    {
+        relay.cut_answers_after(limit);
+        const auto session = co_await client_session::connect(
+            context, relay.endpoint(), session_options{});
+        if (!session)
+        {
+            continue;
+        }
+        const auto stream = (*session)->open(get("/"), true);
+        if (!stream)
+        {
+            EXPECT_EQ(stream.error(), stream_failure::not_connected);
+            continue;
+        }
+        const auto body = co_await read_all(**stream);
+        if (body)
+        {
+            EXPECT_EQ(body->size(), answer_bytes);
+            ++whole;
+            continue;
+        }
+        const bool never_sent = body.error() == stream_failure::refused;
+        EXPECT_TRUE(never_sent || body.error() == stream_failure::cut);
+        ++cut;
+    }
+    EXPECT_GT(whole, 0U);
+    EXPECT_GT(cut, 0U);
+}
+
+TEST(transfer, a_cut_answer_is_never_a_clean_end)
+{
+    asio::io_context context(1);
+    run(context, cut_everywhere(context));
+}
+
+asio::awaitable<void> shorter_than_declared(asio::io_context& context)
+{
+    const auto serve =
+        [](std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        response_head head;
+        head.fields.push_back({"content-length", "100"});
+        static_cast<void>(co_await stream->write_head(head, false));
+        const auto body = make_body(1, 60);
+        const auto bytes = std::as_bytes(std::span(body));
+        static_cast<void>(co_await stream->write(bytes, true));
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto stream = (*session)->open(get("/"), true);
+    EXPECT_TRUE(stream);
+    const auto body = co_await read_all(**stream);
+    EXPECT_FALSE(body);
+    EXPECT_EQ(body.error(), stream_failure::protocol);
+}
+
+TEST(transfer, a_body_shorter_than_its_declared_length_fails)
+{
+    asio::io_context context(1);
+    run(context, shorter_than_declared(context));
+}
+
+} // namespace
+} // namespace nutmegusher::wire
--- a/nutmegusher/wire/wire_test_support.hpp
+++ b/nutmegusher/wire/wire_test_support.hpp
@@ -34,7 +34,7 @@
 inline void run(asio::io_context& context, asio::awaitable<void> test)
 {
     bool done = false;
-    const auto finished = [&done, &context](std::exception_ptr failure)
+    const auto finished = [&done, &context](const std::exception_ptr& failure)
     {
         done = true;
         context.stop();
@@ -141,6 +141,49 @@
     }
 }
 
+// Answers when the test says so.
+struct gate
+{
+    bool open = false;
+    int entered = 0;
+    int cancelled = 0;
+};
+
+inline stream_handler behind(gate& watched)
+{
+    return [&watched](
+               std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        ++watched.entered;
+        stream->on_cancelled(
+            [&watched]
+            {
+                ++watched.cancelled;
+            });
+        const auto may_go_on = [&watched, stream]
+        {
+            return watched.open || stream->cancelled();
+        };
+        co_await until(may_go_on);
+        if (!stream->cancelled())
+        {
+            co_await echo(stream);
+        }
+    };
+}
+
+// The whole answer, or why there is none.
+inline asio::awaitable<outcome<std::string, stream_failure>>
+finish(client_stream& stream)
+{
+    const auto head = co_await stream.read_head();
+    if (!head)
+    {
+        co_return head.error();
+    }
+    co_return co_await read_all(stream);
+}
+
 } // namespace nutmegusher::wire
 
 #endif
