Report the level by what starts, not by what is refused

Cause: refusals go on while the queue of earlier calls drains, and the gates cut again and again for them. The share that starts of what comes now tells the capacity itself.

--- a/nutmegusher/policy/admission_lane.cpp
+++ b/nutmegusher/policy/admission_lane.cpp
@@ -177,6 +177,7 @@
         call.ticket,
         running_call{.started = now, .work_class = call.work_class});
     limit_.on_start(running_.size(), now);
+    meter_.on_started(call.rank, now);
 }
 
 bool admission_lane::finish(
--- a/nutmegusher/policy/pressure_meter.cpp
+++ b/nutmegusher/policy/pressure_meter.cpp
@@ -68,6 +68,12 @@
     refused_[index_of(rank)].add(1, now);
 }
 
+void pressure_meter::on_started(std::uint8_t rank, time_point now)
+{
+    turn_window(now);
+    ++current_[index_of(rank)].started;
+}
+
 void pressure_meter::on_finished(time_point now)
 {
     finished_.add(1, now);
@@ -106,12 +112,13 @@
     {
         const double offered = seen[rank].offered;
         const double refused = seen[rank].refused;
-        if (refused == 0 || refused < offered * noticeable)
+        const double started = seen[rank].started;
+        if (refused == 0 || refused < offered * noticeable ||
+            started >= offered)
         {
             continue;
         }
-        // Calls refused now may have been offered a window earlier.
-        const double share = refused / std::max(offered, refused);
+        const double share = 1.0 - started / offered;
         return {
             static_cast<std::uint8_t>(rank),
             static_cast<std::uint16_t>(share * 1000)};
--- a/nutmegusher/policy/pressure_meter.hpp
+++ b/nutmegusher/policy/pressure_meter.hpp
@@ -36,6 +36,7 @@
 {
     std::uint32_t offered = 0;
     std::uint32_t refused = 0;
+    std::uint32_t started = 0;
 };
 
 class pressure_meter
@@ -43,6 +44,7 @@
 public:
     void on_offered(std::uint8_t rank, time_point now);
     void on_refused(std::uint8_t rank, time_point now);
+    void on_started(std::uint8_t rank, time_point now);
     void on_finished(time_point now);
 
     // Calls a second that came with a better rank than this.
@@ -52,8 +54,10 @@
     refused_per_second(std::uint8_t rank, time_point now) const;
     [[nodiscard]] double finished_per_second(time_point now) const;
 
-    // The best rank of which more than `noticeable` was refused, within the
-    // last whole window.
+    // The best rank of which more than `noticeable` was refused within the
+    // last whole window, and fewer calls started than came. What is refused is
+    // the part that could not start: refusals go on while a queue of earlier
+    // calls drains, and don't count against those that come now.
     [[nodiscard]] lane_level level(time_point now) const;
 
     // Refusing less than this at the entry costs more capacity than the
