Bound the standing queue, learn from calls whose sub-call failed

Cause: after a surge low ranks took up to 2 s to come back: a bulk queue of 1.8 s had to drain, the bulk limit stood at twice the slots (all its calls failed in their sub-call, so none was learned from), and the gate opened in tenths.

--- a/nutmegusher/policy/admission_lane.cpp
+++ b/nutmegusher/policy/admission_lane.cpp
@@ -33,6 +33,9 @@
 constexpr int most_wait_in_runs = 4;
 // A burst of a few scheduler ticks is taken up whatever the run time.
 constexpr duration least_patience = std::chrono::milliseconds(20);
+// What waits when a surge ends has to be gone within half of the second in
+// which service has to be back.
+constexpr duration most_patience = std::chrono::milliseconds(500);
 
 // But as long as what was spent on the request already: refusing it throws
 // that away.
@@ -44,8 +47,9 @@
 duration most_wait(
     const call_facts& call, duration needed, duration spare, time_point now)
 {
-    const duration short_queue = std::max(
-        {needed * most_wait_in_runs, least_patience, spent_on(call, now)});
+    const duration by_runs = std::clamp<duration>(
+        needed * most_wait_in_runs, least_patience, most_patience);
+    const duration short_queue = std::max(by_runs, spent_on(call, now));
     const duration by_deadline = spare / wait_divisor;
     return needed == duration(0) ? by_deadline
                                  : std::min(short_queue, by_deadline);
@@ -229,6 +233,15 @@
         times_.record_at_least(call.work_class, {elapsed, own}, now);
         break;
     case call_result::failed:
+        // It went as far as its sub-call: the upstream's own part of it is
+        // as good as another's, and while all sub-calls fail there are no
+        // others.
+        if (call.in_sub_calls > duration(0))
+        {
+            const double inflation =
+                times_.record_at_least(call.work_class, {elapsed, own}, now);
+            limit_.on_answer({call.started, inflation, false}, in_flight, now);
+        }
         break;
     case call_result::never_started:
         return;
--- a/nutmegusher/policy/entry_gate.cpp
+++ b/nutmegusher/policy/entry_gate.cpp
@@ -16,11 +16,11 @@
 // One interval's levels never close more than three quarters of what is open.
 constexpr double deepest_cut = 0.25;
 // The trickle that brings news while all is refused: of what is offered.
-constexpr double least_open = 0.01;
-// Reopening: a tenth more after the first quiet interval, which costs few
+constexpr double least_open = 0.02;
+// Reopening: a quarter more after the first quiet interval, which costs few
 // refusals where the pressure is still on; the step doubles, up to a doubling
-// of the whole.
-constexpr double first_step = 0.1;
+// of the whole. From the trickle to open takes seven intervals.
+constexpr double first_step = 0.25;
 constexpr double largest_step = 1.0;
 constexpr std::uint32_t most_doublings = 4;
 
