Fuzz the replicated log under crashes, cuts, clock jumps and repairs

Cause: the promises of the log need an oracle that is independent of it. Oracle: what is committed never differs, one leader a term, reads see what was acknowledged, the group accepts again. membership_plan works out the steps that replace a host. Ruled out: three findings were the harness's own (more disks replaced than a minority, a full disk that rightly refuses to start).

--- a/nutmegusher/control/control.hpp
+++ b/nutmegusher/control/control.hpp
@@ -4,6 +4,7 @@
 // - `replica`: the agreement among hosts, as a pure state machine.
 // - `disk`, `file_disk`, `group_storage`: what it keeps on disk.
 // - `state_machine`, `replicated_group`: one group with its machine.
+// - `membership_plan.hpp`: the steps that replace a host.
 // - `configuration_store`: the machine of group 0.
 // - `load_identity`: who a data folder is.
 //
@@ -19,6 +20,7 @@
 #include "nutmegusher/control/frame.hpp"
 #include "nutmegusher/control/group_storage.hpp"
 #include "nutmegusher/control/host_identity.hpp"
+#include "nutmegusher/control/membership_plan.hpp"
 #include "nutmegusher/control/replica.hpp"
 #include "nutmegusher/control/replica_log.hpp"
 #include "nutmegusher/control/replicated_group.hpp"
--- /dev/null
+++ b/nutmegusher/control/membership_plan.cpp
@@ -0,0 +1,122 @@
+#include "nutmegusher/control/membership_plan.hpp"
+
+#include <algorithm>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+bool is_old(const messages::replica_member& member, const replacement& wanted)
+{
+    return member.host() == wanted.old_host.str() &&
+           member.identity() != wanted.added.identity();
+}
+
+// The first old member; voters go before learners.
+const messages::replica_member*
+find_old(const messages::replica_set& present, const replacement& wanted)
+{
+    const messages::replica_member* found = nullptr;
+    for (const auto& member : present.members())
+    {
+        if (is_old(member, wanted) && (found == nullptr || member.voter()))
+        {
+            found = &member;
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+replacement_step next_step(
+    const messages::replica_set& present,
+    const replacement& wanted,
+    bool caught_up)
+{
+    const auto& members = present.members();
+    const auto added = std::find_if(
+        members.begin(),
+        members.end(),
+        [&wanted](const auto& member)
+        {
+            return member.identity() == wanted.added.identity();
+        });
+    if (added == members.end())
+    {
+        return replacement_step::add_learner;
+    }
+    if (!added->voter())
+    {
+        return caught_up ? replacement_step::promote
+                         : replacement_step::catch_up;
+    }
+    return find_old(present, wanted) == nullptr ? replacement_step::done
+                                                : replacement_step::remove_old;
+}
+
+std::optional<messages::replica_set> membership_after(
+    const messages::replica_set& present,
+    const replacement& wanted,
+    replacement_step step)
+{
+    auto changed = present;
+    auto& members = *changed.mutable_members();
+    switch (step)
+    {
+    case replacement_step::add_learner:
+    {
+        auto& added = *changed.add_members();
+        added = wanted.added;
+        added.set_voter(false);
+        return changed;
+    }
+    case replacement_step::promote:
+        for (auto& member : members)
+        {
+            if (member.identity() == wanted.added.identity())
+            {
+                member.set_voter(true);
+            }
+        }
+        return changed;
+    case replacement_step::remove_old:
+    {
+        const auto* old = find_old(present, wanted);
+        const auto identity = old == nullptr ? 0 : old->identity();
+        const auto gone = std::find_if(
+            members.begin(),
+            members.end(),
+            [identity](const auto& member)
+            {
+                return member.identity() == identity;
+            });
+        if (gone != members.end())
+        {
+            members.erase(gone);
+        }
+        return changed;
+    }
+    case replacement_step::catch_up:
+    case replacement_step::done:
+        break;
+    }
+    return std::nullopt;
+}
+
+bool is_caught_up(const replica& core, replica_id member, time_point now)
+{
+    const auto progress = core.progress(now);
+    return std::any_of(
+        progress.begin(),
+        progress.end(),
+        [&core, member](const follower_progress& each)
+        {
+            return each.id == member && each.recently_active &&
+                   !each.installing && each.match >= core.commit();
+        });
+}
+
+} // namespace nutmegusher
--- a/nutmegusher/control/memory_disk.hpp
+++ b/nutmegusher/control/memory_disk.hpp
@@ -38,6 +38,11 @@
     // Bytes that fit on the disk; no value: no bound.
     void set_capacity(std::optional<std::uint64_t> bytes);
 
+    [[nodiscard]] std::optional<std::uint64_t> capacity() const
+    {
+        return capacity_;
+    }
+
     // Empties the disk, as a replaced one.
     void wipe();
 
--- a/nutmegusher/control/test_cluster.cpp
+++ b/nutmegusher/control/test_cluster.cpp
@@ -150,8 +150,14 @@
     waiting->second.erase(position);
 }
 
-void host::members_changed(const messages::replica_set&)
+void host::members_changed(const messages::replica_set& members)
 {
+    if (group_->applied() > owner_.members_index_)
+    {
+        owner_.members_index_ = group_->applied();
+        owner_.members_ = members;
+        owner_.pending_members_.clear();
+    }
 }
 
 void host::restored()
@@ -201,7 +207,8 @@
     const bool founded = leaf::try_handle_all(
         [&]() -> leaf::result<bool>
         {
-            BOOST_LEAF_CHECK(group::found(founder.disk, 0, all_voters()));
+            members_ = all_voters();
+            BOOST_LEAF_CHECK(group::found(founder.disk, 0, members_));
             return true;
         },
         []
@@ -232,6 +239,14 @@
     return members;
 }
 
+bool cluster::holds_all_acknowledged(host& at) const
+{
+    const auto& items = at.running().machine().items();
+    const std::set<std::string> held(items.begin(), items.end());
+    return std::includes(
+        held.begin(), held.end(), acknowledged_.begin(), acknowledged_.end());
+}
+
 void cluster::run(duration length)
 {
     const auto end = now + length;
@@ -398,10 +413,62 @@
         {
             return false;
         });
+    if (done)
+    {
+        pending_members_.push_back(members);
+    }
     at.turn();
     return done;
 }
 
+bool cluster::repair(host& at)
+{
+    if (!at.leads() || at.frozen)
+    {
+        return false;
+    }
+    const auto& core = at.running().core();
+    for (auto& each : hosts)
+    {
+        replacement wanted;
+        wanted.old_host = host_id(each.name());
+        wanted.added.set_identity(each.id().value());
+        wanted.added.set_host(each.name());
+        const auto time = now + at.clock_offset;
+        const auto step = next_step(
+            core.members(), wanted, is_caught_up(core, each.id(), time));
+        if (step == replacement_step::done)
+        {
+            continue;
+        }
+        if (const auto changed = membership_after(core.members(), wanted, step))
+        {
+            propose_membership(at, *changed);
+        }
+        return false;
+    }
+    return core.members_committed();
+}
+
+std::size_t cluster::lost_voters()
+{
+    auto all = pending_members_;
+    all.push_back(members_);
+    std::set<std::uint64_t> lost;
+    for (const auto& set : all)
+    {
+        for (const auto& member : set.members())
+        {
+            if (member.voter() &&
+                find(replica_id(member.identity())) == nullptr)
+            {
+                lost.insert(member.identity());
+            }
+        }
+    }
+    return lost.size();
+}
+
 void cluster::cut(const std::set<std::string>& side)
 {
     cut_ = side;
--- a/nutmegusher/control/test_cluster.hpp
+++ b/nutmegusher/control/test_cluster.hpp
@@ -149,9 +149,13 @@
     // Proposes an item at a host; false where it refuses.
     bool propose(host& at, const std::string& item);
     bool read(host& at);
-    // One step towards `hosts` as the only voters, as the repair command does;
-    // false where the leader refuses it now.
+    // False where the host refuses it now.
     bool propose_membership(host& at, const messages::replica_set& members);
+    // One step of the repair command: replaces a voter whose disk is gone by
+    // the host that has its name now. True where nothing is left to do.
+    bool repair(host& at);
+    // Voters of the present or a proposed membership whose disk is gone.
+    [[nodiscard]] std::size_t lost_voters();
 
     // Messages between the two sides are lost until `heal`.
     void cut(const std::set<std::string>& side);
@@ -173,6 +177,9 @@
         return acknowledged_.size();
     }
 
+    // True where the host's state has every acknowledged item.
+    [[nodiscard]] bool holds_all_acknowledged(host& at) const;
+
     [[nodiscard]] messages::replica_set all_voters() const;
 
     static constexpr duration step_length = std::chrono::milliseconds(1);
@@ -210,6 +217,11 @@
     // Committed items in order, for what a snapshot must hold.
     std::vector<std::string> order_;
     std::map<log_term, replica_id> leaders_;
+    // The latest membership that anyone has applied, and its index.
+    messages::replica_set members_;
+    log_index members_index_ = 0;
+    // Proposed since then.
+    std::vector<messages::replica_set> pending_members_;
     // Proposed here: index -> (term, item), per proposer.
     std::map<std::string, std::map<log_index, std::pair<log_term, std::string>>>
         waiting_;
