Describe the Association's classes and their load for proofs and benches

The deployment waits until a class is served through each daemon by sending a call of it, because a process that listens isn't ready yet.

--- /dev/null
+++ b/testing/association.hpp
@@ -0,0 +1,32 @@
+// The Association's classes, and their load, for proofs and benches.
+#ifndef NUTMEGUSHER_TESTING_ASSOCIATION_HPP
+#define NUTMEGUSHER_TESTING_ASSOCIATION_HPP
+
+#include "testing/load_client.hpp"
+#include "testing/operator_client.hpp"
+
+#include <string>
+#include <vector>
+
+namespace nutmegusher::test_support
+{
+
+// Payouts before views before fund lookups before statements; each class has
+// a service of its own.
+[[nodiscard]] std::vector<declared_class> association_classes();
+
+// The same ranks, all in the service "cash", so that they compete for the
+// slots of the same upstreams.
+[[nodiscard]] std::vector<declared_class> shared_service_classes();
+
+// `rate` calls a second of one of the classes above.
+[[nodiscard]] offered_class offered_payout(double rate);
+[[nodiscard]] offered_class offered_view(double rate);
+[[nodiscard]] offered_class offered_statement(double rate);
+
+// The load of a class, sent to the service "cash".
+[[nodiscard]] offered_class in_shared_service(offered_class offered);
+
+} // namespace nutmegusher::test_support
+
+#endif
--- a/testing/deployment.cpp
+++ b/testing/deployment.cpp
@@ -304,19 +304,19 @@
     return true;
 }
 
-bool deployment::wait_served(
-    const std::string& method, const std::string& target) const
+bool deployment::wait_served(const offered_class& offered) const
 {
-    constexpr unsigned ok = 200;
-    http_request request;
-    request.method = method;
-    request.target = target;
+    load_options options;
+    options.classes = {offered};
+    std::uint32_t round = 0;
     for (std::size_t i = 0; i < daemon_count(); ++i)
     {
+        options.daemons = {daemon_callers(i)};
         const auto served = [&]
         {
-            const auto answer = send_request(daemon_callers(i), request);
-            return answer && answer->status == ok;
+            options.prefix =
+                "ready-" + std::to_string(i) + "-" + std::to_string(++round);
+            return run_one(options).view == caller_view::completed;
         };
         if (state_->daemons[i]->running() && !wait_until(served))
         {
@@ -378,36 +378,14 @@
     return text;
 }
 
-std::string deployment::file(std::string_view name) const
+std::string deployment::path(std::string_view name) const
 {
-    return read_file(state_->folder.path(name));
+    return state_->folder.path(name);
 }
 
-std::vector<declared_class> association_classes()
-{
-    declared_class payout;
-    payout.name = "payout";
-    payout.service = "disbursement";
-    payout.method = "POST";
-    payout.path_prefix = "/pay";
-    payout.rank = 0;
-    payout.repeatable = false;
-    payout.latency_ms = 3000;
-    declared_class view;
-    view.name = "view";
-    view.service = "balances";
-    view.rank = 1;
-    declared_class fund;
-    fund.name = "fund";
-    fund.service = "funds";
-    fund.rank = 2;
-    declared_class statement;
-    statement.name = "statement";
-    statement.service = "statements";
-    statement.rank = 3;
-    statement.bulk = true;
-    statement.latency_ms = 30'000;
-    return {payout, view, fund, statement};
+std::string deployment::file(std::string_view name) const
+{
+    return read_file(state_->folder.path(name));
 }
 
 } // namespace nutmegusher::test_support
--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -2,7 +2,7 @@
 // beside each stand-in upstream.
 //
 //     auto here = deployment::start({.upstreams = {{"disbursement"}}});
-//     (*here)->declare(association_classes());
+//     (*here)->declare(association_classes()); // association.hpp
 //     (*here)->daemon(0).kill();
 //     (*here)->restart_daemon(0);
 #ifndef NUTMEGUSHER_TESTING_DEPLOYMENT_HPP
@@ -10,6 +10,7 @@
 
 #include "testing/address_block.hpp"
 #include "testing/execution_log.hpp"
+#include "testing/load_client.hpp"
 #include "testing/operator_client.hpp"
 #include "testing/process.hpp"
 #include "testing/relay.hpp"
@@ -96,9 +97,8 @@
         std::uint64_t revision,
         std::chrono::milliseconds limit = std::chrono::seconds(30)) const;
 
-    // Until a call to each service through each daemon is answered.
-    [[nodiscard]] bool
-    wait_served(const std::string& method, const std::string& target) const;
+    // Until a call of the class through each running daemon is completed.
+    [[nodiscard]] bool wait_served(const offered_class& offered) const;
 
     void control_upstream(std::size_t index, const std::string& behavior) const;
 
@@ -109,7 +109,8 @@
     // The logs of all processes, for a test that fails.
     [[nodiscard]] std::string logs() const;
 
-    // A settings file or log, for looking at.
+    // A settings file, log or journal in the deployment's folder.
+    [[nodiscard]] std::string path(std::string_view name) const;
     [[nodiscard]] std::string file(std::string_view name) const;
 
 private:
@@ -120,9 +121,6 @@
     std::unique_ptr<state> state_;
 };
 
-// Classes of the Association: payouts before views before statements.
-[[nodiscard]] std::vector<declared_class> association_classes();
-
 } // namespace nutmegusher::test_support
 
 #endif
--- a/testing/deployment_plan.cpp
+++ b/testing/deployment_plan.cpp
@@ -188,7 +188,7 @@
     const std::string& name,
     const std::string& text)
 {
-    const auto path = folder.path(name + ".ini");
+    auto path = folder.path(name + ".ini");
     std::ofstream(path) << text;
     return path;
 }
--- a/testing/testing.hpp
+++ b/testing/testing.hpp
@@ -9,6 +9,7 @@
 #define NUTMEGUSHER_TESTING_TESTING_HPP
 
 #include "testing/address_block.hpp"
+#include "testing/association.hpp"
 #include "testing/deployment.hpp"
 #include "testing/execution_log.hpp"
 #include "testing/http_client.hpp"
