Join the chains: sync, operators' interface, and the path over sockets

Cause: the chains had no process around them. The sync is one long poll a daemon (lease, announcement, subscription, report); the operators' interface answers JSON; path_test runs a caller, two daemons' chains, an upstream and a claim log over real sockets.

--- /dev/null
+++ b/nutmegusher/node/control_part.hpp
@@ -0,0 +1,53 @@
+// What makes a daemon a control host: the replicated logs on a thread of
+// their own, and the exchange with daemons.
+#ifndef NUTMEGUSHER_NODE_CONTROL_PART_HPP
+#define NUTMEGUSHER_NODE_CONTROL_PART_HPP
+
+#include "nutmegusher/node/operator_api.hpp"
+#include "nutmegusher/node/worker.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace nutmegusher::node
+{
+
+class control_part
+{
+public:
+    // Opens the data folder and starts the thread of the logs. `first` is the
+    // worker on which leases are exchanged. Requires: the settings have a
+    // [control] section.
+    // Errors: those of the storage and of the identity of the data folder.
+    [[nodiscard]] static leaf::result<std::unique_ptr<control_part>>
+    start(worker& first);
+
+    control_part(const control_part&) = delete;
+    control_part& operator=(const control_part&) = delete;
+    ~control_part();
+
+    // Serves one stream whose path begins with "/control/"; from any worker.
+    asio::awaitable<void>
+    serve(worker& here, std::shared_ptr<wire::server_stream> stream);
+
+    // For a planned stop: others lead from now on.
+    asio::awaitable<void> hand_over();
+
+    // Ends the thread of the logs.
+    void stop();
+
+    [[nodiscard]] control_answers answers();
+
+private:
+    struct state;
+
+    explicit control_part(std::unique_ptr<state> state);
+
+    std::unique_ptr<state> state_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -86,7 +86,8 @@
 
 struct daemon::state
 {
-    state(const settings& from, incarnation run) : shared(from, run)
+    state(const settings& from, incarnation run)
+        : shared(from, run)
     {
         for (std::size_t i = 0; i < from.host.threads; ++i)
         {
@@ -95,7 +96,14 @@
         listening.resize(workers.size());
         sync = std::make_unique<sync_client>(first());
         shared.sync_soon = [this]
-        { asio::post(first().context, [this] { sync->sync_now(); }); };
+        {
+            asio::post(
+                first().context,
+                [this]
+                {
+                    sync->sync_now();
+                });
+        };
     }
 
     // The worker that also does what is done once a process.
@@ -152,7 +160,9 @@
             first().context,
             shared.configured.listen.operators,
             [this](caller_exchange& exchange)
-            { return serve_operator(first(), sources, exchange); },
+            {
+                return serve_operator(first(), sources, exchange);
+            },
             options));
     return {};
 }
@@ -170,7 +180,8 @@
             http_server::listen(
                 here.context,
                 *listen.callers,
-                [&here](caller_exchange& exchange) {
+                [&here](caller_exchange& exchange)
+                {
                     return serve_request(
                         here, exchange, request_origin::caller);
                 },
@@ -184,7 +195,9 @@
                 here.context,
                 *listen.upstream,
                 [this, &here](caller_exchange& exchange)
-                { return serve_own_upstream(here, exchange); },
+                {
+                    return serve_own_upstream(here, exchange);
+                },
                 options));
     }
     BOOST_LEAF_ASSIGN(
@@ -193,7 +206,9 @@
             here.context,
             listen.peers,
             [this, &here](std::shared_ptr<wire::server_stream> stream)
-            { return serve_peer(here, std::move(stream)); },
+            {
+                return serve_peer(here, std::move(stream));
+            },
             wire::session_options(),
             true));
     return {};
@@ -202,9 +217,14 @@
 operator_sources daemon::state::make_sources()
 {
     operator_sources made;
-    made.sync = [this] { return sync->dump(); };
+    made.sync = [this]
+    {
+        return sync->dump();
+    };
     made.drain = [this]
-    { asio::co_spawn(first().context, shut_down(), asio::detached); };
+    {
+        asio::co_spawn(first().context, shut_down(), asio::detached);
+    };
     if (control)
     {
         made.control = control->answers();
@@ -231,8 +251,8 @@
     co_await serve_peer_call(here, std::move(stream));
 }
 
-asio::awaitable<void> daemon::state::serve_own_upstream(
-    worker& here, caller_exchange& exchange)
+asio::awaitable<void>
+daemon::state::serve_own_upstream(worker& here, caller_exchange& exchange)
 {
     if (exchange.head().path == announce_path)
     {
@@ -268,8 +288,14 @@
             BOOST_LEAF_ASSIGN(said, parse_announcement(text));
             return {};
         },
-        [&](const json_error& error) { wrong = error; },
-        [&] { wrong = json_error{}; });
+        [&](const json_error& error)
+        {
+            wrong = error;
+        },
+        [&]
+        {
+            wrong = json_error{};
+        });
     if (wrong)
     {
         const auto body = json::serialize(to_json(*wrong));
@@ -401,7 +427,11 @@
         if (callers != nullptr)
         {
             asio::post(
-                workers[i]->context, [callers] { callers->stop_accepting(); });
+                workers[i]->context,
+                [callers]
+                {
+                    callers->stop_accepting();
+                });
         }
     }
     asio::steady_timer timer(first().context);
@@ -436,7 +466,8 @@
     return std::unique_ptr<daemon>(new daemon(std::move(made)));
 }
 
-daemon::daemon(std::unique_ptr<state> state) : state_(std::move(state))
+daemon::daemon(std::unique_ptr<state> state)
+    : state_(std::move(state))
 {
 }
 
@@ -456,7 +487,11 @@
     for (std::size_t i = 1; i < state_->workers.size(); ++i)
     {
         auto& context = state_->workers[i]->context;
-        threads.emplace_back([&context] { context.run(); });
+        threads.emplace_back(
+            [&context]
+            {
+                context.run();
+            });
     }
     first.run();
 }
--- a/nutmegusher/node/daemon_main.cpp
+++ b/nutmegusher/node/daemon_main.cpp
@@ -30,7 +30,8 @@
         "The daemon beside an upstream, and the control host where the "
         "settings have a [control] section.");
     auto add = options.add_options();
-    add("s,settings", "INI file, see docs/SETTINGS.md",
+    add("s,settings",
+        "INI file, see docs/SETTINGS.md",
         cxxopts::value<std::string>());
     add("check", "read the settings, say what is wrong, and end");
     add("h,help", "this text");
@@ -69,7 +70,9 @@
             return EXIT_SUCCESS;
         },
         [](const settings_error& error)
-        { return report(to_string(error), exit_bad_input); },
+        {
+            return report(to_string(error), exit_bad_input);
+        },
         [](const listen_error& error)
         {
             return report(
@@ -119,7 +122,7 @@
         return run(
             given["settings"].as<std::string>(), given.count("check") > 0);
     }
-    catch (const cxxopts::OptionException& error)
+    catch (const cxxopts::exceptions::exception& error)
     {
         return report(error.what(), exit_bad_input);
     }
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -35,8 +35,7 @@
 operator_answer error_answer(unsigned status, std::string_view problem)
 {
     return {
-        status,
-        json::object{{"error", json::object{{"problem", problem}}}}};
+        status, json::object{{"error", json::object{{"problem", problem}}}}};
 }
 
 asio::awaitable<std::optional<std::string>> read_all(caller_exchange& exchange)
@@ -105,8 +104,7 @@
     }
 }
 
-asio::awaitable<operator_answer>
-answer_change(worker& here, std::string body)
+asio::awaitable<operator_answer> answer_change(worker& here, std::string body)
 {
     json_error wrong;
     messages::change change;
@@ -121,7 +119,10 @@
             wrong = error;
             return false;
         },
-        [] { return false; });
+        []
+        {
+            return false;
+        });
     if (!parsed)
     {
         co_return operator_answer{422, to_json(wrong)};
@@ -260,8 +261,7 @@
     return object;
 }
 
-operator_answer
-answer_if(const std::function<json::value()>& source)
+operator_answer answer_if(const std::function<json::value()>& source)
 {
     return source ? operator_answer{200, source()}
                   : error_answer(404, "not-a-control-host");
@@ -353,8 +353,8 @@
     auto answer = error_answer(405, "method-not-allowed");
     if (head.method == "POST")
     {
-        answer = co_await answer_post(
-            here, sources, head.path, *std::move(body));
+        answer =
+            co_await answer_post(here, sources, head.path, *std::move(body));
     }
     else if (head.method == "GET")
     {
--- /dev/null
+++ b/nutmegusher/node/path_test.cpp
@@ -0,0 +1,326 @@
+// The path from a caller to an upstream and back, over real sockets.
+#include "nutmegusher/node/test_deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <future>
+#include <mutex>
+#include <set>
+
+namespace nutmegusher::node::test
+{
+namespace
+{
+
+// Reads a request's body to its end.
+asio::awaitable<std::string> body_of(caller_exchange& exchange)
+{
+    std::string text;
+    std::array<std::byte, 4096> piece;
+    while (true)
+    {
+        const auto got = co_await exchange.read_some(piece);
+        if (!got || *got == 0)
+        {
+            co_return text;
+        }
+        text.append(reinterpret_cast<const char*>(piece.data()), *got);
+    }
+}
+
+asio::awaitable<void> echo(caller_exchange& exchange)
+{
+    const auto body = co_await body_of(exchange);
+    wire::response_head head{200, {{"x-path", exchange.head().path}}};
+    co_await exchange.answer(std::move(head), body);
+}
+
+// A caller's daemon, an upstream's daemon and a claim log.
+class path : public ::testing::Test
+{
+protected:
+    path()
+        : entry("entry")
+        , beside("beside")
+    {
+        for (auto* node : {&entry, &beside})
+        {
+            declare(*node, make_class("views", "balances", true));
+            declare(*node, make_class("payouts", "disbursement", false));
+            node->shared.claims.update({}, {claims.address()});
+        }
+        route_to(entry, "balances", {{"beside", beside.peers()}});
+        route_to(entry, "disbursement", {{"beside", beside.peers()}});
+    }
+
+    void serve_with(http_handler handler, const std::string& service)
+    {
+        upstream = std::make_unique<fake_upstream>(std::move(handler));
+        announcement said;
+        said.service = service_name(service);
+        said.address = upstream->address();
+        beside.shared.upstream.announce(said, host_clock().now());
+        entry.start();
+        beside.start();
+    }
+
+    client_answer pay(const std::string& key, const std::string& body = "7")
+    {
+        return request(
+            entry.callers(),
+            "POST",
+            "/disbursement/pay",
+            {{"nutmeg-customer", "zakat"}, {"idempotency-key", key}},
+            body);
+    }
+
+    fake_claim_log claims;
+    std::unique_ptr<fake_upstream> upstream;
+    test_node entry;
+    test_node beside;
+};
+
+TEST_F(path, a_request_and_its_answer)
+{
+    serve_with(echo, "balances");
+    const auto answer =
+        request(entry.callers(), "POST", "/balances/all?x=1", {}, "hello");
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, "hello");
+    EXPECT_EQ(answer.field("x-path"), "/balances/all?x=1");
+    EXPECT_EQ(answer.field("nutmeg-outcome"), "completed");
+    EXPECT_EQ(answer.field("nutmeg-tries"), "1");
+    EXPECT_TRUE(answer.whole);
+}
+
+TEST_F(path, what_is_wrong_with_a_request_is_told)
+{
+    serve_with(echo, "balances");
+    const auto at = entry.callers();
+    EXPECT_EQ(request(at, "GET", "/nothing").status, 404U);
+    const auto keyless = request(
+        at, "POST", "/disbursement/pay", {{"nutmeg-customer", "zakat"}});
+    EXPECT_EQ(keyless.status, 400U);
+    EXPECT_EQ(keyless.field("nutmeg-reason"), "missing-key");
+    EXPECT_EQ(keyless.field("nutmeg-outcome"), "not-run");
+    const auto nobody =
+        request(at, "POST", "/disbursement/pay", {{"idempotency-key", "k"}});
+    EXPECT_EQ(nobody.field("nutmeg-reason"), "missing-customer");
+    const auto late =
+        request(at, "GET", "/balances/all", {{"nutmeg-timeout-ms", "soon"}});
+    EXPECT_EQ(late.field("nutmeg-reason"), "bad-header");
+}
+
+TEST_F(path, a_long_answer_streams_whole)
+{
+    const std::string piece(1 << 20, 'x');
+    const auto stream =
+        [&piece](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        wire::response_head head{200, {}};
+        co_await exchange.begin_answer(std::move(head), std::nullopt);
+        for (int i = 0; i < 50; ++i)
+        {
+            co_await exchange.write_some(std::as_bytes(std::span(piece)));
+        }
+        co_await exchange.end_answer();
+    };
+    serve_with(stream, "balances");
+    const auto answer = request(entry.callers(), "GET", "/balances/all");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body.size(), 50 * piece.size());
+}
+
+TEST_F(path, a_cut_long_answer_has_no_clean_end)
+{
+    const std::string piece(1 << 18, 'x');
+    const auto stream =
+        [&piece](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        wire::response_head head{200, {}};
+        co_await exchange.begin_answer(std::move(head), 1U << 20U);
+        co_await exchange.write_some(std::as_bytes(std::span(piece)));
+    };
+    serve_with(stream, "balances");
+    const auto answer = request(entry.callers(), "GET", "/balances/all");
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_FALSE(answer.whole);
+}
+
+TEST_F(path, a_cut_short_answer_is_an_honest_error)
+{
+    const auto cut = [](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        wire::response_head head{200, {}};
+        co_await exchange.begin_answer(std::move(head), 100);
+        const std::string some = "some";
+        co_await exchange.write_some(std::as_bytes(std::span(some)));
+    };
+    serve_with(cut, "balances");
+    const auto answer = request(entry.callers(), "GET", "/balances/all");
+    EXPECT_EQ(answer.status, 502U);
+    EXPECT_TRUE(answer.whole);
+    EXPECT_NE(answer.field("nutmeg-outcome"), "completed");
+}
+
+TEST_F(path, a_repeated_key_gets_its_first_outcome)
+{
+    std::atomic<int> runs = 0;
+    const auto count =
+        [&runs](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        co_await body_of(exchange);
+        const auto text = "run " + std::to_string(++runs);
+        wire::response_head head{201, {}};
+        co_await exchange.answer(std::move(head), text);
+    };
+    serve_with(count, "disbursement");
+    const auto first = pay("k1");
+    EXPECT_EQ(first.status, 201U);
+    EXPECT_EQ(first.body, "run 1");
+    const auto again = pay("k1");
+    EXPECT_EQ(again.status, 201U);
+    EXPECT_EQ(again.body, "run 1");
+    const auto other = pay("k1", "8");
+    EXPECT_EQ(other.status, 422U);
+    EXPECT_EQ(other.field("nutmeg-reason"), "key-reused");
+    EXPECT_EQ(runs, 1);
+}
+
+TEST_F(path, a_broken_payout_is_unknown_and_never_runs_again)
+{
+    std::atomic<int> runs = 0;
+    const auto breaks =
+        [&runs](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        co_await body_of(exchange);
+        ++runs;
+    };
+    serve_with(breaks, "disbursement");
+    EXPECT_EQ(pay("k1").field("nutmeg-outcome"), "unknown");
+    const auto again = pay("k1");
+    EXPECT_EQ(again.status, 409U);
+    EXPECT_EQ(again.field("nutmeg-outcome"), "unknown");
+    EXPECT_EQ(runs, 1);
+}
+
+TEST_F(path, without_a_claim_log_a_payout_is_not_run)
+{
+    claims.answers = false;
+    std::atomic<int> runs = 0;
+    const auto count =
+        [&runs](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        ++runs;
+        co_await echo(exchange);
+    };
+    serve_with(count, "disbursement");
+    const auto answer = request(
+        entry.callers(),
+        "POST",
+        "/disbursement/pay",
+        {{"nutmeg-customer", "zakat"},
+         {"idempotency-key", "k1"},
+         {"nutmeg-timeout-ms", "300"}},
+        "7");
+    EXPECT_NE(answer.field("nutmeg-outcome"), "completed");
+    EXPECT_EQ(runs, 0);
+}
+
+TEST_F(path, a_sub_call_shares_its_request)
+{
+    const auto calls_down =
+        [this](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        const auto& head = exchange.head();
+        wire::response_head answer{
+            200,
+            {{"x-id",
+              std::string(
+                  *wire::find_header(head.fields, "nutmeg-request-id"))},
+             {"x-rank",
+              std::string(*wire::find_header(head.fields, "nutmeg-rank"))}}};
+        co_await exchange.answer(std::move(answer), "");
+    };
+    serve_with(calls_down, "balances");
+    const auto running = beside.shared.ledger.open(
+        request_id("r1"),
+        {4, host_clock().now() + std::chrono::seconds(5), {}, {}},
+        retry_tokens::received(2));
+    route_to(beside, "balances", {{"beside", beside.peers()}});
+    const auto answer = request(
+        beside.upstream_side(),
+        "GET",
+        "/balances/all",
+        {{"nutmeg-request-id", "r1"}});
+    EXPECT_EQ(answer.field("x-id"), "r1");
+    EXPECT_EQ(answer.field("x-rank"), "4");
+}
+
+TEST_F(path, an_unknown_upstream_is_told_at_once)
+{
+    serve_with(echo, "balances");
+    route_to(entry, "balances", {});
+    const auto before = host_clock().now();
+    const auto answer = request(entry.callers(), "GET", "/balances/all");
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(answer.field("nutmeg-reason"), "no-upstream");
+    EXPECT_EQ(answer.field("nutmeg-outcome"), "not-run");
+    EXPECT_FALSE(answer.field("retry-after").empty());
+    EXPECT_LT(host_clock().now() - before, std::chrono::seconds(4));
+}
+
+TEST_F(path, a_leaving_upstream_refuses_and_another_serves)
+{
+    serve_with(echo, "balances");
+    test_node other("other");
+    declare(other, make_class("views", "balances", true));
+    announcement said;
+    said.service = service_name("balances");
+    said.address = upstream->address();
+    other.shared.upstream.announce(said, host_clock().now());
+    other.start();
+    beside.shared.admission.set_leaving(true);
+    route_to(
+        entry,
+        "balances",
+        {{"beside", beside.peers()}, {"other", other.peers()}});
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto answer = request(entry.callers(), "GET", "/balances/all");
+        EXPECT_EQ(answer.status, 200U) << answer.field("nutmeg-reason");
+    }
+}
+
+TEST_F(path, parallel_callers_each_get_their_own_answer)
+{
+    serve_with(echo, "balances");
+    std::vector<std::future<bool>> callers;
+    for (int caller = 0; caller < 8; ++caller)
+    {
+        callers.push_back(std::async(
+            std::launch::async,
+            [this, caller]
+            {
+                bool own = true;
+                for (int i = 0; i < 50; ++i)
+                {
+                    const std::string body(
+                        static_cast<std::size_t>(1 + i * 97),
+                        static_cast<char>('a' + caller));
+                    const auto answer = request(
+                        entry.callers(), "POST", "/balances/all", {}, body);
+                    own = own && answer.whole && answer.body == body;
+                }
+                return own;
+            }));
+    }
+    for (auto& each : callers)
+    {
+        EXPECT_TRUE(each.get());
+    }
+}
+
+} // namespace
+} // namespace nutmegusher::node::test
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -46,14 +46,12 @@
 } // namespace
 
 sync_client::sync_client(worker& here)
-    : here_(here),
-      view_(
-          here.shared.configured.host.id,
-          place_of(here.shared.configured.host)),
-      schedule_(
-          here.shared.configured.host.id,
-          place_of(here.shared.configured.host)),
-      wake_(here.context)
+    : here_(here)
+    , view_(
+          here.shared.configured.host.id, place_of(here.shared.configured.host))
+    , schedule_(
+          here.shared.configured.host.id, place_of(here.shared.configured.host))
+    , wake_(here.context)
 {
     schedule_.set_hosts(seeds(here.shared.configured));
 }
@@ -121,8 +119,8 @@
     note_reached(target.address, answered);
 }
 
-asio::awaitable<std::optional<messages::sync_reply>> sync_client::exchange(
-    const endpoint& at, const messages::sync_request& request)
+asio::awaitable<std::optional<messages::sync_reply>>
+sync_client::exchange(const endpoint& at, const messages::sync_request& request)
 {
     const auto session = co_await here_.peers.get(at);
     if (!session)
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -86,7 +86,9 @@
 // A sync that is held until there is news.
 struct sync_server::waiter
 {
-    explicit waiter(asio::any_io_executor on) : executor(on), timer(on)
+    explicit waiter(asio::any_io_executor on)
+        : executor(on)
+        , timer(on)
     {
     }
 
@@ -97,18 +99,19 @@
     {
         auto& executor = self->executor;
         asio::post(
-            executor, [self = std::move(self)] { self->timer.cancel(); });
+            executor,
+            [self = std::move(self)]
+            {
+                self->timer.cancel();
+            });
     }
 };
 
-sync_server::sync_server(
-    host_id self, incarnation run, control_source source)
-    : self_(std::move(self)), source_(std::move(source)),
-      registry_(
-          self_,
-          run.value(),
-          host_clock().now(),
-          make_lease_options(source_))
+sync_server::sync_server(host_id self, incarnation run, control_source source)
+    : self_(std::move(self))
+    , source_(std::move(source))
+    , registry_(
+          self_, run.value(), host_clock().now(), make_lease_options(source_))
 {
 }
 
@@ -134,8 +137,8 @@
         std::string reply;
         {
             const std::scoped_lock lock(mutex_);
-            reply = registry_.update(host_clock().now(), asked)
-                        .SerializeAsString();
+            reply =
+                registry_.update(host_clock().now(), asked).SerializeAsString();
         }
         co_await write_all(*stream, reply);
         co_return;
@@ -260,7 +263,11 @@
             registry_.expire(host_clock().now());
             changed = registry_.counts().stamp != before;
             std::erase_if(
-                waiters_, [](const auto& each) { return each.expired(); });
+                waiters_,
+                [](const auto& each)
+                {
+                    return each.expired();
+                });
         }
         if (changed)
         {
@@ -309,8 +316,7 @@
     {
         const std::scoped_lock lock(mutex_);
         const auto before = registry_.counts().stamp;
-        registry_.apply(
-            host_clock().now(), host_id(other.host()), update);
+        registry_.apply(host_clock().now(), host_id(other.host()), update);
         changed = registry_.counts().stamp != before;
     }
     if (changed)
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -64,9 +64,10 @@
 private:
     struct waiter;
 
-    asio::awaitable<messages::sync_reply> answer(messages::sync_request request);
-    asio::awaitable<void> wait_for_news(
-        const messages::sync_request& request, time_point until);
+    asio::awaitable<messages::sync_reply>
+    answer(messages::sync_request request);
+    asio::awaitable<void>
+    wait_for_news(const messages::sync_request& request, time_point until);
     [[nodiscard]] bool has_news(const messages::sync_request& request) const;
     asio::awaitable<void>
     exchange_with(wire::session_pool& peers, messages::control_host other);
