--- a/nutmegusher/control/group_storage.hpp
+++ b/nutmegusher/control/group_storage.hpp
@@ -90,6 +90,13 @@
         return recovered;
     }
 
+    // Makes the files of a group that has nothing yet, so that they are missed
+    // where they get lost.
+    [[nodiscard]] leaf::result<void> create()
+    {
+        return write_log(messages::log_frame());
+    }
+
     // Makes the storage part of `ready` durable: one frame, one sync.
     [[nodiscard]] leaf::result<void> save(const replica_ready& ready)
     {
--- a/nutmegusher/control/membership_plan.cpp
+++ b/nutmegusher/control/membership_plan.cpp
@@ -106,17 +106,35 @@
     return std::nullopt;
 }
 
-bool is_caught_up(const replica& core, replica_id member, time_point now)
+namespace
 {
-    const auto progress = core.progress(now);
-    return std::any_of(
-        progress.begin(),
-        progress.end(),
-        [&core, member](const follower_progress& each)
+
+// What the leader knows of a member that holds all that is committed.
+std::optional<follower_progress>
+caught_up_progress(const replica& core, replica_id member, time_point now)
+{
+    for (const auto& each : core.progress(now))
+    {
+        if (each.id == member && each.recently_active && !each.installing &&
+            each.match >= core.commit())
         {
-            return each.id == member && each.recently_active &&
-                   !each.installing && each.match >= core.commit();
-        });
+            return each;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool is_caught_up(const replica& core, replica_id member, time_point now)
+{
+    return caught_up_progress(core, member, now).has_value();
+}
+
+bool can_succeed(const replica& core, replica_id member, time_point now)
+{
+    const auto progress = caught_up_progress(core, member, now);
+    return progress && !progress->declines_leadership;
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/control/membership_plan.hpp
+++ b/nutmegusher/control/membership_plan.hpp
@@ -49,6 +49,10 @@
 [[nodiscard]] bool
 is_caught_up(const replica& core, replica_id member, time_point now);
 
+// The same, and it would take leadership over.
+[[nodiscard]] bool
+can_succeed(const replica& core, replica_id member, time_point now);
+
 } // namespace nutmegusher
 
 #endif
--- a/nutmegusher/control/replica.hpp
+++ b/nutmegusher/control/replica.hpp
@@ -96,12 +96,13 @@
 enum class replica_refusal : std::uint8_t
 {
     not_leader,
-    busy,                // too much uncommitted, or a transfer is under way
-    membership_pending,  // the previous membership change isn't committed
-    too_many_changes,    // more than one voter differs
-    not_caught_up,       // the learner lacks committed entries
-    unknown_member,      // no such voter, or none would be left
-    already_transferring // to another voter
+    busy,                 // too much uncommitted, or a transfer is under way
+    membership_pending,   // the previous membership change isn't committed
+    too_many_changes,     // more than one voter differs
+    not_caught_up,        // the learner lacks committed entries
+    unknown_member,       // no such voter, or none would be left
+    already_transferring, // to another voter
+    declined              // the voter is about to stop
 };
 
 struct replica_failure
@@ -165,6 +166,8 @@
     log_index match = 0;
     bool recently_active = false;
     bool installing = false;
+    // About to stop; it refuses leadership.
+    bool declines_leadership = false;
 };
 
 class replica
@@ -201,6 +204,10 @@
     [[nodiscard]] leaf::result<void>
     transfer_leadership(replica_id to, time_point now);
 
+    // For a planned stop: from now on leadership can't be passed here. It may
+    // still win an ordinary election, where no one else can.
+    void decline_leadership();
+
     // Nothing where there is nothing to do.
     [[nodiscard]] std::optional<replica_ready> take_ready(time_point now);
 
@@ -280,6 +287,7 @@
         // True: one append at a time, until the point of agreement is found.
         bool probing = true;
         bool probe_sent = false;
+        bool declines_leadership = false;
         std::optional<time_point> installing_since;
         std::uint64_t acknowledged_round = 0;
         // When the acknowledged round was sent.
@@ -379,6 +387,7 @@
     // Candidates.
     std::set<replica_id> votes_;
     std::set<replica_id> refusals_;
+    bool declines_leadership_ = false;
 
     // Leaders.
     std::map<replica_id, peer> peers_;
--- a/nutmegusher/control/replica_election.cpp
+++ b/nutmegusher/control/replica_election.cpp
@@ -199,7 +199,8 @@
 
 void replica::on_stand_now(time_point now)
 {
-    if (role_ != replica_role::leader && is_voter(settings_.self))
+    if (role_ != replica_role::leader && is_voter(settings_.self) &&
+        !declines_leadership_)
     {
         start_election(true, now);
     }
--- a/nutmegusher/control/replica_follower.cpp
+++ b/nutmegusher/control/replica_follower.cpp
@@ -98,6 +98,7 @@
     appended.set_success(success);
     appended.set_match_index(match);
     appended.set_round(round);
+    appended.set_declines_leadership(declines_leadership_);
     queue(std::move(reply));
 }
 
--- a/nutmegusher/control/replica_leader.cpp
+++ b/nutmegusher/control/replica_leader.cpp
@@ -34,6 +34,7 @@
     auto& from = found->second;
     const auto& reply = message.appended();
     note_round(from, reply.round());
+    from.declines_leadership = reply.declines_leadership();
     if (reply.success())
     {
         from.match = std::max(from.match, reply.match_index());
@@ -311,7 +312,11 @@
         const bool active =
             now - known.lease_start < settings_.timing.election_timeout;
         all.push_back(
-            {id, known.match, active, known.installing_since.has_value()});
+            {id,
+             known.match,
+             active,
+             known.installing_since.has_value(),
+             known.declines_leadership});
     }
     return all;
 }
--- a/nutmegusher/control/replica_requests.cpp
+++ b/nutmegusher/control/replica_requests.cpp
@@ -154,6 +154,11 @@
         return leaf::new_error(
             replica_failure{replica_refusal::unknown_member});
     }
+    const auto target = peers_.find(to);
+    if (target != peers_.end() && target->second.declines_leadership)
+    {
+        return leaf::new_error(replica_failure{replica_refusal::declined});
+    }
     if (!transfer_)
     {
         transfer_ =
@@ -163,4 +168,9 @@
     return {};
 }
 
+void replica::decline_leadership()
+{
+    declines_leadership_ = true;
+}
+
 } // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/node/control_events.hpp
@@ -0,0 +1,22 @@
+// The log events of the replicated logs.
+#ifndef NUTMEGUSHER_NODE_CONTROL_EVENTS_HPP
+#define NUTMEGUSHER_NODE_CONTROL_EVENTS_HPP
+
+#include "nutmegusher/control/control.hpp"
+
+#include <cstdint>
+
+namespace nutmegusher::node::internal
+{
+
+// `leads`: this host, from now on; `led`: this host, until now.
+void log_leadership(
+    std::uint32_t group, const leadership& present, bool leads, bool led);
+void log_members_changed(std::uint32_t group, int members);
+void log_storage_failed(std::uint32_t group, const storage_failure& failure);
+void log_change(
+    const messages::change& change, const messages::change_result& result);
+
+} // namespace nutmegusher::node::internal
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/control_feed.cpp
@@ -0,0 +1,74 @@
+#include "nutmegusher/node/control_feed.hpp"
+
+#include <algorithm>
+
+namespace nutmegusher::node::internal
+{
+
+void control_feed::accept(const messages::accepted_change& accepted)
+{
+    messages::configuration_delta delta;
+    *delta.add_changes() = accepted;
+    const std::scoped_lock lock(mutex_);
+    if (accepted.revision() <= present_.revision())
+    {
+        return;
+    }
+    nutmegusher::apply_delta(present_, delta);
+    history_.push_back(accepted);
+    if (history_.size() > history_limit_)
+    {
+        history_.pop_front();
+    }
+}
+
+void control_feed::restore(const configuration_store& store)
+{
+    auto present = store.present();
+    auto history = store.history();
+    const std::scoped_lock lock(mutex_);
+    if (present.revision() > present_.revision())
+    {
+        present_ = std::move(present);
+        history_ = std::move(history);
+    }
+}
+
+messages::configuration control_feed::present() const
+{
+    const std::scoped_lock lock(mutex_);
+    return present_;
+}
+
+messages::configuration_delta control_feed::since(revision from) const
+{
+    messages::configuration_delta delta;
+    const std::scoped_lock lock(mutex_);
+    if (from.value() >= present_.revision())
+    {
+        return delta;
+    }
+    const auto missing = present_.revision() - from.value();
+    if (missing > history_.size())
+    {
+        *delta.mutable_full() = present_;
+        return delta;
+    }
+    const auto first = history_.end() - static_cast<std::ptrdiff_t>(missing);
+    for (auto change = first; change != history_.end(); ++change)
+    {
+        *delta.add_changes() = *change;
+    }
+    return delta;
+}
+
+std::vector<messages::accepted_change>
+control_feed::history(std::size_t limit) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto count = std::min(limit, history_.size());
+    return {
+        history_.end() - static_cast<std::ptrdiff_t>(count), history_.end()};
+}
+
+} // namespace nutmegusher::node::internal
--- /dev/null
+++ b/nutmegusher/node/control_group.hpp
@@ -0,0 +1,394 @@
+// One replicated group on the logs' thread: who waits for what.
+#ifndef NUTMEGUSHER_NODE_CONTROL_GROUP_HPP
+#define NUTMEGUSHER_NODE_CONTROL_GROUP_HPP
+
+#include "nutmegusher/control/control.hpp"
+#include "nutmegusher/node/control_events.hpp"
+#include "nutmegusher/node/control_slot.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace nutmegusher::node::internal
+{
+
+// After a disk was full, before the group is opened again.
+inline constexpr duration reopen_delay = std::chrono::seconds(1);
+
+// What a group tells the loop that owns it.
+template <state_machine Machine>
+struct control_group_hooks
+{
+    std::function<void(messages::replica_message)> send;
+    std::function<void(
+        const messages::log_entry&, const typename Machine::result_type&)>
+        applied;
+    std::function<void(const Machine&)> restored;
+    std::function<void()> members_changed;
+};
+
+// What a group is opened with.
+struct control_group_settings
+{
+    replica_settings replica;
+    snapshot_policy snapshots;
+    asio::io_context* context;
+    file_disk* target;
+    random_engine* engine;
+};
+
+// Is the `group_listener` of its group. Closed while its storage fails: then
+// nothing is proposed, answered or acknowledged here.
+template <state_machine Machine>
+class control_group
+{
+public:
+    using result_type = typename Machine::result_type;
+    using group_type = replicated_group<file_disk, Machine>;
+
+    control_group(
+        const control_group_settings& settings,
+        control_group_hooks<Machine> hooks)
+        : settings_(settings)
+        , hooks_(std::move(hooks))
+    {
+    }
+
+    // Fails with `storage_failure`.
+    [[nodiscard]] leaf::result<void> open(time_point now)
+    {
+        BOOST_LEAF_ASSIGN(
+            group_,
+            group_type::open(
+                settings_.replica,
+                settings_.snapshots,
+                *settings_.target,
+                true,
+                *settings_.engine,
+                now));
+        hooks_.restored(group_->machine());
+        return {};
+    }
+
+    [[nodiscard]] std::uint32_t number() const
+    {
+        return settings_.replica.group;
+    }
+
+    // nullptr while the group is closed.
+    [[nodiscard]] group_type* running()
+    {
+        return group_.get();
+    }
+
+    [[nodiscard]] const group_type* running() const
+    {
+        return group_.get();
+    }
+
+    void tick(time_point now)
+    {
+        if (group_)
+        {
+            group_->core().tick(now);
+        }
+        else if (reopen_at_ && now >= *reopen_at_)
+        {
+            reopen(now);
+        }
+    }
+
+    void step(const messages::replica_message& message, time_point now)
+    {
+        if (group_)
+        {
+            group_->core().step(message, now);
+        }
+    }
+
+    void turn(time_point now)
+    {
+        if (!group_)
+        {
+            return;
+        }
+        const auto failed = leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<storage_failure>>
+            {
+                BOOST_LEAF_CHECK(group_->turn(*this, now));
+                return std::optional<storage_failure>();
+            },
+            [](const storage_failure& failure)
+            {
+                return std::optional(failure);
+            },
+            []
+            {
+                return std::optional(
+                    storage_failure{storage_fault::bad_content, "snapshot"});
+            });
+        if (failed)
+        {
+            close(*failed, now);
+        }
+    }
+
+    // Nothing: it isn't known whether the entry was or will be applied.
+    [[nodiscard]] asio::awaitable<std::optional<result_type>>
+    propose(messages::log_entry entry, time_point deadline)
+    {
+        const auto position = try_propose(std::move(entry));
+        if (!position)
+        {
+            co_return std::nullopt;
+        }
+        auto slot = std::make_shared<proposal_slot>(*settings_.context);
+        proposals_[position->index] = {position->term, slot};
+        auto result = co_await slot->wait(deadline);
+        const auto waiting = proposals_.find(position->index);
+        if (waiting != proposals_.end() && waiting->second.slot == slot)
+        {
+            proposals_.erase(waiting);
+        }
+        if (!result)
+        {
+            co_return std::nullopt;
+        }
+        co_return std::move(*result);
+    }
+
+    // The index that a linearizable read must have applied; nothing where this
+    // host isn't confirmed as the leader by the deadline.
+    [[nodiscard]] asio::awaitable<std::optional<log_index>>
+    confirm(time_point deadline)
+    {
+        const auto ticket = try_read();
+        if (!ticket)
+        {
+            co_return std::nullopt;
+        }
+        auto slot = std::make_shared<read_slot>(*settings_.context);
+        reads_[*ticket] = slot;
+        const auto index = co_await slot->wait(deadline);
+        reads_.erase(*ticket);
+        if (!index)
+        {
+            co_return std::nullopt;
+        }
+        co_return *index;
+    }
+
+    // False where the index isn't applied here by the deadline.
+    [[nodiscard]] asio::awaitable<bool>
+    wait_applied(log_index index, time_point deadline)
+    {
+        if (group_ && group_->applied() >= index)
+        {
+            co_return true;
+        }
+        auto slot = std::make_shared<control_slot<bool>>(*settings_.context);
+        const auto waiting = appliers_.emplace(index, slot);
+        const auto reached = co_await slot->wait(deadline);
+        if (!reached)
+        {
+            appliers_.erase(waiting);
+        }
+        co_return reached.has_value();
+    }
+
+    // For `replicated_group`.
+    void send(messages::replica_message message)
+    {
+        hooks_.send(std::move(message));
+    }
+
+    void applied(const messages::log_entry& entry, result_type result)
+    {
+        hooks_.applied(entry, result);
+        finish(entry.index(), entry.term(), &result);
+    }
+
+    void members_changed(const messages::replica_set&)
+    {
+        log_members_changed(number(), group_->core().members().members_size());
+        hooks_.members_changed();
+    }
+
+    void restored()
+    {
+        hooks_.restored(group_->machine());
+    }
+
+    void read_confirmed(confirmed_read read)
+    {
+        const auto waiting = reads_.find(read.ticket);
+        if (waiting != reads_.end())
+        {
+            waiting->second->set(read.index);
+        }
+    }
+
+    void read_failed(read_ticket ticket)
+    {
+        const auto waiting = reads_.find(ticket);
+        if (waiting != reads_.end())
+        {
+            waiting->second->set(std::nullopt);
+        }
+    }
+
+    void leadership_changed(leadership present)
+    {
+        const bool leads = present.leader == settings_.replica.self;
+        log_leadership(number(), present, leads, led_);
+        if (led_ && !leads)
+        {
+            // They may still be committed: nothing is known.
+            forget_proposals();
+        }
+        led_ = leads;
+    }
+
+    // Wakes who waits for what was applied in a turn.
+    void wake_appliers()
+    {
+        while (group_ && !appliers_.empty() &&
+               appliers_.begin()->first <= group_->applied())
+        {
+            appliers_.begin()->second->set(true);
+            appliers_.erase(appliers_.begin());
+        }
+        // Entries without a result: they lost against a new leader's.
+        while (group_ && !proposals_.empty() &&
+               proposals_.begin()->first <= group_->applied())
+        {
+            finish(proposals_.begin()->first, 0, nullptr);
+        }
+    }
+
+private:
+    using proposal_slot = control_slot<std::optional<result_type>>;
+    using read_slot = control_slot<std::optional<log_index>>;
+
+    struct pending_proposal
+    {
+        log_term term = 0;
+        std::shared_ptr<proposal_slot> slot;
+    };
+
+    std::optional<proposal_position> try_propose(messages::log_entry entry)
+    {
+        if (!group_)
+        {
+            return std::nullopt;
+        }
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<proposal_position>>
+            {
+                BOOST_LEAF_AUTO(
+                    made,
+                    group_->core().propose(
+                        std::move(entry), host_clock().now()));
+                return std::optional(made);
+            },
+            []
+            {
+                return std::optional<proposal_position>();
+            });
+    }
+
+    std::optional<read_ticket> try_read()
+    {
+        if (!group_)
+        {
+            return std::nullopt;
+        }
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<read_ticket>>
+            {
+                BOOST_LEAF_AUTO(made, group_->core().read(host_clock().now()));
+                return std::optional(made);
+            },
+            []
+            {
+                return std::optional<read_ticket>();
+            });
+    }
+
+    void finish(log_index index, log_term term, const result_type* result)
+    {
+        const auto waiting = proposals_.find(index);
+        if (waiting == proposals_.end())
+        {
+            return;
+        }
+        const bool own = result != nullptr && waiting->second.term == term;
+        waiting->second.slot->set(own ? std::optional(*result) : std::nullopt);
+        proposals_.erase(waiting);
+    }
+
+    void forget_proposals()
+    {
+        for (auto& [index, waiting] : proposals_)
+        {
+            waiting.slot->set(std::nullopt);
+        }
+        proposals_.clear();
+    }
+
+    // Nobody is told a verdict that may not be durable.
+    void close(const storage_failure& failure, time_point now)
+    {
+        log_storage_failed(number(), failure);
+        group_.reset();
+        led_ = false;
+        forget_proposals();
+        for (auto& [ticket, slot] : reads_)
+        {
+            slot->set(std::nullopt);
+        }
+        // After a failed sync the system may have dropped what it couldn't
+        // write; only a new process reads the files as they are.
+        reopen_at_.reset();
+        if (failure.fault != storage_fault::sync_failed)
+        {
+            reopen_at_ = now + reopen_delay;
+        }
+    }
+
+    void reopen(time_point now)
+    {
+        const bool opened = leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_CHECK(open(now));
+                return true;
+            },
+            []
+            {
+                return false;
+            });
+        reopen_at_.reset();
+        if (!opened)
+        {
+            reopen_at_ = now + reopen_delay;
+        }
+    }
+
+    control_group_settings settings_;
+    control_group_hooks<Machine> hooks_;
+    std::unique_ptr<group_type> group_;
+    std::map<log_index, pending_proposal> proposals_;
+    std::map<read_ticket, std::shared_ptr<read_slot>> reads_;
+    std::multimap<log_index, std::shared_ptr<control_slot<bool>>> appliers_;
+    std::optional<time_point> reopen_at_;
+    bool led_ = false;
+};
+
+} // namespace nutmegusher::node::internal
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/control_logs.cpp
@@ -0,0 +1,330 @@
+#include "nutmegusher/node/control_logs.hpp"
+
+#include "nutmegusher/node/control_loop.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <array>
+#include <span>
+#include <utility>
+
+namespace nutmegusher::node
+{
+
+using internal::control_loop;
+
+namespace
+{
+
+// A batch of messages; a snapshot is the largest.
+constexpr std::size_t largest_batch = 512 * 1024 * 1024;
+// A change, a claim with its answer, a question.
+constexpr std::size_t largest_request = 4 * 1024 * 1024;
+constexpr std::size_t read_step = 16 * 1024;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_too_large = 413;
+
+// Runs a coroutine on the logs' thread and comes back.
+template <class T>
+asio::awaitable<T> on_loop(control_loop& loop, asio::awaitable<T> action)
+{
+    co_return co_await asio::co_spawn(
+        loop.context(), std::move(action), asio::use_awaitable);
+}
+
+asio::awaitable<std::optional<std::string>>
+read_body(wire::server_stream& stream, std::size_t limit)
+{
+    std::string body;
+    std::array<std::byte, read_step> part;
+    while (true)
+    {
+        const auto count = co_await stream.read_some(part);
+        if (!count || body.size() + *count > limit)
+        {
+            co_return std::nullopt;
+        }
+        if (*count == 0)
+        {
+            co_return body;
+        }
+        body.append(reinterpret_cast<const char*>(part.data()), *count);
+    }
+}
+
+asio::awaitable<void>
+write_answer(wire::server_stream& stream, unsigned status, std::string body)
+{
+    wire::response_head head;
+    head.status = status;
+    const auto sent = co_await stream.write_head(head, body.empty());
+    if (sent && !body.empty())
+    {
+        const auto bytes = std::as_bytes(std::span(body));
+        static_cast<void>(co_await stream.write(bytes, true));
+    }
+}
+
+// The answer to a request that has arrived whole; on the logs' thread. Nothing
+// where the body isn't what the path asks for.
+using answerer = asio::awaitable<std::optional<std::string>> (*)(
+    std::shared_ptr<control_loop> loop, std::string body);
+
+asio::awaitable<std::optional<std::string>>
+answer_raft(std::shared_ptr<control_loop> loop, std::string body)
+{
+    co_return co_await loop->take_batch(std::move(body));
+}
+
+template <bool Forward>
+asio::awaitable<std::optional<std::string>>
+answer_change(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::change change;
+    if (!change.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    const auto result =
+        co_await loop->propose_change(std::move(change), Forward);
+    co_return result.SerializeAsString();
+}
+
+template <bool Forward>
+asio::awaitable<std::optional<std::string>>
+answer_claim(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::claim_command command;
+    if (!command.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    const auto result =
+        co_await loop->propose_claim(std::move(command), Forward);
+    co_return result.SerializeAsString();
+}
+
+asio::awaitable<std::optional<std::string>>
+answer_find_claim(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::claim_key key;
+    if (!key.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    const auto result = co_await loop->find_claim(std::move(key));
+    co_return result.SerializeAsString();
+}
+
+asio::awaitable<std::optional<std::string>>
+answer_read(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::read_request request;
+    if (!request.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    const auto reply = co_await loop->confirm_leader(request.group());
+    co_return reply.SerializeAsString();
+}
+
+asio::awaitable<std::optional<std::string>>
+answer_replace(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::replace_request request;
+    if (!request.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    co_return loop->replace_step(request).SerializeAsString();
+}
+
+asio::awaitable<std::optional<std::string>>
+answer_join(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::join_request request;
+    if (!request.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    co_return loop->join(request).SerializeAsString();
+}
+
+struct route
+{
+    std::string_view path;
+    answerer answer;
+    std::size_t limit;
+};
+
+// Below "/control/lead/" nothing is passed on: two hosts that each take the
+// other for the leader don't send a request to and fro.
+constexpr std::array routes{
+    route{internal::raft_path, answer_raft, largest_batch},
+    route{"/control/propose", answer_change<true>, largest_request},
+    route{"/control/claim", answer_claim<true>, largest_request},
+    route{"/control/find-claim", answer_find_claim, largest_request},
+    route{"/control/join", answer_join, largest_request},
+    route{"/control/lead/propose", answer_change<false>, largest_request},
+    route{"/control/lead/claim", answer_claim<false>, largest_request},
+    route{"/control/lead/read", answer_read, largest_request},
+    route{"/control/lead/replace", answer_replace, largest_request}};
+
+const route* find_route(std::string_view path)
+{
+    for (const auto& known : routes)
+    {
+        if (known.path == path)
+        {
+            return &known;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::string_view to_string(replace_outcome outcome)
+{
+    switch (outcome)
+    {
+    case replace_outcome::replaced:
+        return "replaced";
+    case replace_outcome::new_host_unreachable:
+        return "new_host_unreachable";
+    case replace_outcome::wrong_host:
+        return "wrong_host";
+    case replace_outcome::foreign_data_folder:
+        return "foreign_data_folder";
+    case replace_outcome::timed_out:
+        return "timed_out";
+    }
+    return "";
+}
+
+leaf::result<std::unique_ptr<control_logs>> control_logs::create(
+    asio::io_context& context, const control_settings& settings)
+{
+    BOOST_LEAF_AUTO(target, file_disk::open(settings.data_folder));
+    auto loop =
+        std::make_shared<control_loop>(context, settings, std::move(target));
+    BOOST_LEAF_CHECK(loop->open());
+    loop->start();
+    // Not make_unique: the constructor is private.
+    return std::unique_ptr<control_logs>(new control_logs(std::move(loop)));
+}
+
+control_logs::control_logs(std::shared_ptr<control_loop> loop)
+    : loop_(std::move(loop))
+{
+}
+
+control_logs::~control_logs()
+{
+    loop_->stop();
+}
+
+asio::awaitable<messages::change_result>
+control_logs::propose_change(messages::change change)
+{
+    co_return co_await on_loop(
+        *loop_, loop_->propose_change(std::move(change), true));
+}
+
+asio::awaitable<messages::claim_result>
+control_logs::claim(messages::claim_command command)
+{
+    co_return co_await on_loop(
+        *loop_, loop_->propose_claim(std::move(command), true));
+}
+
+asio::awaitable<messages::claim_result>
+control_logs::find_claim(messages::claim_key key)
+{
+    co_return co_await on_loop(*loop_, loop_->find_claim(std::move(key)));
+}
+
+asio::awaitable<bool> control_logs::confirm_configuration()
+{
+    co_return co_await on_loop(*loop_, loop_->confirm_configuration());
+}
+
+messages::configuration control_logs::present() const
+{
+    return loop_->feed().present();
+}
+
+messages::configuration_delta control_logs::since(revision from) const
+{
+    return loop_->feed().since(from);
+}
+
+std::vector<messages::accepted_change>
+control_logs::history(std::size_t limit) const
+{
+    return loop_->feed().history(limit);
+}
+
+void control_logs::on_revision(std::function<void(revision)> notify)
+{
+    loop_->notify = std::move(notify);
+}
+
+std::vector<std::optional<asio::ip::tcp::endpoint>>
+control_logs::claim_leaders() const
+{
+    return loop_->status().claim_leaders;
+}
+
+std::vector<control_address> control_logs::members() const
+{
+    return loop_->status().members;
+}
+
+boost::json::value control_logs::state() const
+{
+    return loop_->status().state;
+}
+
+asio::awaitable<replace_outcome> control_logs::replace_member(
+    host_id old_host, host_id new_host, asio::ip::tcp::endpoint address)
+{
+    messages::replica_member added;
+    added.set_host(new_host.str());
+    added.set_address(internal::to_text(address));
+    co_return co_await on_loop(
+        *loop_, loop_->replace(std::move(old_host), std::move(added)));
+}
+
+asio::awaitable<void> control_logs::hand_over(duration limit)
+{
+    co_await on_loop(*loop_, loop_->hand_over(limit));
+}
+
+asio::awaitable<bool>
+control_logs::handle(std::shared_ptr<wire::server_stream> stream)
+{
+    const auto* found = find_route(stream->head().path);
+    if (found == nullptr)
+    {
+        co_return false;
+    }
+    const auto loop = loop_;
+    auto body = co_await read_body(*stream, found->limit);
+    if (!body)
+    {
+        co_await write_answer(*stream, status_too_large, std::string());
+        co_return true;
+    }
+    auto answer =
+        co_await on_loop(*loop, found->answer(loop, *std::move(body)));
+    if (!answer)
+    {
+        stream->reset();
+        co_return true;
+    }
+    co_await write_answer(*stream, status_ok, *std::move(answer));
+    co_return true;
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/control_loop.hpp
@@ -0,0 +1,202 @@
+// The groups, the data folder and the connections of one control host; all of
+// it on one thread.
+#ifndef NUTMEGUSHER_NODE_CONTROL_LOOP_HPP
+#define NUTMEGUSHER_NODE_CONTROL_LOOP_HPP
+
+#include "nutmegusher/control/control.hpp"
+#include "nutmegusher/node/control_feed.hpp"
+#include "nutmegusher/node/control_group.hpp"
+#include "nutmegusher/node/control_logs.hpp"
+#include "nutmegusher/node/control_machines.hpp"
+#include "nutmegusher/node/control_peers.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::node::internal
+{
+
+// What other threads may ask at any time.
+struct control_status
+{
+    std::vector<std::optional<asio::ip::tcp::endpoint>> claim_leaders;
+    std::vector<control_address> members;
+    boost::json::value state;
+};
+
+// All coroutines hold the loop by a shared pointer and end soon after `stop`.
+class control_loop : public std::enable_shared_from_this<control_loop>
+{
+public:
+    using configuration_group = control_group<configuration_store>;
+    using claim_group = control_group<claim_machine>;
+
+    control_loop(
+        asio::io_context& context,
+        const control_settings& settings,
+        file_disk target);
+
+    // Reads the identity and opens the groups. Fails with `storage_failure`.
+    [[nodiscard]] leaf::result<void> open();
+
+    // Starts the timers and, on a fresh folder, the founding.
+    void start();
+    void stop();
+
+    [[nodiscard]] asio::io_context& context()
+    {
+        return context_;
+    }
+
+    [[nodiscard]] const control_feed& feed() const
+    {
+        return feed_;
+    }
+
+    // Safe from every thread.
+    [[nodiscard]] control_status status() const;
+
+    // Requests; each on the logs' thread. control_requests.cpp
+    asio::awaitable<messages::change_result>
+    propose_change(messages::change change, bool forward);
+    asio::awaitable<messages::claim_result>
+    propose_claim(messages::claim_command command, bool forward);
+    asio::awaitable<messages::claim_result> find_claim(messages::claim_key key);
+    asio::awaitable<bool> confirm_configuration();
+    asio::awaitable<messages::read_reply> confirm_leader(std::uint32_t group);
+    asio::awaitable<std::string> take_batch(std::string body);
+
+    // control_members.cpp
+    messages::join_reply join(const messages::join_request& request);
+    asio::awaitable<replace_outcome>
+    replace(host_id old_host, messages::replica_member added);
+    asio::awaitable<bool>
+    replace_in_group(messages::replace_request request, time_point deadline);
+    messages::replace_reply
+    replace_step(const messages::replace_request& request);
+    asio::awaitable<void> hand_over(duration limit);
+
+    std::function<void(revision)> notify = [](revision) {};
+
+private:
+    // control_loop.cpp
+    leaf::result<void> open_groups();
+    asio::awaitable<void> run_ticks();
+    void schedule_turn();
+    void run_turn();
+    void step(const messages::replica_message& message);
+    void receive(const messages::replica_batch& batch);
+    void learn_members();
+    [[nodiscard]] std::unique_ptr<claim_group>
+    make_claim_group(std::uint32_t number);
+    [[nodiscard]] control_group_settings group_settings(std::uint32_t number);
+
+    // Calls `action` with each group; group 0 first.
+    template <class Action>
+    void for_each_group(const Action& action)
+    {
+        if (configuration_)
+        {
+            action(*configuration_);
+        }
+        for (auto& group : claims_)
+        {
+            action(*group);
+        }
+    }
+
+    // Calls `action` with the replica of a group that runs here.
+    template <class Action>
+    void with_core(std::uint32_t number, const Action& action)
+    {
+        for_each_group(
+            [&](auto& group)
+            {
+                if (group.number() == number && group.running() != nullptr)
+                {
+                    action(group.running()->core());
+                }
+            });
+    }
+
+    // control_requests.cpp
+    [[nodiscard]] std::optional<asio::ip::tcp::endpoint>
+    leader_address(std::uint32_t group);
+    [[nodiscard]] bool leads(std::uint32_t group);
+    // Nothing where no leader is known or it doesn't answer.
+    asio::awaitable<std::optional<std::string>> call_leader(
+        std::uint32_t group,
+        std::string_view path,
+        const std::string& body,
+        time_point deadline);
+
+    template <class Reply>
+    asio::awaitable<std::optional<Reply>> ask_leader(
+        std::uint32_t group,
+        std::string_view path,
+        const std::string& body,
+        time_point deadline)
+    {
+        const auto answer = co_await call_leader(group, path, body, deadline);
+        Reply reply;
+        if (!answer || !reply.ParseFromString(*answer))
+        {
+            co_return std::nullopt;
+        }
+        co_return reply;
+    }
+
+    asio::awaitable<std::optional<log_index>>
+    read_index(std::uint32_t group, time_point deadline);
+    asio::awaitable<void> pause(duration length);
+
+    // control_members.cpp
+    asio::awaitable<void> found_cluster();
+    asio::awaitable<std::optional<messages::replica_set>> meet_founders();
+    asio::awaitable<bool> have_all_join(const messages::replica_set& members);
+    asio::awaitable<std::optional<messages::join_reply>> ask_to_join(
+        asio::ip::tcp::endpoint host, const messages::join_request& request);
+    [[nodiscard]] bool establish(
+        std::uint64_t cluster,
+        std::uint32_t groups,
+        const messages::replica_set& founding);
+    [[nodiscard]] leaf::result<void>
+    create_files(std::uint32_t group, const messages::replica_set& founding);
+    void spread_leaders();
+    [[nodiscard]] bool hand_over_groups();
+
+    // control_state.cpp
+    void publish_status();
+    [[nodiscard]] boost::json::value describe();
+
+    asio::io_context& context_;
+    control_settings settings_;
+    file_disk disk_;
+    random_engine engine_;
+    messages::host_identity identity_;
+    control_peers peers_;
+    control_feed feed_;
+    std::unique_ptr<configuration_group> configuration_;
+    std::vector<std::unique_ptr<claim_group>> claims_;
+    asio::steady_timer tick_timer_;
+    bool turn_scheduled_ = false;
+    bool members_changed_ = false;
+    bool handing_over_ = false;
+    bool stopped_ = false;
+    time_point next_spread_{};
+    mutable std::mutex status_mutex_;
+    control_status status_;
+};
+
+} // namespace nutmegusher::node::internal
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/control_machines.hpp
@@ -0,0 +1,60 @@
+// The state machines of the control hosts' logs, as `control` wants them.
+#ifndef NUTMEGUSHER_NODE_CONTROL_MACHINES_HPP
+#define NUTMEGUSHER_NODE_CONTROL_MACHINES_HPP
+
+#include "nutmegusher/control/control.hpp"
+#include "nutmegusher/execution/execution.hpp"
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace nutmegusher::node
+{
+
+// A claim table as a `state_machine`.
+class claim_machine
+{
+public:
+    using result_type = messages::claim_result;
+
+    claim_machine() = default;
+
+    // Requires: the entry holds a claim command.
+    messages::claim_result apply(const messages::log_entry& entry)
+    {
+        return table_.apply(entry.claim());
+    }
+
+    [[nodiscard]] std::string snapshot() const
+    {
+        return table_.snapshot();
+    }
+
+    [[nodiscard]] static leaf::result<claim_machine>
+    restore(std::string_view bytes)
+    {
+        BOOST_LEAF_AUTO(table, claim_table::restore(bytes));
+        return claim_machine(std::move(table));
+    }
+
+    [[nodiscard]] const claim_table& table() const
+    {
+        return table_;
+    }
+
+private:
+    explicit claim_machine(claim_table table)
+        : table_(std::move(table))
+    {
+    }
+
+    claim_table table_;
+};
+
+static_assert(state_machine<claim_machine>);
+static_assert(state_machine<configuration_store>);
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/control_members.cpp
@@ -0,0 +1,406 @@
+// Who belongs to the cluster: founding, joining, replacing, handing over.
+#include "nutmegusher/node/control_loop.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher::node::internal
+{
+
+namespace
+{
+
+constexpr duration join_timeout = std::chrono::seconds(1);
+constexpr duration join_pause = std::chrono::milliseconds(200);
+constexpr duration replace_limit = std::chrono::seconds(60);
+constexpr duration replace_pause = std::chrono::milliseconds(50);
+constexpr duration spread_interval = std::chrono::seconds(2);
+constexpr duration hand_over_pause = std::chrono::milliseconds(20);
+
+bool succeeds(const std::function<leaf::result<void>()>& action)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(action());
+            return true;
+        },
+        [](const storage_failure& failure)
+        {
+            log_storage_failed(0, failure);
+            return false;
+        },
+        []
+        {
+            return false;
+        });
+}
+
+std::vector<messages::replica_member> sorted_voters(const replica& core)
+{
+    std::vector<messages::replica_member> voters;
+    for (const auto& member : core.members().members())
+    {
+        if (member.voter())
+        {
+            voters.push_back(member);
+        }
+    }
+    std::sort(
+        voters.begin(),
+        voters.end(),
+        [](const auto& left, const auto& right)
+        {
+            return left.host() < right.host();
+        });
+    return voters;
+}
+
+void transfer(replica& core, replica_id to, time_point now)
+{
+    leaf::try_handle_all(
+        [&]
+        {
+            return core.transfer_leadership(to, now);
+        },
+        [] {});
+}
+
+// The voter that would lead at once: active, and nothing is missing there.
+std::optional<replica_id> best_successor(const replica& core, time_point now)
+{
+    for (const auto& member : sorted_voters(core))
+    {
+        const replica_id id(member.identity());
+        if (id != core.id() && can_succeed(core, id, now))
+        {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// The first start. Every other host must answer that it belongs to no cluster
+// before any of them is asked to join, and joining is for ever: so an emptied
+// folder can neither found a second cluster beside a running one nor come back
+// as the voter that it was. Every host writes the first members down itself,
+// so that the group outlives the founder from its first moment.
+asio::awaitable<void> control_loop::found_cluster()
+{
+    const auto self = shared_from_this();
+    const std::uint64_t own = identity_.identity();
+    while (!stopped_ && identity_.cluster() == 0)
+    {
+        const auto members = co_await meet_founders();
+        if (members && members->members().empty())
+        {
+            co_return; // a cluster exists: wait to be added to it
+        }
+        if (members && identity_.cluster() == 0)
+        {
+            const bool joined = co_await have_all_join(*members);
+            if (joined && establish(own, settings_.claim_groups + 1, *members))
+            {
+                co_return;
+            }
+        }
+        co_await pause(join_pause);
+    }
+}
+
+// The first members; empty where one of them belongs to another cluster, and
+// nothing while not all have answered.
+asio::awaitable<std::optional<messages::replica_set>>
+control_loop::meet_founders()
+{
+    const std::uint64_t own = identity_.identity();
+    messages::replica_set members;
+    for (const auto& host : settings_.initial)
+    {
+        auto& member = *members.add_members();
+        member.set_host(host.host.str());
+        member.set_address(to_text(host.address));
+        member.set_voter(true);
+        member.set_identity(own);
+        if (host.host == settings_.self)
+        {
+            continue;
+        }
+        const messages::join_request question;
+        const auto reply = co_await ask_to_join(host.address, question);
+        if (!reply || reply->host() != host.host.str())
+        {
+            co_return std::nullopt;
+        }
+        if (reply->cluster() != 0 && reply->cluster() != own)
+        {
+            co_return messages::replica_set();
+        }
+        member.set_identity(reply->identity());
+    }
+    co_return members;
+}
+
+asio::awaitable<bool>
+control_loop::have_all_join(const messages::replica_set& members)
+{
+    const std::uint64_t own = identity_.identity();
+    messages::join_request request;
+    request.set_cluster(own);
+    request.set_groups(settings_.claim_groups + 1);
+    *request.mutable_founding() = members;
+    for (const auto& host : settings_.initial)
+    {
+        if (host.host == settings_.self)
+        {
+            continue;
+        }
+        const auto reply = co_await ask_to_join(host.address, request);
+        if (!reply || reply->cluster() != own)
+        {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<std::optional<messages::join_reply>> control_loop::ask_to_join(
+    asio::ip::tcp::endpoint host, const messages::join_request& request)
+{
+    const auto body = request.SerializeAsString();
+    const auto answer = co_await wire::call(
+        peers_.sessions(), host, "/control/join", body, join_timeout);
+    messages::join_reply reply;
+    if (!answer || !reply.ParseFromString(*answer))
+    {
+        co_return std::nullopt;
+    }
+    co_return reply;
+}
+
+messages::join_reply control_loop::join(const messages::join_request& request)
+{
+    if (identity_.cluster() == 0 && request.cluster() != 0 &&
+        request.groups() > 0 && request.cluster() != identity_.identity())
+    {
+        static_cast<void>(
+            establish(request.cluster(), request.groups(), request.founding()));
+    }
+    messages::join_reply reply;
+    reply.set_identity(identity_.identity());
+    reply.set_host(settings_.self.str());
+    reply.set_cluster(identity_.cluster());
+    return reply;
+}
+
+// The files first, then the identity that demands them. Durable before it is
+// answered: only this cluster's messages are taken from then on.
+bool control_loop::establish(
+    std::uint64_t cluster,
+    std::uint32_t groups,
+    const messages::replica_set& founding)
+{
+    auto identity = identity_;
+    identity.set_cluster(cluster);
+    identity.set_groups(groups);
+    const auto action = [&]() -> leaf::result<void>
+    {
+        for (std::uint32_t group = 0; group < groups; ++group)
+        {
+            BOOST_LEAF_CHECK(create_files(group, founding));
+        }
+        BOOST_LEAF_CHECK(save_identity(disk_, identity));
+        identity_ = identity;
+        return open_groups();
+    };
+    return succeeds(action);
+}
+
+leaf::result<void> control_loop::create_files(
+    std::uint32_t group, const messages::replica_set& founding)
+{
+    using any_group = replicated_group<file_disk, configuration_store>;
+    if (founding.members().empty())
+    {
+        return group_storage<file_disk>(disk_, group).create();
+    }
+    return any_group::found(disk_, group, founding);
+}
+
+asio::awaitable<replace_outcome>
+control_loop::replace(host_id old_host, messages::replica_member added)
+{
+    const auto self = shared_from_this();
+    const auto deadline = host_clock().now() + replace_limit;
+    const auto address = parse_endpoint(added.address());
+    if (!address || identity_.cluster() == 0)
+    {
+        co_return replace_outcome::new_host_unreachable;
+    }
+    messages::join_request invitation;
+    invitation.set_cluster(identity_.cluster());
+    invitation.set_groups(identity_.groups());
+    const auto joined = co_await ask_to_join(*address, invitation);
+    if (!joined)
+    {
+        co_return replace_outcome::new_host_unreachable;
+    }
+    if (joined->host() != added.host())
+    {
+        co_return replace_outcome::wrong_host;
+    }
+    if (joined->cluster() != identity_.cluster())
+    {
+        co_return replace_outcome::foreign_data_folder;
+    }
+    added.set_identity(joined->identity());
+    messages::replace_request request;
+    request.set_old_host(old_host.str());
+    *request.mutable_added() = added;
+    for (std::uint32_t group = 0; group < identity_.groups(); ++group)
+    {
+        request.set_group(group);
+        const bool done = co_await replace_in_group(request, deadline);
+        if (!done)
+        {
+            co_return replace_outcome::timed_out;
+        }
+    }
+    co_return replace_outcome::replaced;
+}
+
+asio::awaitable<bool> control_loop::replace_in_group(
+    messages::replace_request request, time_point deadline)
+{
+    const auto body = request.SerializeAsString();
+    while (!stopped_ && host_clock().now() < deadline)
+    {
+        std::optional<messages::replace_reply> reply;
+        if (leads(request.group()))
+        {
+            reply = replace_step(request);
+        }
+        else
+        {
+            reply = co_await ask_leader<messages::replace_reply>(
+                request.group(), "/control/lead/replace", body, deadline);
+        }
+        if (reply && reply->done())
+        {
+            co_return true;
+        }
+        co_await pause(replace_pause);
+    }
+    co_return false;
+}
+
+messages::replace_reply
+control_loop::replace_step(const messages::replace_request& request)
+{
+    messages::replace_reply reply;
+    const auto now = host_clock().now();
+    const auto take_step = [&](replica& core)
+    {
+        if (!core.holds_lease(now))
+        {
+            return;
+        }
+        const replacement wanted{host_id(request.old_host()), request.added()};
+        const replica_id added(request.added().identity());
+        const auto step =
+            next_step(core.members(), wanted, is_caught_up(core, added, now));
+        reply.set_done(
+            step == replacement_step::done && core.members_committed());
+        auto members = membership_after(core.members(), wanted, step);
+        if (!members)
+        {
+            return;
+        }
+        reply.set_accepted(succeeds(
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_CHECK(
+                    core.propose_members(*std::move(members), now));
+                return {};
+            }));
+        members_changed_ = true;
+    };
+    with_core(request.group(), take_step);
+    schedule_turn();
+    return reply;
+}
+
+// Each claim group is led by another host where all are well, so that the
+// hosts share the work; and it goes back there after a failure has passed.
+void control_loop::spread_leaders()
+{
+    const auto now = host_clock().now();
+    if (now < next_spread_ || handing_over_)
+    {
+        return;
+    }
+    next_spread_ = now + spread_interval;
+    for (auto& group : claims_)
+    {
+        if (group->running() == nullptr || !leads(group->number()))
+        {
+            continue;
+        }
+        auto& core = group->running()->core();
+        const auto voters = sorted_voters(core);
+        if (voters.empty() || !core.members_committed())
+        {
+            continue;
+        }
+        const auto place = (group->number() - 1) % voters.size();
+        const replica_id preferred(voters[place].identity());
+        if (preferred != core.id() && can_succeed(core, preferred, now))
+        {
+            transfer(core, preferred, now);
+            schedule_turn();
+        }
+    }
+}
+
+asio::awaitable<void> control_loop::hand_over(duration limit)
+{
+    const auto self = shared_from_this();
+    const auto deadline = host_clock().now() + limit;
+    handing_over_ = true;
+    while (host_clock().now() < deadline && hand_over_groups())
+    {
+        schedule_turn();
+        co_await pause(hand_over_pause);
+    }
+}
+
+// True while a group is led here and could be led elsewhere.
+bool control_loop::hand_over_groups()
+{
+    const auto now = host_clock().now();
+    bool any = false;
+    for_each_group(
+        [&](auto& group)
+        {
+            if (group.running() == nullptr)
+            {
+                return;
+            }
+            auto& core = group.running()->core();
+            core.decline_leadership();
+            if (core.role() != replica_role::leader)
+            {
+                return;
+            }
+            if (const auto successor = best_successor(core, now))
+            {
+                transfer(core, *successor, now);
+                any = true;
+            }
+        });
+    return any;
+}
+
+} // namespace nutmegusher::node::internal
--- /dev/null
+++ b/nutmegusher/node/control_peers.cpp
@@ -0,0 +1,164 @@
+#include "nutmegusher/node/control_peers.hpp"
+
+#include "nutmegusher/node/settings.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace nutmegusher::node::internal
+{
+
+namespace
+{
+
+// A follower's sync included; what takes longer is lost and sent again.
+constexpr duration batch_timeout = std::chrono::seconds(1);
+// A snapshot of hundreds of megabytes on a line of 1 Gbit/s.
+constexpr duration snapshot_timeout = std::chrono::seconds(20);
+// An answer never waits longer: the sender's slot would be taken for nothing.
+constexpr duration answer_limit = std::chrono::milliseconds(500);
+// A batch stays below what a peer takes.
+constexpr std::size_t batch_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
+std::string to_text(const asio::ip::tcp::endpoint& address)
+{
+    const auto ip = address.address().to_string();
+    const auto port = std::to_string(address.port());
+    return address.address().is_v6() ? "[" + ip + "]:" + port : ip + ":" + port;
+}
+
+control_peers::control_peers(asio::io_context& context, receiver receive)
+    : context_(context)
+    , receive_(std::move(receive))
+    , sessions_(context, wire::session_options())
+{
+}
+
+void control_peers::join(std::uint64_t cluster)
+{
+    cluster_ = cluster;
+}
+
+void control_peers::learn(const messages::replica_set& members)
+{
+    for (const auto& member : members.members())
+    {
+        if (const auto address = parse_endpoint(member.address()))
+        {
+            peers_[replica_id(member.identity())].address = address;
+        }
+    }
+}
+
+std::optional<control_peers::endpoint> control_peers::find(replica_id id) const
+{
+    const auto known = peers_.find(id);
+    return known == peers_.end() ? std::nullopt : known->second.address;
+}
+
+void control_peers::post(messages::replica_message message)
+{
+    auto& target = peers_[replica_id(message.to())];
+    if (target.queue.size() < messages_queued)
+    {
+        target.queue.push_back(std::move(message));
+    }
+}
+
+void control_peers::flush()
+{
+    for (auto& [id, target] : peers_)
+    {
+        if (!target.waiting.empty() && !target.queue.empty())
+        {
+            const auto first = std::move(target.waiting.front());
+            target.waiting.pop_front();
+            first->set(take_batch(target, false));
+        }
+        while (!target.waiting.empty())
+        {
+            target.waiting.front()->set(std::string());
+            target.waiting.pop_front();
+        }
+        send_next(id, target);
+    }
+}
+
+asio::awaitable<std::string> control_peers::answer(replica_id from)
+{
+    const auto slot = std::make_shared<control_slot<std::string>>(context_);
+    peers_[from].waiting.push_back(slot);
+    auto batch = co_await slot->wait(host_clock().now() + answer_limit);
+    co_return batch ? std::move(*batch) : std::string();
+}
+
+// As many messages as fit; snapshots travel alone, in batches of their own.
+std::string control_peers::take_batch(peer& from, bool with_snapshots)
+{
+    messages::replica_batch batch;
+    batch.set_cluster(cluster_);
+    std::size_t bytes = 0;
+    while (!from.queue.empty() && bytes < batch_bytes)
+    {
+        auto& next = from.queue.front();
+        if (next.has_install() &&
+            (!with_snapshots || batch.messages_size() > 0))
+        {
+            break;
+        }
+        const bool alone = next.has_install();
+        bytes += next.ByteSizeLong();
+        *batch.add_messages() = std::move(next);
+        from.queue.pop_front();
+        if (alone)
+        {
+            break;
+        }
+    }
+    return batch.SerializeAsString();
+}
+
+void control_peers::send_next(replica_id to, peer& target)
+{
+    if (!target.address)
+    {
+        target.queue.clear();
+        return;
+    }
+    while (!target.queue.empty() && target.in_flight < batches_in_flight)
+    {
+        ++target.in_flight;
+        const bool snapshot = target.queue.front().has_install();
+        auto body = take_batch(target, true);
+        asio::co_spawn(
+            context_,
+            send_batch(
+                to,
+                *target.address,
+                std::move(body),
+                snapshot ? snapshot_timeout : batch_timeout),
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> control_peers::send_batch(
+    replica_id to, endpoint at, std::string body, duration timeout)
+{
+    const auto answer =
+        co_await wire::call(sessions_, at, raft_path, body, timeout);
+    auto& target = peers_[to];
+    --target.in_flight;
+    messages::replica_batch batch;
+    if (answer && !answer->empty() && batch.ParseFromString(*answer) &&
+        batch.cluster() == cluster_)
+    {
+        receive_(batch);
+    }
+    send_next(to, target);
+}
+
+} // namespace nutmegusher::node::internal
--- /dev/null
+++ b/nutmegusher/node/control_requests.cpp
@@ -0,0 +1,281 @@
+// Proposals and reads of one control host: done here where it leads, else
+// passed on to the leader.
+#include "nutmegusher/node/claim_client.hpp"
+#include "nutmegusher/node/control_loop.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher::node::internal
+{
+
+namespace
+{
+
+// An election and a retry fit in twice; then the operator is told.
+constexpr duration change_limit = std::chrono::seconds(3);
+// The entry daemon tries another control host after 400 ms.
+constexpr duration claim_limit = std::chrono::seconds(1);
+constexpr duration read_limit = std::chrono::seconds(2);
+// One try at a leader: it may have become silent.
+constexpr duration forward_limit = std::chrono::milliseconds(800);
+// Between two tries while nobody leads.
+constexpr duration retry_pause = std::chrono::milliseconds(30);
+
+messages::change_result unavailable_change()
+{
+    messages::change_result result;
+    result.set_verdict(messages::change_unavailable);
+    return result;
+}
+
+messages::claim_result unavailable_claim()
+{
+    messages::claim_result result;
+    result.set_verdict(messages::claim_unavailable);
+    return result;
+}
+
+bool is_verdict(const std::optional<messages::change_result>& result)
+{
+    return result && result->verdict() != messages::change_unavailable &&
+           result->verdict() != messages::change_verdict_none;
+}
+
+bool is_verdict(const std::optional<messages::claim_result>& result)
+{
+    return result && result->verdict() != messages::claim_unavailable &&
+           result->verdict() != messages::claim_verdict_none;
+}
+
+} // namespace
+
+asio::awaitable<void> control_loop::pause(duration length)
+{
+    asio::steady_timer timer(context_, length);
+    const auto quietly = asio::as_tuple(asio::use_awaitable);
+    co_await timer.async_wait(quietly);
+}
+
+bool control_loop::leads(std::uint32_t group)
+{
+    bool found = false;
+    with_core(
+        group,
+        [&found](const replica& core)
+        {
+            found = core.role() == replica_role::leader;
+        });
+    return found;
+}
+
+std::optional<asio::ip::tcp::endpoint>
+control_loop::leader_address(std::uint32_t group)
+{
+    std::optional<asio::ip::tcp::endpoint> found;
+    with_core(
+        group,
+        [&](const replica& core)
+        {
+            const auto leader = core.leader();
+            if (leader && *leader != core.id())
+            {
+                found = peers_.find(*leader);
+            }
+        });
+    return found;
+}
+
+asio::awaitable<std::optional<std::string>> control_loop::call_leader(
+    std::uint32_t group,
+    std::string_view path,
+    const std::string& body,
+    time_point deadline)
+{
+    const auto address = leader_address(group);
+    const auto left = deadline - host_clock().now();
+    if (!address || left <= duration::zero())
+    {
+        co_return std::nullopt;
+    }
+    const auto limit = std::min<duration>(left, forward_limit);
+    auto answer =
+        co_await wire::call(peers_.sessions(), *address, path, body, limit);
+    if (!answer)
+    {
+        co_return std::nullopt;
+    }
+    co_return std::move(*answer);
+}
+
+asio::awaitable<messages::change_result>
+control_loop::propose_change(messages::change change, bool forward)
+{
+    const auto self = shared_from_this();
+    if (const auto problem = check_change(change))
+    {
+        messages::change_result result;
+        result.set_verdict(messages::change_invalid);
+        result.set_problem(problem->problem);
+        result.set_field(problem->field);
+        co_return result;
+    }
+    const auto deadline = host_clock().now() + change_limit;
+    const auto body = change.SerializeAsString();
+    while (!stopped_ && host_clock().now() < deadline)
+    {
+        std::optional<messages::change_result> result;
+        if (leads(0))
+        {
+            messages::log_entry entry;
+            *entry.mutable_configuration_change() = change;
+            schedule_turn();
+            result =
+                co_await configuration_->propose(std::move(entry), deadline);
+        }
+        else if (forward)
+        {
+            result = co_await ask_leader<messages::change_result>(
+                0, "/control/lead/propose", body, deadline);
+        }
+        if (is_verdict(result))
+        {
+            co_return *result;
+        }
+        if (!forward)
+        {
+            break;
+        }
+        co_await pause(retry_pause);
+    }
+    co_return unavailable_change();
+}
+
+asio::awaitable<messages::claim_result>
+control_loop::propose_claim(messages::claim_command command, bool forward)
+{
+    const auto self = shared_from_this();
+    if (claims_.empty())
+    {
+        co_return unavailable_claim();
+    }
+    const auto groups = static_cast<std::uint32_t>(claims_.size());
+    const auto number = claim_group_of(command.key(), groups);
+    const auto deadline = host_clock().now() + claim_limit;
+    const auto body = command.SerializeAsString();
+    while (!stopped_ && host_clock().now() < deadline)
+    {
+        std::optional<messages::claim_result> result;
+        if (leads(number))
+        {
+            messages::log_entry entry;
+            *entry.mutable_claim() = command;
+            schedule_turn();
+            result = co_await claims_[number - 1]->propose(
+                std::move(entry), deadline);
+        }
+        else if (forward)
+        {
+            result = co_await ask_leader<messages::claim_result>(
+                number, "/control/lead/claim", body, deadline);
+        }
+        if (is_verdict(result))
+        {
+            co_return *result;
+        }
+        if (!forward)
+        {
+            break;
+        }
+        co_await pause(retry_pause);
+    }
+    co_return unavailable_claim();
+}
+
+asio::awaitable<messages::read_reply>
+control_loop::confirm_leader(std::uint32_t group)
+{
+    const auto self = shared_from_this();
+    const auto deadline = host_clock().now() + forward_limit;
+    std::optional<log_index> index;
+    if (leads(group) && group == 0)
+    {
+        schedule_turn();
+        index = co_await configuration_->confirm(deadline);
+    }
+    else if (leads(group) && group <= claims_.size())
+    {
+        schedule_turn();
+        index = co_await claims_[group - 1]->confirm(deadline);
+    }
+    messages::read_reply reply;
+    reply.set_confirmed(index.has_value());
+    reply.set_index(index.value_or(0));
+    co_return reply;
+}
+
+asio::awaitable<std::optional<log_index>>
+control_loop::read_index(std::uint32_t group, time_point deadline)
+{
+    messages::read_request request;
+    request.set_group(group);
+    const auto body = request.SerializeAsString();
+    while (!stopped_ && host_clock().now() < deadline)
+    {
+        std::optional<messages::read_reply> reply;
+        if (leads(group))
+        {
+            reply = co_await confirm_leader(group);
+        }
+        else
+        {
+            reply = co_await ask_leader<messages::read_reply>(
+                group, "/control/lead/read", body, deadline);
+        }
+        if (reply && reply->confirmed())
+        {
+            co_return reply->index();
+        }
+        co_await pause(retry_pause);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> control_loop::confirm_configuration()
+{
+    const auto self = shared_from_this();
+    const auto deadline = host_clock().now() + read_limit;
+    const auto index = co_await read_index(0, deadline);
+    if (!index || !configuration_)
+    {
+        co_return false;
+    }
+    co_return co_await configuration_->wait_applied(*index, deadline);
+}
+
+asio::awaitable<messages::claim_result>
+control_loop::find_claim(messages::claim_key key)
+{
+    const auto self = shared_from_this();
+    if (claims_.empty())
+    {
+        co_return unavailable_claim();
+    }
+    const auto groups = static_cast<std::uint32_t>(claims_.size());
+    const auto number = claim_group_of(key, groups);
+    const auto deadline = host_clock().now() + read_limit;
+    const auto index = co_await read_index(number, deadline);
+    auto& group = *claims_[number - 1];
+    if (!index)
+    {
+        co_return unavailable_claim();
+    }
+    const bool applied = co_await group.wait_applied(*index, deadline);
+    if (!applied || group.running() == nullptr)
+    {
+        co_return unavailable_claim();
+    }
+    co_return group.running()->machine().table().find(key);
+}
+
+} // namespace nutmegusher::node::internal
