Run the daemon: control host, sync and operators' interface in one process

Cause: the replicated logs had a driver but no process. control_part joins them to the sync with daemons and to the operators' answers.

Address sanitizer showed the reply of 'at ? co_await exchange(...) : nullopt' destroyed twice: g++ 12 destroys the temporary of a conditional expression with co_await in one arm on both paths. Ruled out: a data race between the logs' thread and the workers (the sanitizer names one thread).

--- /dev/null
+++ b/nutmegusher/node/control_part.cpp
@@ -0,0 +1,312 @@
+#include "nutmegusher/node/control_part.hpp"
+
+#include "nutmegusher/node/control_logs.hpp"
+#include "nutmegusher/node/json_messages.hpp"
+#include "nutmegusher/node/sync_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/parse.hpp>
+
+#include <sstream>
+#include <thread>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr duration hand_over_limit = std::chrono::seconds(3);
+// What `history` shows at most.
+constexpr std::size_t most_history = 1000;
+// Daemons that lag which `rollout` names.
+constexpr std::string_view sync_path = "/control/sync";
+constexpr std::string_view registry_path = "/control/registry";
+
+std::string to_text(const endpoint& address)
+{
+    std::ostringstream text;
+    text << address;
+    return text.str();
+}
+
+control_settings make_control_settings(const settings& from)
+{
+    control_settings made;
+    made.data_folder = from.control->data_folder;
+    made.self = from.host.id;
+    made.address = from.listen.peers;
+    made.initial = from.control->initial;
+    made.claim_groups = from.control->claim_groups;
+    return made;
+}
+
+// The fields of a replacement's body.
+struct replace_order
+{
+    host_id old_host;
+    host_id new_host;
+    endpoint address;
+};
+
+leaf::result<replace_order> parse_replace(std::string_view text)
+{
+    json::error_code failed;
+    const auto value =
+        json::parse(json::string_view(text.data(), text.size()), failed);
+    if (failed || !value.is_object())
+    {
+        return leaf::new_error(json_error{json_problem::not_an_object, ""});
+    }
+    const auto& object = value.get_object();
+    const auto text_of =
+        [&object](std::string_view field) -> leaf::result<std::string>
+    {
+        const auto* const found = object.if_contains(field);
+        if (found == nullptr || !found->is_string() ||
+            found->get_string().empty())
+        {
+            return leaf::new_error(
+                json_error{json_problem::missing_field, std::string(field)});
+        }
+        return std::string(found->get_string());
+    };
+    BOOST_LEAF_AUTO(old_host, text_of("old"));
+    BOOST_LEAF_AUTO(new_host, text_of("new"));
+    BOOST_LEAF_AUTO(address, text_of("address"));
+    const auto parsed = parse_endpoint(address);
+    if (!parsed)
+    {
+        return leaf::new_error(
+            json_error{json_problem::out_of_range, "address"});
+    }
+    return replace_order{host_id(old_host), host_id(new_host), *parsed};
+}
+
+unsigned status_of(replace_outcome outcome)
+{
+    switch (outcome)
+    {
+    case replace_outcome::replaced:
+        return 200;
+    case replace_outcome::foreign_data_folder:
+        return 409;
+    case replace_outcome::new_host_unreachable:
+    case replace_outcome::timed_out:
+        break;
+    }
+    return 503;
+}
+
+} // namespace
+
+struct control_part::state
+{
+    explicit state(worker& first)
+        : first(first)
+        , working(asio::make_work_guard(context))
+    {
+    }
+
+    control_source make_source();
+    [[nodiscard]] json::value describe() const;
+    [[nodiscard]] json::value history() const;
+    [[nodiscard]] json::value rollout() const;
+    asio::awaitable<std::pair<unsigned, json::value>> replace(std::string body);
+
+    worker& first;
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> working;
+    std::unique_ptr<control_logs> logs;
+    std::unique_ptr<sync_server> syncs;
+    std::thread thread;
+};
+
+control_source control_part::state::make_source()
+{
+    control_source source;
+    source.changes_since = [this](revision from)
+    {
+        return logs->since(from);
+    };
+    source.confirm = [this]
+    {
+        return logs->confirm_configuration();
+    };
+    source.claim_leaders = [this]
+    {
+        std::vector<std::string> leaders;
+        for (const auto& leader : logs->claim_leaders())
+        {
+            leaders.push_back(leader ? to_text(*leader) : std::string());
+        }
+        return leaders;
+    };
+    source.control_hosts = [this]
+    {
+        std::vector<messages::control_host> hosts;
+        for (const auto& member : logs->members())
+        {
+            auto& host = hosts.emplace_back();
+            host.set_host(member.host.str());
+            host.set_address(to_text(member.address));
+        }
+        return hosts;
+    };
+    return source;
+}
+
+json::value control_part::state::describe() const
+{
+    return json::object{{"logs", logs->state()}, {"registry", syncs->dump()}};
+}
+
+json::value control_part::state::history() const
+{
+    json::array all;
+    for (const auto& accepted : logs->history(most_history))
+    {
+        all.push_back(json::object{
+            {"revision", accepted.revision()},
+            {"change", to_json(accepted.what())}});
+    }
+    return all;
+}
+
+json::value control_part::state::rollout() const
+{
+    const revision wanted(logs->present().revision());
+    const auto tally = syncs->rollout();
+    json::array lagging;
+    for (const auto& each : tally.lagging(wanted))
+    {
+        lagging.push_back(json::object{
+            {"host", each.host.str()}, {"revision", each.runs.value()}});
+    }
+    return json::object{
+        {"revision", wanted.value()},
+        {"daemons", tally.daemons()},
+        {"in_force", tally.daemons_at(wanted)},
+        {"lagging", std::move(lagging)}};
+}
+
+asio::awaitable<std::pair<unsigned, json::value>>
+control_part::state::replace(std::string body)
+{
+    std::optional<replace_order> order;
+    json_error wrong;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_ASSIGN(order, parse_replace(body));
+            return {};
+        },
+        [&](const json_error& error)
+        {
+            wrong = error;
+        },
+        [] {});
+    if (!order)
+    {
+        co_return std::pair(422U, to_json(wrong));
+    }
+    const auto result = co_await logs->replace_member(
+        order->old_host, order->new_host, order->address);
+    json::value answer = json::object{{"outcome", to_string(result)}};
+    co_return std::pair(status_of(result), std::move(answer));
+}
+
+leaf::result<std::unique_ptr<control_part>> control_part::start(worker& first)
+{
+    const auto& configured = first.shared.configured;
+    auto made = std::make_unique<state>(first);
+    BOOST_LEAF_ASSIGN(
+        made->logs,
+        control_logs::create(made->context, make_control_settings(configured)));
+    made->syncs = std::make_unique<sync_server>(
+        configured.host.id, first.shared.run, made->make_source());
+    made->logs->on_revision(
+        [syncs = made->syncs.get()](revision)
+        {
+            syncs->notify();
+        });
+    asio::co_spawn(
+        first.context,
+        made->syncs->exchange_leases(first.peers),
+        asio::detached);
+    auto& context = made->context;
+    made->thread = std::thread(
+        [&context]
+        {
+            context.run();
+        });
+    return std::unique_ptr<control_part>(new control_part(std::move(made)));
+}
+
+control_part::control_part(std::unique_ptr<state> state)
+    : state_(std::move(state))
+{
+}
+
+control_part::~control_part()
+{
+    stop();
+}
+
+asio::awaitable<void>
+control_part::serve(worker&, std::shared_ptr<wire::server_stream> stream)
+{
+    const auto& path = stream->head().path;
+    if (path == sync_path || path == registry_path)
+    {
+        co_await state_->syncs->serve(stream);
+        co_return;
+    }
+    if (!co_await state_->logs->handle(stream))
+    {
+        wire::response_head head{404, {}};
+        co_await stream->write_head(std::move(head), true);
+    }
+}
+
+asio::awaitable<void> control_part::hand_over()
+{
+    state_->syncs->stop();
+    co_await state_->logs->hand_over(hand_over_limit);
+}
+
+void control_part::stop()
+{
+    if (state_->thread.joinable())
+    {
+        state_->context.stop();
+        state_->thread.join();
+    }
+}
+
+control_answers control_part::answers()
+{
+    control_answers made;
+    made.state = [this]
+    {
+        return state_->describe();
+    };
+    made.history = [this]
+    {
+        return state_->history();
+    };
+    made.rollout = [this]
+    {
+        return state_->rollout();
+    };
+    made.replace = [this](std::string body)
+    {
+        return state_->replace(std::move(body));
+    };
+    return made;
+}
+
+} // namespace nutmegusher::node
--- a/nutmegusher/node/forward_try.cpp
+++ b/nutmegusher/node/forward_try.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr std::size_t piece_bytes = 16384;
+// Far above a round trip between regions; a host that takes longer to accept
+// is slow or gone, and another one can be tried in the time that is left.
+constexpr duration connect_limit = std::chrono::milliseconds(250);
 
 bool is_own_or_hop(std::string_view name)
 {
@@ -145,7 +148,10 @@
 {
     const auto kind = call_.work_class->bulk ? wire::traffic::long_transfers
                                              : wire::traffic::short_calls;
-    const auto session = co_await call_.here.peers.get(to_.address, kind);
+    const auto connect_until =
+        std::min(call_.deadline, host_clock().now() + connect_limit);
+    const auto session =
+        co_await call_.here.peers.get(to_.address, kind, connect_until);
     if (!session)
     {
         co_return not_sent(session.error());
@@ -261,6 +267,8 @@
         answer.head.status, fields_for_caller(answer.head.fields)};
     head.fields.push_back(
         {std::string(field::tries), std::to_string(call_.tries)});
+    head.fields.push_back(
+        {std::string(field::request_id), call_.request.str()});
     if (answer.whole)
     {
         co_return co_await call_.exchange.answer(std::move(head), answer.begin);
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace nutmegusher::node
@@ -179,11 +180,17 @@
         }
         http::response_serializer<http::span_body<const char>> serializer(
             message);
-        auto [failed, size] =
-            bodiless ? co_await http::async_write_header(
-                           stream_, serializer, as_tuple_awaitable)
-                     : co_await http::async_write(
-                           stream_, serializer, as_tuple_awaitable);
+        boost::system::error_code failed;
+        if (bodiless)
+        {
+            std::tie(failed, std::ignore) = co_await http::async_write_header(
+                stream_, serializer, as_tuple_awaitable);
+        }
+        else
+        {
+            std::tie(failed, std::ignore) = co_await http::async_write(
+                stream_, serializer, as_tuple_awaitable);
+        }
         finished_ = !failed;
         co_return finished_;
     }
--- /dev/null
+++ b/nutmegusher/node/metrics_test.cpp
@@ -0,0 +1,47 @@
+#include "nutmegusher/node/metrics.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegusher::node
+{
+namespace
+{
+
+TEST(metrics, offered_is_completed_and_refused)
+{
+    metrics measured;
+    const class_name views("views");
+    for (int i = 0; i < 98; ++i)
+    {
+        measured.completed(
+            call_side::entry, views, std::chrono::milliseconds(2), 1);
+    }
+    measured.completed(
+        call_side::entry, views, std::chrono::milliseconds(900), 2);
+    measured.refused(
+        call_side::entry,
+        views,
+        call_reason::overload,
+        call_outcome::not_run,
+        1);
+    const auto text = measured.exposition();
+    EXPECT_NE(
+        text.find("nutmegusher_requests_offered_total"
+                  "{class=\"views\",side=\"entry\"} 100\n"),
+        std::string::npos)
+        << text;
+    EXPECT_NE(
+        text.find("nutmegusher_requests_refused_total"
+                  "{class=\"views\",side=\"entry\",reason=\"overload\","
+                  "outcome=\"not-run\"} 1\n"),
+        std::string::npos)
+        << text;
+    const auto dump = measured.dump();
+    const auto& one = dump.get_array().at(0).get_object();
+    EXPECT_NEAR(one.at("p50_ms").get_double(), 2.0, 0.5);
+    EXPECT_NEAR(one.at("p99_ms").get_double(), 2.0, 0.5);
+    EXPECT_EQ(one.at("tries").get_uint64(), 101U);
+}
+
+} // namespace
+} // namespace nutmegusher::node
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -184,28 +185,52 @@
     }
 }
 
-// A fence of an attempt that nobody makes changes nothing, and its verdict
-// tells what is known of the key.
+bool is_printable(std::string_view text)
+{
+    return std::all_of(
+        text.begin(),
+        text.end(),
+        [](char c)
+        {
+            return (c >= ' ' && c <= '~') || c == '\n';
+        });
+}
+
+// Asks one control host after the other, until one has read the key's log.
+asio::awaitable<std::optional<messages::claim_result>>
+find_claim(worker& here, const messages::claim_key& key)
+{
+    const auto body = key.SerializeAsString();
+    const auto until = host_clock().now() + outcome_limit;
+    for (const auto& host : here.shared.claims.control_hosts())
+    {
+        const auto left = until - host_clock().now();
+        const auto answer = co_await wire::call(
+            here.peers, host, "/control/find-claim", body, left);
+        messages::claim_result result;
+        if (answer && result.ParseFromString(*answer) &&
+            result.verdict() != messages::claim_unavailable)
+        {
+            co_return result;
+        }
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<operator_answer>
 answer_outcome(worker& here, std::string_view path)
 {
     auto query = parse_query(path);
-    messages::claim_command command;
-    command.mutable_key()->set_customer(query["customer"]);
-    command.mutable_key()->set_class_name(query["class"]);
-    command.mutable_key()->set_idempotency_key(query["key"]);
-    if (query["customer"].empty() || query["class"].empty() ||
-        query["key"].empty())
+    messages::claim_key key;
+    key.set_customer(query["customer"]);
+    key.set_class_name(query["class"]);
+    key.set_idempotency_key(query["key"]);
+    if (key.customer().empty() || key.class_name().empty() ||
+        key.idempotency_key().empty())
     {
         co_return error_answer(422, "customer-class-and-key-are-needed");
     }
-    command.mutable_by()->set_entry_host(here.attempt_name + "/outcome");
-    command.mutable_by()->set_entry_incarnation(here.shared.run.value());
-    command.mutable_by()->set_sequence(here.attempts.next(wall_milliseconds()));
-    command.mutable_fence();
-    command.set_proposed_at_ms(wall_milliseconds());
-    const auto result = co_await propose_claim(
-        here.peers, here.shared.claims, std::move(command), outcome_limit);
+    const auto result = co_await find_claim(here, key);
     if (!result)
     {
         co_return error_answer(503, "claims-unavailable");
@@ -213,8 +238,13 @@
     json::object object{{"outcome", state_text(result->verdict())}};
     if (result->verdict() == messages::claim_already_finished)
     {
-        object["status"] = result->answer().status();
-        object["body"] = result->answer().body();
+        const auto& answer = result->answer();
+        object["status"] = answer.status();
+        object["body_bytes"] = answer.body_size();
+        if (is_printable(answer.body()))
+        {
+            object["body"] = answer.body();
+        }
     }
     co_return operator_answer{200, std::move(object)};
 }
