--- a/nutmegusher/wire/liveness_test.cpp
+++ b/nutmegusher/wire/liveness_test.cpp
@@ -39,7 +39,8 @@
 {
     const bool suspect = watched.suspect();
     duration after{0};
-    for (;;)
+    constexpr int more_ticks_than_needed = 100;
+    for (int i = 0; i < more_ticks_than_needed; ++i)
     {
         const auto span = watched.plan_tick(busy);
         const auto what = watched.tick(span, busy);
@@ -49,6 +50,7 @@
             return {what, after};
         }
     }
+    return {action::none, after};
 }
 
 TEST(liveness, a_quiet_peer_is_asked_then_suspected_then_given_up)
--- a/nutmegusher/wire/server_test.cpp
+++ b/nutmegusher/wire/server_test.cpp
@@ -165,8 +165,8 @@
     run(context, rapid_reset(context));
 }
 
-// The preface and empty SETTINGS of a client, then PINGs without end.
-asio::awaitable<void> ping_flood(asio::io_context& context)
+// The preface and empty SETTINGS of a client, then one frame without end.
+asio::awaitable<void> flood(asio::io_context& context, std::string frame)
 {
     session_options strict;
     strict.max_control_frames_per_second = 50;
@@ -174,27 +174,32 @@
     tcp::socket socket(context);
     co_await socket.async_connect(
         server->local_endpoint(), asio::use_awaitable);
-    const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
-    const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
-    const std::string ping("\0\0\10\6\0\0\0\0\0abcdefgh", 17);
-    auto bytes = preface + settings;
-    for (int i = 0; i < 200; ++i)
+    auto bytes = client_greeting();
+    for (int i = 0; i < 100; ++i)
     {
-        bytes += ping;
+        bytes += frame;
     }
     co_await asio::async_write(
         socket, asio::buffer(bytes), asio::use_awaitable);
-    const auto none_connected = [&server]
+    const auto closed = [&server]
     {
         return server->connections() == 0;
     };
-    co_await until(none_connected);
+    co_await until(closed);
 }
 
 TEST(server, a_flood_of_pings_closes_the_connection)
 {
     asio::io_context context(1);
-    run(context, ping_flood(context));
+    const std::string ping("\0\0\10\6\0\0\0\0\0abcdefgh", 17);
+    run(context, flood(context, ping));
+}
+
+TEST(server, a_flood_of_priorities_closes_the_connection)
+{
+    asio::io_context context(1);
+    const std::string priority("\0\0\5\2\0\0\0\0\1\0\0\0\0\1", 14);
+    run(context, flood(context, priority));
 }
 
 asio::awaitable<void> silent_from_the_start(asio::io_context& context)
--- a/nutmegusher/wire/silence_test.cpp
+++ b/nutmegusher/wire/silence_test.cpp
@@ -30,7 +30,10 @@
 {
     const auto server = listen_or_fail(context, wait_for_cancel, quick_times());
     tcp_relay relay(context, server->local_endpoint());
-    session_pool pool(context, quick_times());
+    // Suspect long before it is given up.
+    auto options = quick_times();
+    options.give_up_limit = std::chrono::seconds(1);
+    session_pool pool(context, options);
     const auto first = co_await pool.get(relay.endpoint());
     EXPECT_TRUE(first);
     const auto stream = (*first)->open(get("/wait"), true);
@@ -47,6 +50,7 @@
         return !(*first)->usable();
     };
     co_await until(suspect);
+    EXPECT_EQ((*first)->open_streams(), 1U);
     const auto second = co_await pool.get(relay.endpoint());
     EXPECT_TRUE(second);
     EXPECT_NE(second->get(), first->get());
--- a/nutmegusher/wire/wire_test_support.hpp
+++ b/nutmegusher/wire/wire_test_support.hpp
@@ -91,6 +91,14 @@
     return head;
 }
 
+// What a client says first: the preface and empty SETTINGS.
+inline std::string client_greeting()
+{
+    const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+    return preface + settings;
+}
+
 // The same bytes for the same seed, none of them like another seed's.
 inline std::string make_body(std::uint64_t seed, std::size_t size)
 {
