--- a/cmake/nutmegusher_build.cmake
+++ b/cmake/nutmegusher_build.cmake
@@ -23,6 +23,15 @@
     endif()
 endif()
 
+# Needs clang; tools/fuzz.sh sets it. 'function' clashes with coroutines in
+# clang 14.
+option(NUTMEGUSHER_FUZZ "Instrument everything for libFuzzer" OFF)
+if(NUTMEGUSHER_FUZZ)
+    add_compile_options(-fsanitize=fuzzer-no-link,address,undefined
+                        -fno-sanitize=function -fno-sanitize-recover=all -g)
+    add_link_options(-fsanitize=address,undefined)
+endif()
+
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
     set(CMAKE_CXX_COMPILER_LAUNCHER "${CCACHE_PROGRAM}")
