--- a/bench/policy/decisions.hpp
+++ b/bench/policy/decisions.hpp
@@ -22,6 +22,8 @@
     static constexpr bool cancels = true;
     // Refuses at the entry by the level that comes back.
     static constexpr bool gated = true;
+    // Tries elsewhere when one upstream takes too long.
+    static constexpr bool gives_up_tries = true;
 
     static admission
     make_admission(const trace_service& /*service*/, std::uint64_t seed)
@@ -50,6 +52,7 @@
 
     static constexpr bool cancels = false;
     static constexpr bool gated = false;
+    static constexpr bool gives_up_tries = false;
 
     static admission
     make_admission(const trace_service& service, std::uint64_t /*seed*/)
--- a/bench/policy/replay.hpp
+++ b/bench/policy/replay.hpp
@@ -51,6 +51,7 @@
         serial parent,
         std::uint32_t tokens);
     void start_try(serial call);
+    void give_up_try(serial call, serial ticket);
     void arrive(serial call, serial ticket);
     void apply(std::size_t at, std::span<const settlement> settled);
     void settle_one(std::size_t at, const settlement& one);
@@ -104,8 +105,8 @@
 
 } // namespace nutmegusher::bench
 
-#include "bench/policy/replay_clients.ipp"
-#include "bench/policy/replay_hops.ipp"
-#include "bench/policy/replay_upstreams.ipp"
+#include "bench/policy/replay_clients.hpp"
+#include "bench/policy/replay_hops.hpp"
+#include "bench/policy/replay_upstreams.hpp"
 
 #endif
--- a/bench/policy/replay_clients.ipp
+++ b/bench/policy/replay_clients.hpp
@@ -1,4 +1,8 @@
 // Part of replay.hpp: how clients ask and ask again.
+#ifndef NUTMEGUSHER_BENCH_POLICY_REPLAY_CLIENTS_HPP
+#define NUTMEGUSHER_BENCH_POLICY_REPLAY_CLIENTS_HPP
+
+#include "bench/policy/replay.hpp"
 
 namespace nutmegusher::bench
 {
@@ -266,3 +270,5 @@
 }
 
 } // namespace nutmegusher::bench
+
+#endif
--- a/bench/policy/replay_hops.ipp
+++ b/bench/policy/replay_hops.hpp
@@ -1,4 +1,8 @@
 // Part of replay.hpp: the daemon that makes a call.
+#ifndef NUTMEGUSHER_BENCH_POLICY_REPLAY_HOPS_HPP
+#define NUTMEGUSHER_BENCH_POLICY_REPLAY_HOPS_HPP
+
+#include "bench/policy/replay.hpp"
 
 namespace nutmegusher::bench
 {
@@ -166,6 +170,56 @@
         {
             arrive(call, ticket);
         });
+    if constexpr (Decisions::gives_up_tries)
+    {
+        const auto limit = route.try_timeout(*chosen, facts.bulk);
+        if (limit && facts.repeatable)
+        {
+            events_.after(
+                *limit,
+                [this, call, ticket = one.ticket]
+                {
+                    give_up_try(call, ticket);
+                });
+        }
+    }
+}
+
+template <class Decisions>
+void replay<Decisions>::give_up_try(serial call, serial ticket)
+{
+    hop_call* const one = find(call, ticket);
+    if (one == nullptr || one->place == call_place::ended || one->tokens == 0)
+    {
+        return;
+    }
+    const call_facts facts = facts_of(*one);
+    auto& route = hosts_[one->caller].routers[hosts_[one->upstream].service];
+    if (!route.worth_moving(facts, one->tried, events_.now()))
+    {
+        return;
+    }
+    client_try& client = clients_.at(one->client);
+    // The sub-calls below end with it, and the tokens sent down are lost.
+    for (std::size_t depth = client.calls.size(); depth-- > one->depth;)
+    {
+        const auto below = calls_.find(client.calls[depth]);
+        if (below != calls_.end())
+        {
+            abort(below->second);
+        }
+        if (depth > one->depth)
+        {
+            calls_.erase(client.calls[depth]);
+        }
+    }
+    client.calls.resize(one->depth + 1);
+    --one->tokens;
+    ++client.retries;
+    report_.most_retries_of_a_try =
+        std::max(report_.most_retries_of_a_try, client.retries);
+    one->place = call_place::ended;
+    start_try(call);
 }
 
 template <class Decisions>
@@ -173,10 +227,9 @@
 {
     host& at = hosts_[call.upstream];
     try_answer complete = answer;
-    complete.level = at.levels.level_for(
-        facts_of(call).work_class,
-        at.admission.level(events_.now()),
-        events_.now());
+    complete.levels.own = at.admission.level(events_.now());
+    complete.levels.deeper =
+        at.levels.deeper_for(facts_of(call).work_class, events_.now());
     call.place = call_place::ended;
     call_of_ticket_.erase(call.ticket);
     events_.after(
@@ -203,14 +256,19 @@
     {
         route.on_neutral(call.handle, facts.bulk, now);
     }
-    route.on_level(call.handle, answer.level, now);
-    if (call.depth == 0)
+    route.on_level(call.handle, answer.levels.own, now);
+    if constexpr (Decisions::gated)
     {
-        caller.gate.on_level(facts, answer.level, now);
-    }
-    else
-    {
-        caller.levels.on_sub_call_level(facts.work_class, answer.level, now);
+        const admission_level ahead =
+            level_ahead(route, answer.levels, facts.bulk, now);
+        if (call.depth == 0)
+        {
+            caller.gate.on_level(facts, ahead, now);
+        }
+        else
+        {
+            caller.levels.on_sub_call_level(facts.work_class, ahead, now);
+        }
     }
 }
 
@@ -348,3 +406,5 @@
 }
 
 } // namespace nutmegusher::bench
+
+#endif
--- a/bench/policy/replay_types.hpp
+++ b/bench/policy/replay_types.hpp
@@ -88,7 +88,7 @@
     try_failure how = try_failure::upstream_failed;
     bool certainly_not_run = false;
     duration come_back{0};
-    admission_level level{};
+    answer_levels levels{};
 };
 
 // One upstream with the daemon beside it.
--- a/bench/policy/replay_upstreams.ipp
+++ b/bench/policy/replay_upstreams.hpp
@@ -1,4 +1,8 @@
 // Part of replay.hpp: an upstream and the daemon beside it.
+#ifndef NUTMEGUSHER_BENCH_POLICY_REPLAY_UPSTREAMS_HPP
+#define NUTMEGUSHER_BENCH_POLICY_REPLAY_UPSTREAMS_HPP
+
+#include "bench/policy/replay.hpp"
 
 namespace nutmegusher::bench
 {
@@ -244,3 +248,5 @@
 }
 
 } // namespace nutmegusher::bench
+
+#endif
--- a/bench/policy/report.cpp
+++ b/bench/policy/report.cpp
@@ -12,8 +12,47 @@
 // Half a second of slices has to be good at a stretch.
 constexpr std::size_t good_slices = 5;
 
+double measure(const trace_outcome& stated, const trace& of, const report& got)
+{
+    const class_report& one = got.classes[stated.work_class];
+    switch (stated.kind)
+    {
+    case outcome_kind::served:
+        return one.in_surge.share();
+    case outcome_kind::others:
+        return one.other_customers_in_surge.share();
+    case outcome_kind::recovery:
+    {
+        const auto took = got.recovery(of, recovered_share);
+        return std::chrono::duration<double, std::milli>(took.value_or(of.end))
+            .count();
+    }
+    case outcome_kind::tries:
+        break;
+    }
+    return got.tries_per_call();
+}
+
+bool is_share(outcome_kind kind)
+{
+    return kind == outcome_kind::served || kind == outcome_kind::others;
+}
+
 } // namespace
 
+std::vector<outcome_check> check_outcomes(const trace& of, const report& got)
+{
+    std::vector<outcome_check> checks;
+    for (const trace_outcome& stated : of.outcomes)
+    {
+        const double measured = measure(stated, of, got);
+        const bool met = is_share(stated.kind) ? measured >= stated.bound
+                                               : measured <= stated.bound;
+        checks.push_back({stated, measured, met});
+    }
+    return checks;
+}
+
 double served::share() const
 {
     return offered == 0
--- a/bench/policy/report.hpp
+++ b/bench/policy/report.hpp
@@ -72,6 +72,20 @@
     recovery(const trace& of, double share) const;
 };
 
+// Whether the callers got what the trace states, and what they got.
+struct outcome_check
+{
+    trace_outcome stated;
+    double measured = 0;
+    bool met = false;
+};
+
+[[nodiscard]] std::vector<outcome_check>
+check_outcomes(const trace& of, const report& got);
+
+// Recovery means that this share of what is offered completes at once.
+inline constexpr double recovered_share = 0.95;
+
 } // namespace nutmegusher::bench
 
 #endif
--- a/bench/policy/trace.cpp
+++ b/bench/policy/trace.cpp
@@ -165,6 +165,32 @@
     into.slowdowns.push_back(slowdown);
 }
 
+bool read_outcome(const std::string& kind, row& fields, trace& into)
+{
+    trace_outcome stated;
+    if (kind == "expect_served" || kind == "expect_others")
+    {
+        stated.kind = kind == "expect_served" ? outcome_kind::served
+                                              : outcome_kind::others;
+        stated.work_class = fields.index_in(into.classes);
+    }
+    else if (kind == "expect_recovery")
+    {
+        stated.kind = outcome_kind::recovery;
+    }
+    else if (kind == "expect_tries")
+    {
+        stated.kind = outcome_kind::tries;
+    }
+    else
+    {
+        return false;
+    }
+    stated.bound = fields.real();
+    into.outcomes.push_back(stated);
+    return true;
+}
+
 void read_place_or_time(const std::string& kind, row& fields, trace& into)
 {
     if (kind == "region")
@@ -220,7 +246,7 @@
     {
         read_slowdown(fields, into);
     }
-    else
+    else if (!read_outcome(kind, fields, into))
     {
         read_place_or_time(kind, fields, into);
     }
--- a/bench/policy/trace.hpp
+++ b/bench/policy/trace.hpp
@@ -13,6 +13,13 @@
 //     clients,<tries>,<pause ms>,<wait as told 0/1>
 //     surge,<from>,<to>                             what recovery counts from
 //     end,<at>
+//
+// And what has to come out of it:
+//
+//     expect_served,<class>,<least share served of what the surge brings>
+//     expect_others,<class>,<the same without the first customer>
+//     expect_recovery,<most ms from the end of the surge>
+//     expect_tries,<most calls per call that was needed>
 #ifndef NUTMEGUSHER_BENCH_POLICY_TRACE_HPP
 #define NUTMEGUSHER_BENCH_POLICY_TRACE_HPP
 
@@ -81,6 +88,23 @@
     bool wait_as_told = true;
 };
 
+enum class outcome_kind : std::uint8_t
+{
+    served,
+    others,
+    recovery,
+    tries
+};
+
+// One stated outcome.
+struct trace_outcome
+{
+    outcome_kind kind = outcome_kind::served;
+    std::size_t work_class = 0;
+    // A share, milliseconds or calls.
+    double bound = 0;
+};
+
 struct trace
 {
     std::size_t data_centers = 1;
@@ -93,6 +117,7 @@
     duration surge_from{0};
     duration surge_to{0};
     duration end{0};
+    std::vector<trace_outcome> outcomes;
 };
 
 // A row that can't be read; `line` counts from 1, 0: the file itself.
--- a/nutmegusher/policy/admission_controller.cpp
+++ b/nutmegusher/policy/admission_controller.cpp
@@ -75,10 +75,13 @@
     ticket_id ticket, call_result result, time_point now)
 {
     settled_.clear();
+    short_lane_.set_others_hold_slots(
+        bulk_lane_.in_flight() > short_lane_.in_flight());
     if (!short_lane_.finish(ticket, result, now))
     {
         bulk_lane_.finish(ticket, result, now);
     }
+    balance_lanes(now);
     settle(now);
     return settled_;
 }
@@ -116,10 +119,19 @@
     settled_.clear();
     short_lane_.tick(now);
     bulk_lane_.tick(now);
+    balance_lanes(now);
     settle(now);
     return settled_;
 }
 
+void admission_controller::balance_lanes(time_point now)
+{
+    if (short_lane_.take_strained())
+    {
+        bulk_lane_.yield(now);
+    }
+}
+
 void admission_controller::settle(time_point now)
 {
     short_lane_.settle(no_cap, now, engine_, settled_);
--- a/nutmegusher/policy/admission_controller.hpp
+++ b/nutmegusher/policy/admission_controller.hpp
@@ -16,8 +16,10 @@
 //
 // Long transfers (`call_facts::bulk`) and short calls have a lane each, with
 // a limit and a queue of its own: a download holds a slot for seconds and
-// would teach the short calls' limit nothing. While short calls wait, the
-// bulk lane keeps to half of both limits.
+// would teach the short calls' limit nothing. Where short calls get slower
+// while transfers hold most of the slots, the transfers' limit falls and not
+// that of the short calls; and while short calls wait, the bulk lane keeps to
+// half of both limits.
 #ifndef NUTMEGUSHER_POLICY_ADMISSION_CONTROLLER_HPP
 #define NUTMEGUSHER_POLICY_ADMISSION_CONTROLLER_HPP
 
@@ -104,6 +106,7 @@
     internal::admission_lane& lane_for(bool bulk);
     [[nodiscard]] std::size_t bulk_cap() const;
     void settle(time_point now);
+    void balance_lanes(time_point now);
     std::optional<decision> take_own(ticket_id ticket);
 
     internal::admission_lane short_lane_;
--- a/nutmegusher/policy/admission_lane.cpp
+++ b/nutmegusher/policy/admission_lane.cpp
@@ -148,10 +148,7 @@
     {
         return duration(0);
     }
-    const double drain = drain_per_second(now);
-    const double spare = std::max(
-        drain - meter_.better_per_second(call.rank, now),
-        drain * least_spare_share);
+    const double spare = room_per_second(call.rank, now);
     return from_seconds(static_cast<double>(ahead + 1) / spare);
 }
 
@@ -162,17 +159,22 @@
     random_engine& engine)
 {
     meter_.on_refused(call.rank, now);
-    return {reason, spread(come_back(call.rank, now), engine)};
+    const std::size_t rank = std::min<std::size_t>(call.rank, rank_count - 1);
+    const duration wait =
+        returns_[rank].next(room_per_second(call.rank, now), now);
+    return {reason, spread(wait, engine)};
+}
+
+double admission_lane::room_per_second(std::uint8_t rank, time_point now) const
+{
+    const double drain = drain_per_second(now);
+    return std::max(
+        drain - meter_.better_per_second(rank, now), drain * least_spare_share);
 }
 
 duration admission_lane::come_back(std::uint8_t rank, time_point now) const
 {
-    const pressure at_rank{
-        .drain_per_second = drain_per_second(now),
-        .better_per_second = meter_.better_per_second(rank, now),
-        .waiting = static_cast<double>(queue_.size()),
-        .refused_lately = meter_.refused_per_second(rank, now)};
-    return return_time(at_rank);
+    return returns_[std::min<std::size_t>(rank, rank_count - 1)].wait(now);
 }
 
 void admission_lane::start(const call_facts& call, time_point now)
@@ -344,6 +346,14 @@
     }
 }
 
+void admission_lane::yield(time_point now)
+{
+    if (running_.size() <= limit_.value())
+    {
+        limit_.yield(running_.size(), now);
+    }
+}
+
 void admission_lane::tick(time_point now)
 {
     limit_.on_tick(working(), times_.typical(), now);
--- a/nutmegusher/policy/admission_lane.hpp
+++ b/nutmegusher/policy/admission_lane.hpp
@@ -7,8 +7,10 @@
 #include "nutmegusher/policy/concurrency_limit.hpp"
 #include "nutmegusher/policy/pressure_meter.hpp"
 #include "nutmegusher/policy/rank_queue.hpp"
+#include "nutmegusher/policy/return_time.hpp"
 #include "nutmegusher/policy/service_times.hpp"
 
+#include <array>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -53,6 +55,20 @@
         random_engine& engine,
         settlements& out);
 
+    // See `concurrency_limit`.
+    void set_others_hold_slots(bool hold)
+    {
+        limit_.set_others_hold_slots(hold);
+    }
+
+    [[nodiscard]] bool take_strained()
+    {
+        return limit_.take_strained();
+    }
+
+    // Gives a fifth of the limit up, unless it is still on the way down.
+    void yield(time_point now);
+
     void tick(time_point now);
     void begin_warm_up(time_point now);
 
@@ -89,6 +105,9 @@
 
     [[nodiscard]] std::size_t most_waiting() const;
     [[nodiscard]] double drain_per_second(time_point now) const;
+    // What better ranks leave of it.
+    [[nodiscard]] double
+    room_per_second(std::uint8_t rank, time_point now) const;
     [[nodiscard]] duration
     predicted_wait(const call_facts& call, time_point now) const;
     refused refuse(
@@ -114,6 +133,7 @@
     rank_queue queue_;
     service_times times_;
     pressure_meter meter_;
+    std::array<return_schedule, rank_count> returns_;
     std::unordered_map<ticket_id, running_call> running_;
     std::size_t in_sub_calls_ = 0;
     // Moving mean of the time that a slot is taken, in seconds.
--- a/nutmegusher/policy/admission_level.cpp
+++ b/nutmegusher/policy/admission_level.cpp
@@ -82,6 +82,16 @@
         static_cast<std::uint8_t>(rank), static_cast<std::uint16_t>(permille)};
 }
 
+leaf::result<admission_level> read_level(field_reader& reader, char end)
+{
+    admission_level level;
+    BOOST_LEAF_ASSIGN(level.short_lane, read_lane(reader));
+    BOOST_LEAF_ASSIGN(level.bulk_lane, read_lane(reader));
+    BOOST_LEAF_AUTO(wait, reader.next(end, max_come_back_ms));
+    level.come_back_after = std::chrono::milliseconds(wait);
+    return level;
+}
+
 std::string format_lane(const lane_level& lane)
 {
     return std::to_string(lane.rank) + '/' +
@@ -106,12 +116,31 @@
 leaf::result<admission_level> parse_level(std::string_view text)
 {
     field_reader reader(text);
-    admission_level level;
-    BOOST_LEAF_ASSIGN(level.short_lane, read_lane(reader));
-    BOOST_LEAF_ASSIGN(level.bulk_lane, read_lane(reader));
-    BOOST_LEAF_AUTO(wait, reader.next('\0', max_come_back_ms));
-    level.come_back_after = std::chrono::milliseconds(wait);
-    return level;
+    return read_level(reader, '\0');
+}
+
+std::string format_levels(const answer_levels& levels)
+{
+    const std::string own = format_level(levels.own);
+    if (levels.deeper == admission_level{})
+    {
+        return own;
+    }
+    return own + ';' + format_level(levels.deeper);
+}
+
+leaf::result<answer_levels> parse_levels(std::string_view text)
+{
+    field_reader reader(text);
+    answer_levels levels;
+    if (text.find(';') == std::string_view::npos)
+    {
+        BOOST_LEAF_ASSIGN(levels.own, read_level(reader, '\0'));
+        return levels;
+    }
+    BOOST_LEAF_ASSIGN(levels.own, read_level(reader, ';'));
+    BOOST_LEAF_ASSIGN(levels.deeper, read_level(reader, '\0'));
+    return levels;
 }
 
 double pass_below(const lane_level& lane)
--- a/nutmegusher/policy/admission_level.hpp
+++ b/nutmegusher/policy/admission_level.hpp
@@ -1,8 +1,9 @@
 // The admission level of an upstream: what it refuses now, small enough to
 // travel on every answer.
 //
-//     answer.set("nutmeg-admission-level", format_level(controller.level()));
-//     leaf::result<admission_level> level = parse_level(text);
+//     const answer_levels levels{controller.level(now), deeper};
+//     answer.set("nutmeg-admission-level", format_levels(levels));
+//     leaf::result<answer_levels> heard = parse_levels(text);
 //
 // Pattern of load: a deep service is saturated while the services above it
 // aren't. Without the level the work of the upper hops is done first and
@@ -43,6 +44,17 @@
     operator==(const admission_level&, const admission_level&) = default;
 };
 
+// What an answer carries: its upstream's own level, and the strictest that
+// the request's sub-calls met below.
+struct answer_levels
+{
+    admission_level own;
+    admission_level deeper;
+
+    friend bool
+    operator==(const answer_levels&, const answer_levels&) = default;
+};
+
 // Where a parse stopped.
 enum class level_problem : std::uint8_t
 {
@@ -57,7 +69,7 @@
 {
     level_problem problem = level_problem::missing_field;
     // Counted from 0: short rank, short permille, bulk rank, bulk permille,
-    // come back after.
+    // come back after; `parse_levels` counts on in its second part.
     std::size_t field = 0;
 };
 
@@ -70,6 +82,13 @@
 // Fails with `bad_admission_level`.
 [[nodiscard]] leaf::result<admission_level> parse_level(std::string_view text);
 
+// For example "4/250,10/0,120;10/0,10/0,0"; the second part is left out where
+// it refuses nothing.
+[[nodiscard]] std::string format_levels(const answer_levels& levels);
+
+// Fails with `bad_admission_level`.
+[[nodiscard]] leaf::result<answer_levels> parse_levels(std::string_view text);
+
 // The rank scale as one number: a call passes where its rank plus a fraction
 // in [0, 1) that is its own lies below it. 10: everything passes.
 [[nodiscard]] double pass_below(const lane_level& lane);
--- a/nutmegusher/policy/concurrency_limit.cpp
+++ b/nutmegusher/policy/concurrency_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace nutmegusher
 {
@@ -39,6 +40,9 @@
 // refused call a second.
 constexpr duration shed_hold = std::chrono::seconds(1);
 
+// A fifth is more than the small queue that `aim` allows.
+constexpr std::size_t yield_divisor = 5;
+
 // Quiet for four times the usual latency, with the whole limit in flight, has
 // a chance of less than one in a million at two calls in flight already.
 constexpr int stall_latencies = 4;
@@ -118,11 +122,15 @@
 {
     const double inflation =
         window_.inflation_sum / static_cast<double>(window_.samples);
-    const bool given_up = window_.timeouts * 2 > window_.samples;
-    if (given_up)
+    const bool given_up = window_.timeouts == window_.samples;
+    if (given_up && others_hold_slots_)
+    {
+        strained_ = true;
+    }
+    else if (given_up)
     {
-        // Hardly anything comes back: whatever the cause, calls are better
-        // off elsewhere.
+        // Nothing comes back: whatever the cause, calls are better off
+        // elsewhere. The limit that was good before is not in doubt.
         fall(deepest_fall);
         trial_.reset();
     }
@@ -176,11 +184,15 @@
 {
     const double own = inflation / elsewhere_;
     const bool in_use = window_.peak_in_flight * 2 >= limit_;
-    if (!in_use)
+    if (!in_use && !others_hold_slots_)
     {
         return;
     }
-    if (own > fall_above)
+    if (own > fall_above && others_hold_slots_)
+    {
+        strained_ = true;
+    }
+    else if (own > fall_above)
     {
         const double latest = std::max(own, recent_inflation_ / elsewhere_);
         fall(aim / latest);
@@ -203,7 +215,9 @@
     }
     last_growth_ = now;
     const std::size_t step = std::max<std::size_t>(1, limit_ / growth_divisor);
-    const std::size_t doubled = std::min(limit_ * 2, known_good_);
+    // Otherwise the doubling is done answer by answer.
+    const std::size_t doubled =
+        warming_up_ ? std::min(limit_ * 2, known_good_) : 0;
     set_limit(std::max(limit_ + step, doubled));
 }
 
@@ -248,6 +262,22 @@
     }
 }
 
+bool concurrency_limit::take_strained()
+{
+    return std::exchange(strained_, false);
+}
+
+void concurrency_limit::yield(std::size_t in_flight, time_point now)
+{
+    const std::size_t used = std::clamp<std::size_t>(in_flight, 1, limit_);
+    set_limit(used - used / yield_divisor);
+    shed_ceiling_ = limit_;
+    known_good_ = limit_;
+    hold_until_ = now + shed_hold;
+    trial_.reset();
+    open_window(in_flight, now);
+}
+
 void concurrency_limit::on_tick(
     std::size_t working, duration typical, time_point now)
 {
@@ -256,6 +286,12 @@
     {
         return;
     }
+    last_end_ = now;
+    if (others_hold_slots_)
+    {
+        strained_ = true;
+        return;
+    }
     const std::size_t before = trial_ ? trial_->limit_before : limit_;
     const std::size_t floor = before / trial_floor_divisor;
     if (limit_ / 2 >= floor)
@@ -263,7 +299,6 @@
         fall(deepest_fall);
     }
     open_window(working, now);
-    last_end_ = now;
 }
 
 std::optional<time_point>
--- a/nutmegusher/policy/concurrency_limit.hpp
+++ b/nutmegusher/policy/concurrency_limit.hpp
@@ -90,6 +90,20 @@
     [[nodiscard]] std::optional<time_point>
     stall_at(std::size_t working, duration typical) const;
 
+    // Others hold most of the upstream's slots: inflation is theirs to mend.
+    // While set, it doesn't lower this limit but marks it as `strained`.
+    void set_others_hold_slots(bool hold)
+    {
+        others_hold_slots_ = hold;
+    }
+
+    // Whether inflation was marked since the last call.
+    [[nodiscard]] bool take_strained();
+
+    // Makes room for others: falls to four fifths of what is in flight and
+    // stays there for a second.
+    void yield(std::size_t in_flight, time_point now);
+
     // The upstream starts cold: begin low, and double at most once every
     // `warm_up_step` until it is filled.
     void begin_warm_up(time_point now);
@@ -150,6 +164,8 @@
     std::size_t shed_ceiling_;
     time_point last_growth_;
     bool warming_up_ = false;
+    bool others_hold_slots_ = false;
+    bool strained_ = false;
 
 public:
     concurrency_limit();
--- a/nutmegusher/policy/entry_gate.cpp
+++ b/nutmegusher/policy/entry_gate.cpp
@@ -12,19 +12,35 @@
 
 // The saturated service has to see a little more than it can take, or it
 // would not be filled: refusals below this share change nothing.
-constexpr double surplus = 0.05;
+constexpr double surplus = 0.1;
 // One interval's levels never close more than three quarters of what is open.
 constexpr double deepest_cut = 0.25;
 // The trickle that brings news while all is refused: of what is offered.
 constexpr double least_open = 0.02;
-// Reopening: a quarter more after the first quiet interval, which costs few
-// refusals where the pressure is still on; the step doubles, up to a doubling
-// of the whole. From the trickle to open takes seven intervals.
-constexpr double first_step = 0.25;
-constexpr double largest_step = 1.0;
+// Reopening: half as much again after the first quiet interval; the step
+// doubles, up to four times the whole. From the trickle to open takes five
+// intervals, half of the second in which service has to be back.
+constexpr double first_step = 0.5;
+constexpr double largest_step = 4.0;
 constexpr std::uint32_t most_doublings = 4;
 
 constexpr double rate_weight = 0.5;
+// A customer's rate is taken over about three intervals; from one request in
+// each on it isn't chance.
+constexpr double customer_weight = 0.3;
+constexpr double heavy_rate = 1.0;
+bool heavy(double per_interval)
+{
+    return per_interval >= heavy_rate;
+}
+
+// Takes an interval's count into its moving mean.
+void turn(double& mean, double& count, double weight)
+{
+    mean += (count - mean) * weight;
+    count = 0;
+}
+
 // A customer that sends less than this an interval is forgotten.
 constexpr double forgotten_rate = 0.05;
 // Bounds memory; customers beyond it are let in as unknown ones.
@@ -59,7 +75,15 @@
     const bool greedy = share < open_share(gate);
     return refused{
         greedy ? refusal_reason::fair_share : refusal_reason::overload,
-        gate.come_back};
+        come_back(gate, now)};
+}
+
+duration entry_gate::come_back(class_gate& gate, time_point now)
+{
+    const double per_second =
+        gate.passed_mean / std::chrono::duration<double>(interval).count();
+    const duration wait = gate.returns.next(per_second, now);
+    return std::max(wait, gate.come_back);
 }
 
 double entry_gate::open_share(const class_gate& gate)
@@ -73,12 +97,14 @@
 
 double entry_gate::pass_share(const class_gate& gate, std::uint64_t customer)
 {
-    const double open = open_share(gate);
+    if (open_share(gate) >= 1.0)
+    {
+        return 1.0;
+    }
     const auto found = gate.customers.find(customer);
-    if (open >= 1.0 || found == gate.customers.end() ||
-        found->second.per_interval <= 0)
+    if (found == gate.customers.end() || !heavy(found->second.per_interval))
     {
-        return open;
+        return gate.light_share;
     }
     const double capped = gate.customer_cap / found->second.per_interval;
     return std::clamp(capped, least_open, 1.0);
@@ -109,27 +135,31 @@
 void entry_gate::end_interval(class_gate& gate, time_point now)
 {
     gate.interval_end = now + interval;
-    const auto turn = [](double& mean, double& count)
-    {
-        mean += (count - mean) * rate_weight;
-        count = 0;
-    };
-    for (auto& [customer, rate] : gate.customers)
-    {
-        turn(rate.per_interval, rate.this_interval);
-    }
+    count_customers(gate);
     std::erase_if(
         gate.customers,
         [](const auto& each)
         {
             return each.second.per_interval < forgotten_rate;
         });
-    turn(gate.offered_mean, gate.offered);
-    turn(gate.passed_mean, gate.passed);
+    turn(gate.offered_mean, gate.offered, rate_weight);
+    turn(gate.passed_mean, gate.passed, rate_weight);
     adjust(gate);
     share_out(gate);
 }
 
+void entry_gate::count_customers(class_gate& gate)
+{
+    double light = gate.offered;
+    for (auto& [customer, rate] : gate.customers)
+    {
+        const double count = rate.this_interval;
+        turn(rate.per_interval, rate.this_interval, customer_weight);
+        light -= heavy(rate.per_interval) ? count : 0;
+    }
+    turn(gate.light_mean, light, rate_weight);
+}
+
 void entry_gate::adjust(class_gate& gate)
 {
     const double share =
@@ -155,7 +185,8 @@
 {
     const double passing = std::min(gate.limit, gate.passed_mean);
     const double least = gate.offered_mean * least_open;
-    gate.limit = std::max(passing * std::max(share, deepest_cut), least);
+    gate.limit =
+        std::max(passing * std::max(share + surplus, deepest_cut), least);
     gate.quiet = 0;
     gate.just_cut = true;
 }
@@ -179,19 +210,25 @@
         return;
     }
     std::vector<double> rates;
-    rates.reserve(gate.customers.size());
-    double offered = 0;
     for (const auto& [customer, rate] : gate.customers)
     {
-        rates.push_back(rate.per_interval);
-        offered += rate.per_interval;
+        if (heavy(rate.per_interval))
+        {
+            rates.push_back(rate.per_interval);
+        }
     }
+    // Each of the others asks for less than any heavy one: they come first.
+    double left = gate.offered_mean * open_share(gate);
+    const double light = gate.light_mean;
+    gate.light_share = light > left ? std::max(left / light, least_open) : 1.0;
+    left = std::max(left - light, 0.0);
+    gate.customer_cap = heavy_rate * gate.light_share;
     std::sort(rates.begin(), rates.end());
-    double left = offered * open_share(gate);
     for (std::size_t index = 0; index < rates.size(); ++index)
     {
-        gate.customer_cap = left / static_cast<double>(rates.size() - index);
-        if (rates[index] > gate.customer_cap)
+        const double fair = left / static_cast<double>(rates.size() - index);
+        gate.customer_cap = std::max(fair, gate.customer_cap);
+        if (rates[index] > fair)
         {
             break;
         }
@@ -217,15 +254,21 @@
     last.until = now + lifetime;
 }
 
-admission_level chain_levels::level_for(
-    std::uint64_t work_class, const admission_level& own, time_point now) const
+admission_level
+chain_levels::deeper_for(std::uint64_t work_class, time_point now) const
 {
     const auto found = classes_.find(work_class);
     if (found == classes_.end() || now >= found->second.until)
     {
-        return own;
+        return {};
     }
-    return stricter(own, found->second.level);
+    return found->second.level;
+}
+
+admission_level chain_levels::level_for(
+    std::uint64_t work_class, const admission_level& own, time_point now) const
+{
+    return stricter(own, deeper_for(work_class, now));
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/policy/entry_gate.hpp
+++ b/nutmegusher/policy/entry_gate.hpp
@@ -2,7 +2,7 @@
 //
 //     if (const auto refusal = gate.check(call, now)) answer(*refusal);
 //     ...
-//     gate.on_level(call, level_of_the_answer, now);
+//     gate.on_level(call, level_ahead(route, levels, call.bulk, now), now);
 //
 // Pattern of load: a deep service is saturated. Each request is let in, runs
 // through three healthy services and is refused at the fourth; the work of
@@ -23,6 +23,7 @@
 #include "nutmegusher/base/clock.hpp"
 #include "nutmegusher/policy/admission_level.hpp"
 #include "nutmegusher/policy/call.hpp"
+#include "nutmegusher/policy/return_time.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -35,11 +36,15 @@
 {
 public:
     // Decides on a request at the entry. A refusal's `come_back_after` isn't
-    // spread yet: the caller of this passes it through `spread`.
+    // spread yet: the caller of this passes it through `spread`. It is the
+    // time in which those refused before could all pass.
     [[nodiscard]] std::optional<refused>
     check(const call_facts& call, time_point now);
 
-    // A level came back on an answer to a request of the call's class.
+    // What lay ahead of a request of the call's class that was answered: the
+    // stricter of `router::service_level` and the answer's `deeper`. (The
+    // answering upstream's own level alone would close the gate for one bad
+    // upstream among several.)
     void on_level(
         const call_facts& call, const admission_level& level, time_point now);
 
@@ -51,7 +56,9 @@
     static constexpr duration interval = std::chrono::milliseconds(100);
 
 private:
-    // One customer's requests of one class.
+    // One customer's requests of one class. It is heavy from
+    // `heavy_rate` on, where its rate can be told from chance; the others are
+    // counted together.
     struct customer_rate
     {
         double this_interval = 0;
@@ -69,6 +76,9 @@
         // Moving means of both over intervals.
         double offered_mean = 0;
         double passed_mean = 0;
+        // Requests of customers that aren't heavy, an interval.
+        double light_mean = 0;
+        return_schedule returns;
         // Intervals in a row without a refusal.
         std::uint32_t quiet = 0;
         // The levels of this interval still tell of what was cut already.
@@ -77,8 +87,10 @@
         double level_sum = 0;
         std::size_t levels = 0;
         duration come_back{0};
-        // Requests an interval that each customer may have.
+        // Requests an interval that a heavy customer may have.
         double customer_cap = 0;
+        // Of the requests of all the others.
+        double light_share = 1.0;
         time_point interval_end;
         std::unordered_map<std::uint64_t, customer_rate> customers;
     };
@@ -86,6 +98,8 @@
     static constexpr double unlimited = 1e18;
 
     static void end_interval(class_gate& gate, time_point now);
+    static void count_customers(class_gate& gate);
+    [[nodiscard]] static duration come_back(class_gate& gate, time_point now);
     static void adjust(class_gate& gate);
     static void cut(class_gate& gate, double share);
     static void reopen(class_gate& gate);
@@ -98,19 +112,26 @@
 };
 
 // The levels of deeper services, by the class of the request that met them:
-// an answer to a request carries the stricter of its own service's level and
-// of those that its sub-calls brought back.
+// an answer carries its upstream's own level, by which callers route, and
+// beside it what the sub-calls of its class met, by which the entry refuses.
+// They travel apart, as other classes may not need the deeper service.
 //
 // Only levels of sub-calls go in: a daemon that put in those of the requests
 // which enter at it would hand them back and forth with others for ever.
 class chain_levels
 {
 public:
-    // A sub-call made for a request of the class brought a level back.
+    // What lay ahead of a sub-call made for a request of the class: as for
+    // `entry_gate::on_level`.
     void on_sub_call_level(
         std::uint64_t work_class, const admission_level& level, time_point now);
 
-    // What an answer to a request of the class should carry.
+    // What an answer to a request of the class should carry as `deeper`.
+    [[nodiscard]] admission_level
+    deeper_for(std::uint64_t work_class, time_point now) const;
+
+    // The same as one with the upstream's own level, for answers that carry
+    // a single level.
     [[nodiscard]] admission_level level_for(
         std::uint64_t work_class,
         const admission_level& own,
--- a/nutmegusher/policy/pressure_meter.cpp
+++ b/nutmegusher/policy/pressure_meter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace nutmegusher::internal
 {
@@ -19,6 +20,25 @@
     return std::min<std::size_t>(rank, rank_count - 1);
 }
 
+// The level that lets in, by strict rank, as many as could start.
+lane_level level_that_fits(std::span<const rank_counts> seen, double room)
+{
+    for (std::size_t rank = 0; rank < seen.size(); ++rank)
+    {
+        const double offered = seen[rank].offered;
+        if (offered <= room)
+        {
+            room -= offered;
+            continue;
+        }
+        const double share = 1.0 - room / offered;
+        return {
+            static_cast<std::uint8_t>(rank),
+            static_cast<std::uint16_t>(share * 1000)};
+    }
+    return {};
+}
+
 } // namespace
 
 void decaying_count::add(double amount, time_point now)
@@ -108,22 +128,21 @@
         return {};
     }
     const counts& seen = now < current_until_ ? last_ : current_;
-    for (std::size_t rank = 0; rank < rank_count; ++rank)
+    double offered = 0;
+    double refused = 0;
+    double started = 0;
+    for (const rank_counts& rank : seen)
     {
-        const double offered = seen[rank].offered;
-        const double refused = seen[rank].refused;
-        const double started = seen[rank].started;
-        if (refused == 0 || refused < offered * noticeable ||
-            started >= offered)
-        {
-            continue;
-        }
-        const double share = 1.0 - started / offered;
-        return {
-            static_cast<std::uint8_t>(rank),
-            static_cast<std::uint16_t>(share * 1000)};
+        offered += rank.offered;
+        refused += rank.refused;
+        started += rank.started;
     }
-    return {};
+    const double lacking = std::min(offered - started, refused);
+    if (lacking <= offered * noticeable)
+    {
+        return {};
+    }
+    return level_that_fits(seen, offered - lacking);
 }
 
 } // namespace nutmegusher::internal
--- a/nutmegusher/policy/pressure_meter.hpp
+++ b/nutmegusher/policy/pressure_meter.hpp
@@ -54,16 +54,17 @@
     refused_per_second(std::uint8_t rank, time_point now) const;
     [[nodiscard]] double finished_per_second(time_point now) const;
 
-    // The best rank of which more than `noticeable` was refused within the
-    // last whole window, and fewer calls started than came. What is refused is
-    // the part that could not start: refusals go on while a queue of earlier
-    // calls drains, and don't count against those that come now.
+    // The level that lets in, by strict rank, as many as could start within
+    // the last whole window, if more than `noticeable` was refused in it.
+    // What started counts, not what was refused: refusals go on while a queue
+    // of earlier calls drains. And all ranks count together: each alone has
+    // too few calls, and one may wait longer than a better one and get in.
     [[nodiscard]] lane_level level(time_point now) const;
 
     // Refusing less than this at the entry costs more capacity than the
     // wasted work it saves: the deep service must still see some surplus to
     // stay filled.
-    static constexpr double noticeable = 0.02;
+    static constexpr double noticeable = 0.05;
 
     // Short, as whoever hears of refusals cuts what he sends, and must not cut
     // it again for the same ones; long enough for a few dozen calls.
--- a/nutmegusher/policy/retry_budget.hpp
+++ b/nutmegusher/policy/retry_budget.hpp
@@ -66,7 +66,7 @@
     bool repeated(std::uint64_t key_hash, time_point now);
 
     // Clients that retry at all do so within seconds; the longest time to
-    // come back that they are told is ten.
+    // come back that they are told is five, and half as long again.
     static constexpr duration memory = std::chrono::seconds(15);
     // Of each of the two generations.
     static constexpr std::size_t most_keys = 65536;
--- a/nutmegusher/policy/retry_policy.cpp
+++ b/nutmegusher/policy/retry_policy.cpp
@@ -12,10 +12,9 @@
 
 constexpr std::uint32_t most_pause_doublings = 6;
 
-bool refused_by_load(try_failure how)
-{
-    return how == try_failure::overload;
-}
+// Two upstreams that refuse one after the other speak for the whole service,
+// whose levels may be a moment old.
+constexpr std::uint32_t most_refused_tries = 2;
 
 } // namespace
 
@@ -30,7 +29,9 @@
     {
         return no_retry{no_retry_reason::no_time};
     }
-    if (refused_by_load(failed.how) && !failed.takes_elsewhere)
+    const bool service_full =
+        !failed.takes_elsewhere || failed.tries > most_refused_tries - 1;
+    if (failed.how == try_failure::overload && service_full)
     {
         return no_retry{no_retry_reason::overloaded};
     }
--- a/nutmegusher/policy/return_time.cpp
+++ b/nutmegusher/policy/return_time.cpp
@@ -8,32 +8,24 @@
 namespace
 {
 
-// Better ranks may leave nothing; some of it still comes free as callers give
-// up, and a wait must be finite.
-constexpr double least_spare_share = 0.05;
+// Where nothing drains one place a second is given, so that the line stays
+// finite and somebody comes to look.
+constexpr double least_room_per_second = 1.0;
 
 } // namespace
 
-duration return_time(const pressure& now)
+duration return_schedule::next(double room_per_second, time_point now)
 {
-    const double spare = std::max(
-        now.drain_per_second - now.better_per_second,
-        now.drain_per_second * least_spare_share);
-    const double backlog = now.waiting + now.refused_lately;
-    if (backlog <= 0)
-    {
-        return shortest_return;
-    }
-    if (spare <= 0)
-    {
-        return longest_return;
-    }
-    const double longest =
-        std::chrono::duration<double>(longest_return).count();
-    const double seconds = std::min(backlog / spare, longest);
-    const auto wait = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(seconds));
-    return std::max(wait, shortest_return);
+    const double room = std::max(room_per_second, least_room_per_second);
+    const auto gap = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1.0 / room));
+    last_ = std::clamp(last_ + gap, now, now + longest_return);
+    return wait(now);
+}
+
+duration return_schedule::wait(time_point now) const
+{
+    return std::clamp(last_ - now, shortest_return, longest_return);
 }
 
 duration spread(duration mean, random_engine& engine)
--- a/nutmegusher/policy/return_time.hpp
+++ b/nutmegusher/policy/return_time.hpp
@@ -1,11 +1,15 @@
 // When refused work may come back.
 //
+//     const duration wait = returns.next(spare_per_second, now);
+//     answer.retry_after(spread(wait, engine));
+//
 // Pattern of load: a surge is refused, and all of its callers return at the
 // same moment; each return is a new surge, and the overload outlasts its
 // cause. Without this the callers guess, and most guess "now".
 //
-// The wait is what the capacity left for the call's rank needs to take in all
-// that were refused lately, and each caller gets its own moment in it.
+// Refused callers are given places in a line, one after the other as fast as
+// there will be room for them: whoever is refused later comes back later, also
+// when the surge itself is over and only the returns are still to come.
 #ifndef NUTMEGUSHER_POLICY_RETURN_TIME_HPP
 #define NUTMEGUSHER_POLICY_RETURN_TIME_HPP
 
@@ -15,29 +19,31 @@
 namespace nutmegusher
 {
 
-// What is known of the pressure on one rank.
-struct pressure
-{
-    // Calls that finish a second.
-    double drain_per_second = 0;
-    // Calls of better ranks that are let in a second.
-    double better_per_second = 0;
-    // Calls that wait in front of this one.
-    double waiting = 0;
-    // Calls of this rank refused of late, which will want to come back.
-    double refused_lately = 0;
-};
-
 // No caller is sent away for less: a round trip to a client and back takes
 // about this (8 ms one way in the larger of the two users' networks).
 inline constexpr duration shortest_return = std::chrono::milliseconds(16);
 
-// No caller is sent away for longer, whatever the backlog: pressure that
-// passes is to be felt by callers within seconds.
-inline constexpr duration longest_return = std::chrono::seconds(10);
+// No caller is sent away for longer, whatever the backlog: what was promised
+// is counted in seconds, and pressure may pass at any moment.
+inline constexpr duration longest_return = std::chrono::seconds(5);
 
-// The mean wait until the backlog has drained.
-[[nodiscard]] duration return_time(const pressure& now);
+// The line of refused callers of one rank or class.
+class return_schedule
+{
+public:
+    // Gives the next caller its place: how long it should stay away.
+    // `room_per_second`: calls of its kind that can be let in a second. A call
+    // refused here was mostly refused by one other upstream too, and has a
+    // place there: that leaves half of the room to those who come anew.
+    duration next(double room_per_second, time_point now);
+
+    // How long a caller refused now would be sent away.
+    [[nodiscard]] duration wait(time_point now) const;
+
+private:
+    // The last place given.
+    time_point last_;
+};
 
 // One caller's own moment: uniform in [mean / 2, mean * 3 / 2].
 [[nodiscard]] duration spread(duration mean, random_engine& engine);
--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -23,11 +23,29 @@
 // Differences below this are the network and the scheduler of the host.
 constexpr double least_slow_seconds = 0.005;
 
+// Exponential times exceed four times their mean once in fifty; with a budget
+// of a tenth for all retries that is little.
+constexpr double timeout_factor = 4.0;
+constexpr double least_timeout_seconds = 0.05;
+
 // An upstream that joins a running service gets a fifth of the usual work at
 // first and the whole after this, as its own warm-up needs about a second.
 constexpr duration ramp = std::chrono::seconds(1);
 constexpr double ramp_cost = 4.0;
 
+// Zero of nothing; the higher of two.
+double upper_median(std::vector<double>& values)
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 } // namespace
 
 void router::update(std::span<const candidate> candidates, time_point now)
@@ -143,6 +161,21 @@
         });
 }
 
+bool router::worth_moving(
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    time_point now) const
+{
+    const bool pressed = std::any_of(
+        entries_.begin(),
+        entries_.end(),
+        [now](const entry& each)
+        {
+            return each.health.refuses(now);
+        });
+    return !pressed && takes_elsewhere(call, tried, now);
+}
+
 router::pick router::due_probe(
     const call_facts& call,
     std::span<const upstream_handle> tried,
@@ -293,35 +326,91 @@
     return sound * 2 >= staying;
 }
 
-void router::eject_if_slow(entry& suspect, bool bulk, time_point now)
+double router::median_of_others(const entry& one, bool bulk) const
 {
-    const double own = suspect.health.latency(bulk);
-    if (suspect.health.ejected() || own < least_slow_seconds)
+    values_.clear();
+    for (const entry& each : entries_)
     {
-        return;
+        const double latency = each.health.latency(bulk);
+        if (&each != &one && latency > 0 && !each.health.ejected())
+        {
+            values_.push_back(latency);
+        }
     }
-    latencies_.clear();
+    return upper_median(values_);
+}
+
+lane_level router::median_level(bool bulk, time_point now) const
+{
+    values_.clear();
     for (const entry& each : entries_)
     {
-        const double latency = each.health.latency(bulk);
-        if (&each != &suspect && latency > 0 && !each.health.ejected())
+        if (!each.where.leaving && !each.health.ejected())
         {
-            latencies_.push_back(latency);
+            const admission_level level = each.health.level(now);
+            values_.push_back(
+                pass_below(bulk ? level.bulk_lane : level.short_lane));
         }
     }
-    if (latencies_.empty())
+    return values_.empty() ? lane_level{}
+                           : lane_level_below(upper_median(values_));
+}
+
+admission_level router::service_level(time_point now) const
+{
+    admission_level all;
+    all.short_lane = median_level(false, now);
+    all.bulk_lane = median_level(true, now);
+    for (const entry& each : entries_)
+    {
+        all.come_back_after = std::max(
+            all.come_back_after, each.health.level(now).come_back_after);
+    }
+    return all;
+}
+
+admission_level level_ahead(
+    const router& route, const answer_levels& levels, bool bulk, time_point now)
+{
+    admission_level own = route.service_level(now);
+    const lane_level lane = bulk ? own.bulk_lane : own.short_lane;
+    own.short_lane = lane;
+    own.bulk_lane = lane;
+    return stricter(own, levels.deeper);
+}
+
+void router::eject_if_slow(entry& suspect, bool bulk, time_point now)
+{
+    const double own = suspect.health.latency(bulk);
+    if (suspect.health.ejected() || own < least_slow_seconds)
     {
         return;
     }
-    const auto middle =
-        latencies_.begin() + static_cast<std::ptrdiff_t>(latencies_.size() / 2);
-    std::nth_element(latencies_.begin(), middle, latencies_.end());
-    if (own > *middle * slow_factor && may_eject(suspect))
+    const double others = median_of_others(suspect, bulk);
+    if (others > 0 && own > others * slow_factor && may_eject(suspect))
     {
         suspect.health.eject(now);
     }
 }
 
+std::optional<duration> router::try_timeout(upstream_handle at, bool bulk) const
+{
+    const pick found = find(at);
+    if (!found)
+    {
+        return std::nullopt;
+    }
+    const double others = median_of_others(entries_[*found], bulk);
+    if (others <= 0)
+    {
+        return std::nullopt;
+    }
+    const double seconds =
+        std::max(others * timeout_factor, least_timeout_seconds);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
 void router::on_level(
     upstream_handle from, const admission_level& level, time_point now)
 {
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -85,6 +85,20 @@
         time_point now,
         random_engine& engine);
 
+    // After this long without an answer a repeatable call is better given up
+    // there and tried elsewhere: others answer in a quarter of it. None where
+    // nothing is known of others. Costs a token as any retry.
+    [[nodiscard]] std::optional<duration>
+    try_timeout(upstream_handle at, bool bulk) const;
+
+    // Whether that is true now: another upstream takes the call, and none of
+    // the service refuses anything. Where one does, slowness is load, and what
+    // is given up half done would be done again.
+    [[nodiscard]] bool worth_moving(
+        const call_facts& call,
+        std::span<const upstream_handle> tried,
+        time_point now) const;
+
     // Whether an upstream outside of `tried` would take the call now, as far
     // as levels and observations tell.
     [[nodiscard]] bool takes_elsewhere(
@@ -106,10 +120,14 @@
     // It ended without a word on the upstream's health: cancelled, refused.
     void on_neutral(upstream_handle from, bool bulk, time_point now);
 
-    // The admission level that came with an answer.
+    // The upstream's own admission level that came with an answer.
     void on_level(
         upstream_handle from, const admission_level& level, time_point now);
 
+    // What the service as a whole lets in: lane by lane the median of its
+    // upstreams' levels (one that said nothing of late lets everything in).
+    [[nodiscard]] admission_level service_level(time_point now) const;
+
     // Null where the handle has gone.
     [[nodiscard]] const host_id* host(upstream_handle of) const;
 
@@ -149,12 +167,25 @@
         time_point now);
     [[nodiscard]] bool may_eject(const entry& suspect) const;
     void eject_if_slow(entry& suspect, bool bulk, time_point now);
+    [[nodiscard]] double median_of_others(const entry& one, bool bulk) const;
+    [[nodiscard]] lane_level median_level(bool bulk, time_point now) const;
 
     std::vector<entry> entries_;
-    std::vector<double> latencies_;
+    // Room for the medians.
+    mutable std::vector<double> values_;
     std::uint64_t last_handle_ = 0;
 };
 
+// What lies ahead of calls of an answered call's class: the stricter of the
+// service's level in the call's lane and of what the answer tells of deeper
+// services. Both lanes of the result are the same, as a long transfer may
+// need short calls further down.
+[[nodiscard]] admission_level level_ahead(
+    const router& route,
+    const answer_levels& levels,
+    bool bulk,
+    time_point now);
+
 } // namespace nutmegusher
 
 #endif
--- a/nutmegusher/policy/service_times.cpp
+++ b/nutmegusher/policy/service_times.cpp
@@ -15,8 +15,9 @@
 // The no-load time is what latency is held against: it moves four times as
 // slowly, so that a short slowdown doesn't become the norm.
 constexpr double no_load_weight = weight_of_new / 4;
-// Something has to be taken for the no-load time at first.
-constexpr std::uint64_t first_samples = 8;
+// Something has to be taken for the no-load time at first: two rounds of the
+// first limit. The first answers alone are the quickest of their round.
+constexpr std::uint64_t first_samples = 32;
 // Classes are declared by operators; more than this is a fault elsewhere, and
 // the surplus is served without an estimate.
 constexpr std::size_t most_classes = 4096;
--- a/nutmegusher/policy/upstream_health.cpp
+++ b/nutmegusher/policy/upstream_health.cpp
@@ -135,6 +135,13 @@
     return now >= level_until_ || passes(level_, call);
 }
 
+bool upstream_health::refuses(time_point now) const
+{
+    const bool any = level_.short_lane.rank < rank_count ||
+                     level_.bulk_lane.rank < rank_count;
+    return any && now < level_until_;
+}
+
 double upstream_health::cost(bool bulk) const
 {
     const lane_observation& lane = lanes_[index_of(bulk)];
--- a/nutmegusher/policy/upstream_health.hpp
+++ b/nutmegusher/policy/upstream_health.hpp
@@ -77,6 +77,15 @@
     // Whether its last level, if that is recent, lets the call in.
     [[nodiscard]] bool takes(const call_facts& call, time_point now) const;
 
+    // Whether its last level, if that is recent, refuses anything.
+    [[nodiscard]] bool refuses(time_point now) const;
+
+    // Its last level if that is recent; otherwise one that refuses nothing.
+    [[nodiscard]] admission_level level(time_point now) const
+    {
+        return now < level_until_ ? level_ : admission_level{};
+    }
+
     // Expected wait of one more call, in seconds; lower is better.
     [[nodiscard]] double cost(bool bulk) const;
 
