--- a/nutmegusher/policy/concurrency_limit.cpp
+++ b/nutmegusher/policy/concurrency_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace nutmegusher
 {
@@ -39,6 +40,9 @@
 // refused call a second.
 constexpr duration shed_hold = std::chrono::seconds(1);
 
+// A fifth is more than the small queue that `aim` allows.
+constexpr std::size_t yield_divisor = 5;
+
 // Quiet for four times the usual latency, with the whole limit in flight, has
 // a chance of less than one in a million at two calls in flight already.
 constexpr int stall_latencies = 4;
@@ -71,13 +75,17 @@
     const limit_sample& sample, std::size_t in_flight, time_point now)
 {
     last_end_ = now;
-    grow_by_answer(in_flight, sample.inflation);
+    if (!sample.partial)
+    {
+        grow_by_answer(in_flight, sample.inflation);
+    }
     if (sample.started < window_.opened)
     {
         return;
     }
     ++window_.samples;
     window_.timeouts += sample.timed_out ? 1 : 0;
+    window_.partial += sample.partial ? 1 : 0;
     window_.inflation_sum += sample.inflation;
     if (window_complete(now))
     {
@@ -114,12 +122,16 @@
 {
     const double inflation =
         window_.inflation_sum / static_cast<double>(window_.samples);
-    const bool given_up = window_.timeouts * 2 > window_.samples;
-    if (given_up)
+    const bool given_up = window_.timeouts == window_.samples;
+    if (given_up && others_hold_slots_)
+    {
+        strained_ = true;
+    }
+    else if (given_up)
     {
-        // Hardly anything comes back: whatever the cause, calls are better
-        // off elsewhere.
-        fall(inflation, deepest_fall);
+        // Nothing comes back: whatever the cause, calls are better off
+        // elsewhere. The limit that was good before is not in doubt.
+        fall(deepest_fall);
         trial_.reset();
     }
     else if (trial_)
@@ -136,35 +148,54 @@
 
 void concurrency_limit::judge_trial(double inflation)
 {
-    const double kept =
-        static_cast<double>(limit_) / static_cast<double>(trial_->limit_before);
+    if (trial_->reference_limit == 0)
+    {
+        if (inflation / elsewhere_ > fall_above)
+        {
+            begin_second_fall(inflation);
+            return;
+        }
+        known_good_ = limit_;
+        trial_.reset();
+        return;
+    }
+    const double kept = static_cast<double>(limit_) /
+                        static_cast<double>(trial_->reference_limit);
     // Halfway between "fell with the limit" and "did not move".
-    const double helped_below = trial_->inflation_before * (1.0 + kept) / 2.0;
+    const double helped_below =
+        trial_->reference_inflation * (1.0 + kept) / 2.0;
     if (inflation >= helped_below)
     {
         elsewhere_ = std::max(1.0, inflation);
-        known_good_ = trial_->limit_before;
         set_limit(trial_->limit_before);
     }
-    else
-    {
-        known_good_ = limit_;
-    }
+    known_good_ = limit_;
     trial_.reset();
 }
 
+void concurrency_limit::begin_second_fall(double inflation)
+{
+    trial_->reference_limit = limit_;
+    trial_->reference_inflation = inflation;
+    fall(aim * elsewhere_ / inflation);
+}
+
 void concurrency_limit::adjust(double inflation, time_point now)
 {
     const double own = inflation / elsewhere_;
     const bool in_use = window_.peak_in_flight * 2 >= limit_;
-    if (!in_use)
+    if (!in_use && !others_hold_slots_)
     {
         return;
     }
-    if (own > fall_above)
+    if (own > fall_above && others_hold_slots_)
+    {
+        strained_ = true;
+    }
+    else if (own > fall_above)
     {
         const double latest = std::max(own, recent_inflation_ / elsewhere_);
-        fall(inflation, aim / latest);
+        fall(aim / latest);
     }
     else if (own < grow_below)
     {
@@ -174,7 +205,8 @@
 
 void concurrency_limit::grow(time_point now)
 {
-    const bool filled = window_.peak_in_flight >= limit_;
+    const bool whole = window_.partial * 2 <= window_.samples;
+    const bool filled = whole && window_.peak_in_flight >= limit_;
     const bool held = limit_ >= shed_ceiling_ && now < hold_until_;
     const bool too_soon = warming_up_ && now - last_growth_ < warm_up_step;
     if (!filled || held || too_soon)
@@ -183,21 +215,21 @@
     }
     last_growth_ = now;
     const std::size_t step = std::max<std::size_t>(1, limit_ / growth_divisor);
-    const std::size_t doubled = std::min(limit_ * 2, known_good_);
+    // Otherwise the doubling is done answer by answer.
+    const std::size_t doubled =
+        warming_up_ ? std::min(limit_ * 2, known_good_) : 0;
     set_limit(std::max(limit_ + step, doubled));
 }
 
-void concurrency_limit::fall(double inflation, double factor)
+void concurrency_limit::fall(double factor)
 {
-    const std::size_t before = trial_ ? trial_->limit_before : limit_;
     const double kept = std::clamp(factor, deepest_fall, lightest_fall);
     const auto fallen = static_cast<std::size_t>(
         std::floor(static_cast<double>(limit_) * kept));
     warming_up_ = false;
     if (!trial_)
     {
-        // While the limit grew, the mean of the window lags behind.
-        trial_ = trial{before, std::max(inflation, recent_inflation_)};
+        trial_ = trial{.limit_before = limit_};
     }
     set_limit(fallen);
 }
@@ -230,6 +262,22 @@
     }
 }
 
+bool concurrency_limit::take_strained()
+{
+    return std::exchange(strained_, false);
+}
+
+void concurrency_limit::yield(std::size_t in_flight, time_point now)
+{
+    const std::size_t used = std::clamp<std::size_t>(in_flight, 1, limit_);
+    set_limit(used - used / yield_divisor);
+    shed_ceiling_ = limit_;
+    known_good_ = limit_;
+    hold_until_ = now + shed_hold;
+    trial_.reset();
+    open_window(in_flight, now);
+}
+
 void concurrency_limit::on_tick(
     std::size_t working, duration typical, time_point now)
 {
@@ -238,14 +286,19 @@
     {
         return;
     }
+    last_end_ = now;
+    if (others_hold_slots_)
+    {
+        strained_ = true;
+        return;
+    }
     const std::size_t before = trial_ ? trial_->limit_before : limit_;
     const std::size_t floor = before / trial_floor_divisor;
     if (limit_ / 2 >= floor)
     {
-        fall(stall_latencies, deepest_fall);
+        fall(deepest_fall);
     }
     open_window(working, now);
-    last_end_ = now;
 }
 
 std::optional<time_point>
--- a/nutmegusher/policy/concurrency_limit.hpp
+++ b/nutmegusher/policy/concurrency_limit.hpp
@@ -14,10 +14,11 @@
 // held against two thresholds:
 // - below `grow_below` the limit grows while it is in use, by one with each
 //   answer up to what was good before, in tenths beyond;
-// - above `fall_above` it falls in proportion, as a trial: the next window
-//   tells whether the queue was ours. Latency that doesn't fall with the
-//   limit comes from somewhere else (a deep service), where fewer calls help
-//   nobody; the limit goes back and that latency becomes the expected one.
+// - above `fall_above` it falls in proportion, as a trial: where one fall
+//   isn't enough, a second one tells whether the queue was ours. Latency that
+//   doesn't fall with the limit comes from somewhere else (a deep service),
+//   where fewer calls help nobody; the limit goes back and that latency becomes
+//   the expected one.
 // A refusal by the upstream itself shows the number of its slots exactly.
 #ifndef NUTMEGUSHER_POLICY_CONCURRENCY_LIMIT_HPP
 #define NUTMEGUSHER_POLICY_CONCURRENCY_LIMIT_HPP
@@ -38,6 +39,8 @@
     double inflation = 1.0;
     // The call was given up: the true inflation is higher.
     bool timed_out = false;
+    // The call failed on the way: it shows a long queue, but no short one.
+    bool partial = false;
 };
 
 class concurrency_limit
@@ -87,6 +90,20 @@
     [[nodiscard]] std::optional<time_point>
     stall_at(std::size_t working, duration typical) const;
 
+    // Others hold most of the upstream's slots: inflation is theirs to mend.
+    // While set, it doesn't lower this limit but marks it as `strained`.
+    void set_others_hold_slots(bool hold)
+    {
+        others_hold_slots_ = hold;
+    }
+
+    // Whether inflation was marked since the last call.
+    [[nodiscard]] bool take_strained();
+
+    // Makes room for others: falls to four fifths of what is in flight and
+    // stays there for a second.
+    void yield(std::size_t in_flight, time_point now);
+
     // The upstream starts cold: begin low, and double at most once every
     // `warm_up_step` until it is filled.
     void begin_warm_up(time_point now);
@@ -97,11 +114,16 @@
     static constexpr duration warm_up_step = std::chrono::milliseconds(200);
 
 private:
-    // A fall whose effect isn't known yet.
+    // Falls whose effect isn't known yet. The inflation before the first one
+    // lags behind while the limit grows, so the first is only the start: what
+    // it leads to is held against what a second one leads to.
     struct trial
     {
+        // Goes back to this if the falls don't help.
         std::size_t limit_before = 0;
-        double inflation_before = 1.0;
+        // After the first fall; 0: not known yet.
+        std::size_t reference_limit = 0;
+        double reference_inflation = 0;
     };
 
     // The answers since the limit was last set.
@@ -110,6 +132,7 @@
         time_point opened;
         std::size_t samples = 0;
         std::size_t timeouts = 0;
+        std::size_t partial = 0;
         double inflation_sum = 0;
         std::size_t peak_in_flight = 0;
     };
@@ -118,9 +141,10 @@
     void grow_by_answer(std::size_t in_flight, double inflation);
     void close_window(std::size_t in_flight, time_point now);
     void judge_trial(double inflation);
+    void begin_second_fall(double inflation);
     void adjust(double inflation, time_point now);
     void grow(time_point now);
-    void fall(double inflation, double factor);
+    void fall(double factor);
     void set_limit(std::size_t limit);
     void open_window(std::size_t in_flight, time_point now);
 
@@ -140,6 +164,8 @@
     std::size_t shed_ceiling_;
     time_point last_growth_;
     bool warming_up_ = false;
+    bool others_hold_slots_ = false;
+    bool strained_ = false;
 
 public:
     concurrency_limit();
