Look claims up without a fence, and show a class's revision to operators

Cause: asking for an outcome by a fence compared digests, so a finished key answered "another request", which reads as not run. A look-up changes nothing; a fence with digest 0 gets the outcome of any request.

A change names the revision of its class, which no answer showed; the configuration's JSON now does.

--- a/nutmegusher/execution/claim_table.cpp
+++ b/nutmegusher/execution/claim_table.cpp
@@ -83,6 +83,8 @@
         return release(key, command);
     case messages::claim_command::kFence:
         return fence_off(key, command);
+    case messages::claim_command::kLookUp:
+        return find(command.key());
     case messages::claim_command::ACTION_NOT_SET:
         break;
     }
@@ -309,7 +311,8 @@
                    : verdict(messages::claim_granted);
     }
     const auto& value = found->second;
-    if (value.request_digest != command.fence().request_digest())
+    const auto digest = command.fence().request_digest();
+    if (digest != 0 && digest != value.request_digest)
     {
         return verdict(messages::claim_other_request);
     }
--- a/nutmegusher/execution/claim_table_test.cpp
+++ b/nutmegusher/execution/claim_table_test.cpp
@@ -152,6 +152,25 @@
     EXPECT_EQ(apply(start(2)), messages::claim_granted);
 }
 
+TEST_F(claim_table_test, look_up_tells_and_changes_nothing)
+{
+    auto look_up = command(9);
+    look_up.mutable_look_up();
+    EXPECT_EQ(apply(look_up), messages::claim_verdict_none);
+    apply(start(1));
+    EXPECT_EQ(apply(look_up), messages::claim_in_progress);
+    apply(finish(1, "first"));
+    EXPECT_EQ(table.apply(look_up).answer().body(), "first");
+    EXPECT_EQ(table.counts().fences, 0U);
+}
+
+TEST_F(claim_table_test, fence_without_a_digest_gets_the_outcome_of_any_request)
+{
+    apply(start(1));
+    apply(finish(1));
+    EXPECT_EQ(apply(fence(2, 0)), messages::claim_already_finished);
+}
+
 TEST_F(claim_table_test, fence_after_the_start_proves_nothing)
 {
     apply(start(1));
--- a/nutmegusher/execution/request_digest.cpp
+++ b/nutmegusher/execution/request_digest.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace nutmegusher
 {
 
@@ -30,7 +32,7 @@
 
 std::uint64_t request_digest::value() const
 {
-    return XXH64_digest(state_.get());
+    return std::max<std::uint64_t>(XXH64_digest(state_.get()), 1);
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/execution/request_digest.hpp
+++ b/nutmegusher/execution/request_digest.hpp
@@ -28,7 +28,8 @@
 
     void update(std::string_view piece);
 
-    // Of all that was fed in so far; the same on every host and build.
+    // Of all that was fed in so far; the same on every host and build. Never 0,
+    // which stands for any request in a fence.
     [[nodiscard]] std::uint64_t value() const;
 
 private:
--- a/nutmegusher/node/json_messages.cpp
+++ b/nutmegusher/node/json_messages.cpp
@@ -288,7 +288,10 @@
     json::array classes;
     for (const auto& item : from.classes())
     {
-        classes.push_back(to_json(item));
+        auto shown = to_json(item);
+        // What a change of this class is based on.
+        shown.get_object()["revision"] = item.revision();
+        classes.push_back(std::move(shown));
     }
     return json::object{
         {"revision", from.revision()}, {"classes", std::move(classes)}};
