Add nutmegusherctl, the operators' command line

Cause: operators declare classes, see what is in force and repair control hosts; answers get lost and operators race.

A change carries an id that is printed before it is sent, and the revision of its class; lost answers are resent with both. Ruled out: resending drain and replace, which are not recognized.

--- /dev/null
+++ b/nutmegusher/ctl/beast_exchange.cpp
@@ -0,0 +1,179 @@
+#include "nutmegusher/ctl/http_exchange.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+using endpoint = asio::ip::tcp::endpoint;
+
+// A dump of a large process; more isn't read.
+constexpr std::uint64_t most_reply_bytes = 256ULL * 1024 * 1024;
+
+leaf::result<endpoint> parse_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return leaf::new_error(bad_address{text});
+    }
+    boost::system::error_code wrong;
+    const auto address = asio::ip::make_address(text.substr(0, colon), wrong);
+    std::uint16_t port = 0;
+    const auto* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (wrong || parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+    {
+        return leaf::new_error(bad_address{text});
+    }
+    return endpoint(address, port);
+}
+
+// One query on one connection, driven to its end by an I/O context of its own:
+// time limits need asynchronous operations.
+class exchange_run
+{
+public:
+    exchange_run(endpoint target, duration limit, const http_query& query)
+        : target_(std::move(target))
+        , stream_(context_)
+    {
+        const auto verb = http::string_to_verb(query.method);
+        request_ = {verb, query.target, http_version};
+        request_.set(http::field::host, target_.address().to_string());
+        request_.set(http::field::connection, "close");
+        if (!query.body.empty())
+        {
+            request_.set(http::field::content_type, "application/json");
+        }
+        request_.body() = query.body;
+        request_.prepare_payload();
+        parser_.body_limit(most_reply_bytes);
+        stream_.expires_after(limit);
+    }
+
+    exchange_result run()
+    {
+        stream_.async_connect(
+            target_,
+            [this](beast::error_code failed)
+            {
+                connected(failed);
+            });
+        context_.run();
+        if (failure_ != std::nullopt)
+        {
+            return *failure_;
+        }
+        auto& message = parser_.get();
+        return http_reply{message.result_int(), std::move(message.body())};
+    }
+
+private:
+    static constexpr unsigned http_version = 11;
+
+    void connected(beast::error_code failed)
+    {
+        if (failed)
+        {
+            failure_ = exchange_failure::unreachable;
+            return;
+        }
+        http::async_write(
+            stream_,
+            request_,
+            [this](beast::error_code broken, std::size_t)
+            {
+                sent(broken);
+            });
+    }
+
+    void sent(beast::error_code failed)
+    {
+        if (failed)
+        {
+            failure_ = classify(failed);
+            return;
+        }
+        http::async_read(
+            stream_,
+            buffer_,
+            parser_,
+            [this](beast::error_code broken, std::size_t)
+            {
+                if (broken)
+                {
+                    failure_ = classify(broken);
+                }
+            });
+    }
+
+    static exchange_failure classify(beast::error_code failed)
+    {
+        if (failed == beast::error::timeout)
+        {
+            return exchange_failure::timed_out;
+        }
+        const bool malformed =
+            failed.category() ==
+                http::make_error_code(http::error::bad_version).category() &&
+            failed != http::error::end_of_stream &&
+            failed != http::error::partial_message;
+        return malformed ? exchange_failure::bad_reply
+                         : exchange_failure::connection_lost;
+    }
+
+    asio::io_context context_;
+    endpoint target_;
+    beast::tcp_stream stream_;
+    http::request<http::string_body> request_;
+    beast::flat_buffer buffer_;
+    http::response_parser<http::string_body> parser_;
+    std::optional<exchange_failure> failure_;
+};
+
+} // namespace
+
+std::string_view to_string(exchange_failure failure)
+{
+    switch (failure)
+    {
+    case exchange_failure::unreachable:
+        return "unreachable";
+    case exchange_failure::timed_out:
+        return "timed out";
+    case exchange_failure::connection_lost:
+        return "connection lost";
+    case exchange_failure::bad_reply:
+        break;
+    }
+    return "not an HTTP reply";
+}
+
+leaf::result<http_exchange>
+connect_with_beast(const std::string& address, duration limit)
+{
+    BOOST_LEAF_AUTO(target, parse_endpoint(address));
+    return http_exchange(
+        [target, limit](const http_query& query)
+        {
+            return exchange_run(target, limit, query).run();
+        });
+}
+
+} // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/beast_exchange_test.cpp
@@ -0,0 +1,132 @@
+#include "nutmegusher/ctl/ctl.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <thread>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers one connection with the given bytes and closes it.
+class one_answer
+{
+public:
+    explicit one_answer(std::string bytes)
+        : acceptor_(
+              context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , thread_(
+              [this, bytes = std::move(bytes)]
+              {
+                  serve(bytes);
+              })
+    {
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    // What was asked; waits for the end of the exchange.
+    std::string asked()
+    {
+        thread_.join();
+        return asked_;
+    }
+
+private:
+    void serve(const std::string& bytes)
+    {
+        tcp::socket socket(context_);
+        acceptor_.accept(socket);
+        boost::system::error_code ignored;
+        asio::read_until(
+            socket, asio::dynamic_buffer(asked_), "\r\n\r\n", ignored);
+        asio::write(socket, asio::buffer(bytes), ignored);
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::string asked_;
+    std::jthread thread_;
+};
+
+exchange_result
+exchange_with(const std::string& address, const http_query& query)
+{
+    auto made = connect_with_beast(address, std::chrono::seconds(20));
+    EXPECT_TRUE(made);
+    return (*made)(query);
+}
+
+TEST(connect_with_beast, sends_a_query_and_reads_the_reply)
+{
+    one_answer server("HTTP/1.1 202 Accepted\r\nContent-Length: 4\r\n\r\ndone");
+    const auto reply =
+        exchange_with(server.address(), {"POST", "/v1/drain", "{}"});
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->status, 202U);
+    EXPECT_EQ(reply->body, "done");
+    EXPECT_EQ(server.asked().find("POST /v1/drain HTTP/1.1\r\n"), 0U);
+}
+
+TEST(connect_with_beast, cut_reply_is_a_lost_connection)
+{
+    one_answer server("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\ndone");
+    const auto reply = exchange_with(server.address(), {"GET", "/v1/dump", ""});
+    ASSERT_FALSE(reply);
+    EXPECT_EQ(reply.error(), exchange_failure::connection_lost);
+    server.asked();
+}
+
+TEST(connect_with_beast, other_bytes_are_a_bad_reply)
+{
+    one_answer server("no http here\r\n\r\n");
+    const auto reply = exchange_with(server.address(), {"GET", "/v1/dump", ""});
+    ASSERT_FALSE(reply);
+    EXPECT_EQ(reply.error(), exchange_failure::bad_reply);
+    server.asked();
+}
+
+TEST(connect_with_beast, refused_connection_is_unreachable)
+{
+    std::string address;
+    {
+        asio::io_context context;
+        const tcp::acceptor closed(
+            context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        address = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+    }
+    const auto reply = exchange_with(address, {"GET", "/v1/dump", ""});
+    ASSERT_FALSE(reply);
+    EXPECT_EQ(reply.error(), exchange_failure::unreachable);
+}
+
+TEST(connect_with_beast, refuses_what_is_not_an_address)
+{
+    for (const auto* const text :
+         {"",
+          "127.0.0.1",
+          "host:80",
+          "127.0.0.1:",
+          "127.0.0.1:x",
+          "1.2.3.4:0",
+          "127.0.0.1:99999"})
+    {
+        EXPECT_FALSE(connect_with_beast(text, std::chrono::seconds(1))) << text;
+    }
+}
+
+} // namespace
+} // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/change_commands.cpp
@@ -0,0 +1,332 @@
+// Commands that declare and show classes.
+#include "nutmegusher/control/control.hpp"
+#include "nutmegusher/ctl/command.hpp"
+#include "nutmegusher/ctl/dry_run.hpp"
+#include "nutmegusher/ctl/json_text.hpp"
+#include "nutmegusher/ctl/text_table.hpp"
+
+#include <boost/json/serialize.hpp>
+
+#include <cmath>
+#include <ostream>
+#include <utility>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+constexpr double ppm_per_percent = 10'000.0;
+
+std::string make_change_id(const environment& where)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned bits_per_digit = 4;
+    constexpr std::uint64_t digit_mask = 15;
+    std::string id;
+    for (int half = 0; half < 2; ++half)
+    {
+        auto bits = where.random();
+        for (std::size_t digit = 0; digit < digits.size(); ++digit)
+        {
+            id += digits[bits & digit_mask];
+            bits >>= bits_per_digit;
+        }
+    }
+    return id;
+}
+
+messages::change begin_change(const command_context& context)
+{
+    messages::change out;
+    out.set_change_id(
+        context.has("change-id") ? context.text("change-id")
+                                 : make_change_id(context.where));
+    out.set_author(
+        context.has("author") ? context.text("author") : context.where.author);
+    return out;
+}
+
+// Out of range where it isn't a percentage; the check names the field then.
+std::uint32_t completion_ppm(const command_context& context)
+{
+    const auto percent = context.options["completion"].as<double>();
+    const auto ppm = std::round(percent * ppm_per_percent);
+    const bool possible = ppm >= 0 && ppm <= whole_ppm;
+    return possible ? static_cast<std::uint32_t>(ppm) : whole_ppm + 1;
+}
+
+void read_target(const command_context& context, messages::class_target& out)
+{
+    out.set_latency_ms(context.options["latency-ms"].as<std::uint32_t>());
+    out.set_completion_ppm(completion_ppm(context));
+}
+
+void print_accepted(
+    const command_context& context,
+    const messages::change& change,
+    const json::value& reply)
+{
+    if (context.as_json)
+    {
+        print_json(context.where.out, reply);
+        return;
+    }
+    context.where.out << "accepted as revision "
+                      << number_field(reply, "revision") << ", change id "
+                      << change.change_id() << '\n';
+}
+
+void print_refused(
+    const command_context& context,
+    const messages::change& change,
+    const client_error& error)
+{
+    auto& out = context.where.error;
+    print_error(out, error);
+    if (error.problem == client_problem::conflict)
+    {
+        out << "the class is at revision "
+            << number_field(error.body, "revision") << " now; look at it and "
+            << "decide again\n";
+    }
+    else if (exit_code_of(error) == exit_code::failed)
+    {
+        out << "it may have been accepted; to resend the same change:"
+            << " --change-id " << change.change_id() << " --based-on "
+            << change.based_on() << '\n';
+    }
+}
+
+exit_code submit(const command_context& context, const messages::change& change)
+{
+    context.where.error << "change id " << change.change_id() << '\n';
+    const auto reply =
+        context.client.submit_change(json::serialize(to_json(change)));
+    if (!reply)
+    {
+        print_refused(context, change, reply.error());
+        return exit_code_of(reply.error());
+    }
+    print_accepted(context, change, *reply);
+    return context.has("wait")
+               ? wait_in_force(
+                     context, revision(number_field(*reply, "revision")))
+               : exit_code::success;
+}
+
+exit_code
+refuse(const command_context& context, const configuration_problem& problem)
+{
+    context.where.error << "error: "
+                        << messages::change_problem_Name(problem.problem)
+                        << " (" << problem.field << ")\n";
+    return exit_code::bad_usage;
+}
+
+// Checks, compares with what is in force, and sends.
+exit_code make_change(
+    const command_context& context,
+    const std::string& name,
+    messages::change change)
+{
+    if (const auto problem = check_change(change))
+    {
+        return refuse(context, *problem);
+    }
+    if (context.has("based-on") && !context.has("dry-run"))
+    {
+        change.set_based_on(context.options["based-on"].as<std::uint64_t>());
+        return submit(context, change);
+    }
+    const auto present = context.client.get("/v1/configuration");
+    if (!present)
+    {
+        return report(context, present.error());
+    }
+    if (context.has("dry-run"))
+    {
+        const auto effect = effect_of(change, *present);
+        context.as_json ? print_json(context.where.out, to_json(effect))
+                        : print_effect(context.where.out, effect);
+        return exit_code::success;
+    }
+    const auto* const known = find_class(*present, name);
+    change.set_based_on(
+        known == nullptr ? 0 : number_field(*known, "revision"));
+    return submit(context, change);
+}
+
+std::string describe_change(const json::value& change)
+{
+    if (find_field(change, "declare") != nullptr)
+    {
+        return "declare";
+    }
+    return find_field(change, "set_target") != nullptr ? "set target"
+                                                       : "remove";
+}
+
+std::string class_of(const json::value& change)
+{
+    if (const auto* const declared = find_field(change, "declare"))
+    {
+        return text_field(*declared, "name");
+    }
+    if (const auto* const target = find_field(change, "set_target"))
+    {
+        return text_field(*target, "class_name");
+    }
+    return text_field(change, "remove_class");
+}
+
+} // namespace
+
+void add_change_options(cxxopts::OptionAdder& add)
+{
+    add("change-id",
+        "makes a resend recognizable; made up where it is missing",
+        cxxopts::value<std::string>());
+    add("based-on",
+        "revision of the class that you saw; read where it is missing",
+        cxxopts::value<std::uint64_t>());
+    add("author", "who changes it", cxxopts::value<std::string>());
+    add("dry-run", "shows the effect and changes nothing");
+    add_wait_options(add);
+}
+
+void add_target_options(cxxopts::OptionAdder& add)
+{
+    add("latency-ms",
+        "whole answers within so many milliseconds",
+        cxxopts::value<std::uint32_t>());
+    add("completion",
+        "percent of the offered requests that must complete",
+        cxxopts::value<double>());
+    add_change_options(add);
+}
+
+void add_declare_options(cxxopts::OptionAdder& add)
+{
+    add("service", "the service", cxxopts::value<std::string>());
+    add("method", "HTTP method; any if missing", cxxopts::value<std::string>());
+    add("path",
+        "prefix of the path below the service",
+        cxxopts::value<std::string>()->default_value("/"));
+    add("rank", "0 is refused last, 9 first", cxxopts::value<std::uint32_t>());
+    add("repeatable", "may run more than once");
+    add("bulk", "long transfers, kept apart from short work");
+    add_target_options(add);
+}
+
+exit_code declare_class(const command_context& context)
+{
+    auto change = begin_change(context);
+    auto& declared = *change.mutable_declare();
+    declared.set_name(context.text("name"));
+    declared.set_service(context.text("service"));
+    declared.set_method(context.text("method"));
+    declared.set_path_prefix(context.options["path"].as<std::string>());
+    declared.set_rank(context.options["rank"].as<std::uint32_t>());
+    declared.set_repeatable(context.has("repeatable"));
+    declared.set_bulk(context.has("bulk"));
+    read_target(context, *declared.mutable_target());
+    return make_change(context, context.text("name"), std::move(change));
+}
+
+exit_code set_target(const command_context& context)
+{
+    auto change = begin_change(context);
+    change.mutable_set_target()->set_class_name(context.text("name"));
+    read_target(context, *change.mutable_set_target()->mutable_target());
+    return make_change(context, context.text("name"), std::move(change));
+}
+
+exit_code remove_class(const command_context& context)
+{
+    auto change = begin_change(context);
+    change.set_remove_class(context.text("name"));
+    return make_change(context, context.text("name"), std::move(change));
+}
+
+exit_code list_classes(const command_context& context)
+{
+    const auto reply = context.client.get("/v1/configuration");
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    if (context.as_json)
+    {
+        print_json(context.where.out, *reply);
+        return exit_code::success;
+    }
+    context.where.out << "revision " << number_field(*reply, "revision")
+                      << '\n';
+    text_table table(
+        {"class",
+         "service",
+         "method",
+         "path",
+         "rank",
+         "repeatable",
+         "bulk",
+         "latency ms",
+         "completion ppm",
+         "revision"});
+    for (const auto& each : array_field(*reply, "classes"))
+    {
+        const auto* const target = find_field(each, "target");
+        const auto promised = [target](std::string_view field)
+        {
+            return target == nullptr ? "" : text_field(*target, field);
+        };
+        table.add(
+            {text_field(each, "name"),
+             text_field(each, "service"),
+             text_field(each, "method"),
+             text_field(each, "path_prefix"),
+             text_field(each, "rank"),
+             text_field(each, "repeatable"),
+             text_field(each, "bulk"),
+             promised("latency_ms"),
+             promised("completion_ppm"),
+             text_field(each, "revision")});
+    }
+    table.print(context.where.out);
+    return exit_code::success;
+}
+
+exit_code show_history(const command_context& context)
+{
+    const auto reply = context.client.get("/v1/history");
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    if (context.as_json)
+    {
+        print_json(context.where.out, *reply);
+        return exit_code::success;
+    }
+    text_table table({"revision", "what", "class", "author", "change id"});
+    for (const auto& each : array_field(*reply, "changes"))
+    {
+        const auto* const change = find_field(each, "change");
+        if (change == nullptr ||
+            (context.has("name") && class_of(*change) != context.text("name")))
+        {
+            continue;
+        }
+        table.add(
+            {text_field(each, "revision"),
+             describe_change(*change),
+             class_of(*change),
+             text_field(*change, "author"),
+             text_field(*change, "change_id")});
+    }
+    table.print(context.where.out);
+    return exit_code::success;
+}
+
+} // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/control_commands.cpp
@@ -0,0 +1,154 @@
+// Commands about one process, the control hosts and outcomes.
+#include "nutmegusher/ctl/command.hpp"
+#include "nutmegusher/ctl/json_text.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cctype>
+#include <ostream>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+void print(const command_context& context, const json::value& value)
+{
+    context.as_json ? print_json(context.where.out, value)
+                    : print_text(context.where.out, value);
+}
+
+// As a part of a query.
+std::string percent_encoded(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned high_digit = 4;
+    constexpr unsigned low_digit = 15;
+    std::string out;
+    for (const auto each : text)
+    {
+        const auto byte = static_cast<unsigned char>(each);
+        if (std::isalnum(byte) != 0 || each == '-' || each == '_' ||
+            each == '.')
+        {
+            out += each;
+            continue;
+        }
+        out += '%';
+        out += digits[byte >> high_digit];
+        out += digits[byte & low_digit];
+    }
+    return out;
+}
+
+} // namespace
+
+exit_code show(const command_context& context, const std::string& target)
+{
+    const auto reply = context.client.get(target);
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    print(context, *reply);
+    return exit_code::success;
+}
+
+void add_upstreams_options(cxxopts::OptionAdder& add)
+{
+    add("service", "only of this service", cxxopts::value<std::string>());
+}
+
+exit_code show_upstreams(const command_context& context)
+{
+    if (!context.has("service"))
+    {
+        return show(context, "/v1/upstreams");
+    }
+    const auto reply = context.client.get("/v1/upstreams");
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    const auto service = context.text("service");
+    const auto* const found = find_field(*reply, service);
+    if (found == nullptr)
+    {
+        context.where.error << "error: this process knows no upstreams of '"
+                            << service << "'\n";
+        return exit_code::bad_usage;
+    }
+    print(context, *found);
+    return exit_code::success;
+}
+
+exit_code show_dump(const command_context& context)
+{
+    return show(context, "/v1/dump");
+}
+
+exit_code drain(const command_context& context)
+{
+    const auto reply = context.client.post_once("/v1/drain", "");
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    context.where.out << "the process takes no new work, and ends after what "
+                         "it has in flight\n";
+    return exit_code::success;
+}
+
+exit_code show_control(const command_context& context)
+{
+    return show(context, "/v1/control");
+}
+
+void add_replace_options(cxxopts::OptionAdder& add)
+{
+    add("lost", "host that is lost", cxxopts::value<std::string>());
+    add("new", "host that takes its place", cxxopts::value<std::string>());
+    add("address-of-new",
+        "ip:port of its peer listener",
+        cxxopts::value<std::string>());
+}
+
+exit_code replace_control_host(const command_context& context)
+{
+    const json::object body{
+        {"lost", context.text("lost")},
+        {"host", context.text("new")},
+        {"address", context.text("address-of-new")}};
+    const auto reply =
+        context.client.post_once("/v1/control/replace", json::serialize(body));
+    if (!reply)
+    {
+        if (reply.error().problem == client_problem::no_reply)
+        {
+            context.where.error
+                << "it may have been begun; see `control` before another try\n";
+        }
+        return report(context, reply.error());
+    }
+    print(context, *reply);
+    return exit_code::success;
+}
+
+void add_outcome_options(cxxopts::OptionAdder& add)
+{
+    add("customer", "the customer", cxxopts::value<std::string>());
+    add("class", "the class", cxxopts::value<std::string>());
+    add("key", "the idempotency key", cxxopts::value<std::string>());
+}
+
+exit_code show_outcome(const command_context& context)
+{
+    return show(
+        context,
+        "/v1/outcome?customer=" + percent_encoded(context.text("customer")) +
+            "&class=" + percent_encoded(context.text("class")) +
+            "&key=" + percent_encoded(context.text("key")));
+}
+
+} // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/control_commands_test.cpp
@@ -0,0 +1,74 @@
+#include "nutmegusher/ctl/ctl_test_support.hpp"
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+using ::testing::HasSubstr;
+
+TEST_F(ctl_test, upstreams_are_tables_by_service)
+{
+    answer("/v1/upstreams", 200, R"({
+        "balances": [{"host": "b1", "in_flight": 3, "ejected": false}],
+        "statements": [{"host": "s1", "in_flight": 0, "ejected": true}]})");
+    EXPECT_EQ(command("upstreams"), exit_code::success);
+    EXPECT_THAT(
+        out.str(),
+        HasSubstr("balances:\n  host  in_flight  ejected\n"
+                  "  b1    3          false\n"));
+    out.str("");
+    EXPECT_EQ(command("upstreams --service statements"), exit_code::success);
+    EXPECT_THAT(out.str(), HasSubstr("s1"));
+    EXPECT_EQ(command("upstreams --service none"), exit_code::bad_usage);
+}
+
+TEST_F(ctl_test, drain_is_sent_once)
+{
+    answer("/v1/drain", exchange_failure::connection_lost);
+    EXPECT_EQ(command("drain"), exit_code::failed);
+    ASSERT_EQ(queries.size(), 1U);
+    EXPECT_EQ(queries[0].method, "POST");
+}
+
+TEST_F(ctl_test, control_shows_members_and_replace_is_another_command)
+{
+    answer("/v1/control", 200, R"({"leader": "c1", "members": ["c1", "c2"]})");
+    EXPECT_EQ(command("control"), exit_code::success);
+    EXPECT_EQ(out.str(), "leader: c1\nmembers:\n  c1\n  c2\n");
+
+    answer("/v1/control/replace", 200, R"({"state": "catching-up"})");
+    EXPECT_EQ(
+        command("control replace --lost c2 --new c4 "
+                "--address-of-new 127.0.0.4:9"),
+        exit_code::success);
+    EXPECT_EQ(
+        queries.back().body,
+        R"({"lost":"c2","host":"c4","address":"127.0.0.4:9"})");
+}
+
+TEST_F(ctl_test, lost_answer_to_a_replacement_is_not_resent)
+{
+    answer("/v1/control/replace", exchange_failure::timed_out);
+    EXPECT_EQ(
+        command("control replace --lost c2 --new c4 "
+                "--address-of-new 127.0.0.4:9"),
+        exit_code::failed);
+    EXPECT_EQ(queries.size(), 1U);
+    EXPECT_THAT(error.str(), HasSubstr("see `control`"));
+}
+
+TEST_F(ctl_test, outcome_encodes_what_it_asks_for)
+{
+    answer(
+        "/v1/outcome?customer=Relief%26Co&class=payout&key=k%2F1",
+        200,
+        R"({"outcome": "completed", "status": 201})");
+    EXPECT_EQ(
+        command("outcome --customer Relief&Co --class payout --key k/1"),
+        exit_code::success);
+    EXPECT_EQ(out.str(), "outcome: completed\nstatus: 201\n");
+}
+
+} // namespace
+} // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/ctl.hpp
@@ -0,0 +1,14 @@
+// The operators' command line as a library.
+//
+//     ctl::environment where{...};
+//     return static_cast<int>(ctl::run(arguments, where));
+//
+// `run` takes everything that reaches outside (connections, waiting, output)
+// from its environment, so that tests bring their own.
+#ifndef NUTMEGUSHER_CTL_CTL_HPP
+#define NUTMEGUSHER_CTL_CTL_HPP
+
+#include "nutmegusher/ctl/http_exchange.hpp"
+#include "nutmegusher/ctl/run.hpp"
+
+#endif
--- /dev/null
+++ b/nutmegusher/ctl/dry_run.cpp
@@ -0,0 +1,256 @@
+#include "nutmegusher/ctl/dry_run.hpp"
+
+#include "nutmegusher/ctl/text_table.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+json::object to_json(const messages::class_target& target)
+{
+    return {
+        {"latency_ms", target.latency_ms()},
+        {"completion_ppm", target.completion_ppm()}};
+}
+
+json::object to_json(const messages::work_class& from)
+{
+    return {
+        {"name", from.name()},
+        {"service", from.service()},
+        {"method", from.method()},
+        {"path_prefix", from.path_prefix()},
+        {"rank", from.rank()},
+        {"repeatable", from.repeatable()},
+        {"bulk", from.bulk()},
+        {"target", to_json(from.target())}};
+}
+
+// The class as it would be; null where it would be removed.
+json::value
+class_after(const messages::change& change, const json::value* present)
+{
+    if (change.has_declare())
+    {
+        return to_json(change.declare());
+    }
+    if (change.has_set_target() && present != nullptr)
+    {
+        auto after = *present;
+        after.get_object()["target"] = to_json(change.set_target().target());
+        return after;
+    }
+    return nullptr;
+}
+
+void compare(
+    const json::value& now,
+    const json::value& then,
+    std::string_view field,
+    change_effect& effect)
+{
+    const auto before = text_field(now, field);
+    const auto after = text_field(then, field);
+    if (before != after)
+    {
+        effect.fields.push_back({std::string(field), before, after});
+    }
+}
+
+void compare_classes(
+    const json::value& now, const json::value& then, change_effect& effect)
+{
+    for (const auto* const field :
+         {"service", "method", "path_prefix", "rank", "repeatable", "bulk"})
+    {
+        compare(now, then, field, effect);
+    }
+    static const json::value none;
+    const auto* const target_now = find_field(now, "target");
+    const auto* const target_then = find_field(then, "target");
+    for (const auto* const field : {"latency_ms", "completion_ppm"})
+    {
+        compare(
+            target_now == nullptr ? none : *target_now,
+            target_then == nullptr ? none : *target_then,
+            field,
+            effect);
+    }
+}
+
+bool prefixes_meet(const json::value& one, const json::value& other)
+{
+    const auto first = text_field(one, "path_prefix");
+    const auto second = text_field(other, "path_prefix");
+    return first.starts_with(second) || second.starts_with(first);
+}
+
+bool methods_meet(const json::value& one, const json::value& other)
+{
+    const auto first = text_field(one, "method");
+    const auto second = text_field(other, "method");
+    return first.empty() || second.empty() || first == second;
+}
+
+void compare_with_others(
+    const json::value& then,
+    const json::value& configuration,
+    change_effect& effect)
+{
+    const auto rank = number_field(then, "rank");
+    for (const auto& other : array_field(configuration, "classes"))
+    {
+        const auto name = text_field(other, "name");
+        if (name == text_field(then, "name"))
+        {
+            continue;
+        }
+        if (text_field(other, "service") == text_field(then, "service") &&
+            prefixes_meet(other, then) && methods_meet(other, then))
+        {
+            effect.shares_requests_with.push_back(name);
+        }
+        const auto other_rank = number_field(other, "rank");
+        if (other_rank > rank)
+        {
+            effect.refused_before.push_back(name);
+        }
+        else if (other_rank < rank)
+        {
+            effect.refused_after.push_back(name);
+        }
+    }
+}
+
+std::string join(const std::vector<std::string>& names)
+{
+    std::string out;
+    for (const auto& name : names)
+    {
+        out += out.empty() ? name : ", " + name;
+    }
+    return out.empty() ? "none" : out;
+}
+
+json::array to_json(const std::vector<std::string>& names)
+{
+    json::array out;
+    for (const auto& name : names)
+    {
+        out.emplace_back(name);
+    }
+    return out;
+}
+
+std::string changed_class(const messages::change& change)
+{
+    if (change.has_declare())
+    {
+        return change.declare().name();
+    }
+    return change.has_set_target() ? change.set_target().class_name()
+                                   : change.remove_class();
+}
+
+} // namespace
+
+const json::value*
+find_class(const json::value& configuration, std::string_view name)
+{
+    const auto& classes = array_field(configuration, "classes");
+    const auto* const found = std::find_if(
+        classes.begin(),
+        classes.end(),
+        [name](const json::value& each)
+        {
+            return text_field(each, "name") == name;
+        });
+    return found == classes.end() ? nullptr : &*found;
+}
+
+change_effect
+effect_of(const messages::change& change, const json::value& configuration)
+{
+    static const json::value none;
+    const auto* const present =
+        find_class(configuration, changed_class(change));
+    const auto then = class_after(change, present);
+    change_effect effect;
+    compare_classes(present == nullptr ? none : *present, then, effect);
+    if (!then.is_null())
+    {
+        compare_with_others(then, configuration, effect);
+    }
+    return effect;
+}
+
+void print_effect(std::ostream& out, const change_effect& effect)
+{
+    if (effect.fields.empty())
+    {
+        out << "nothing would change\n";
+        return;
+    }
+    text_table table({"field", "now", "then"});
+    for (const auto& each : effect.fields)
+    {
+        table.add(
+            {each.field,
+             each.now.empty() ? "-" : each.now,
+             each.then.empty() ? "-" : each.then});
+    }
+    table.print(out);
+    out << "shares requests with (the longest path prefix wins): "
+        << join(effect.shares_requests_with) << '\n'
+        << "refused before it under overload: " << join(effect.refused_before)
+        << '\n'
+        << "refused after it under overload: " << join(effect.refused_after)
+        << '\n';
+}
+
+json::value to_json(const change_effect& effect)
+{
+    json::array fields;
+    for (const auto& each : effect.fields)
+    {
+        fields.push_back(json::object{
+            {"field", each.field}, {"now", each.now}, {"then", each.then}});
+    }
+    return json::object{
+        {"fields", std::move(fields)},
+        {"shares_requests_with", to_json(effect.shares_requests_with)},
+        {"refused_before", to_json(effect.refused_before)},
+        {"refused_after", to_json(effect.refused_after)}};
+}
+
+json::value to_json(const messages::change& change)
+{
+    json::object out{
+        {"change_id", change.change_id()},
+        {"based_on", change.based_on()},
+        {"author", change.author()}};
+    if (change.has_declare())
+    {
+        out["declare"] = to_json(change.declare());
+    }
+    else if (change.has_set_target())
+    {
+        out["set_target"] = json::object{
+            {"class_name", change.set_target().class_name()},
+            {"target", to_json(change.set_target().target())}};
+    }
+    else
+    {
+        out["remove_class"] = change.remove_class();
+    }
+    return out;
+}
+
+} // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/main.cpp
@@ -0,0 +1,58 @@
+#include "nutmegusher/ctl/ctl.hpp"
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace
+{
+
+using namespace nutmegusher;
+
+constexpr duration exchange_limit = std::chrono::seconds(5);
+
+std::string from_environment(const char* name)
+{
+    // No other thread runs yet.
+    const auto* const value =
+        std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return value == nullptr ? "" : value;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    std::random_device entropy;
+    const ctl::environment where{
+        .out = std::cout,
+        .error = std::cerr,
+        .connect =
+            [](const std::string& address)
+        {
+            return ctl::connect_with_beast(address, exchange_limit);
+        },
+        .now =
+            []
+        {
+            return host_clock().now();
+        },
+        .sleep =
+            [](duration time)
+        {
+            std::this_thread::sleep_for(time);
+        },
+        .random =
+            [&entropy]
+        {
+            constexpr unsigned word_bits = 32;
+            return (std::uint64_t{entropy()} << word_bits) | entropy();
+        },
+        .default_address = from_environment("NUTMEGUSHER_ADDRESS"),
+        .author = from_environment("USER")};
+    return static_cast<int>(ctl::run(arguments, where));
+}
--- /dev/null
+++ b/nutmegusher/ctl/status_commands.cpp
@@ -0,0 +1,155 @@
+// Commands that show what is in force.
+#include "nutmegusher/ctl/command.hpp"
+#include "nutmegusher/ctl/json_text.hpp"
+#include "nutmegusher/ctl/text_table.hpp"
+
+#include <ostream>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+constexpr duration poll_interval = std::chrono::milliseconds(250);
+constexpr std::size_t named_in_progress = 3;
+
+// `GET /v1/rollout`, counted against one revision.
+struct rollout_state
+{
+    std::uint64_t daemons = 0;
+    std::uint64_t in_force = 0;
+
+    [[nodiscard]] bool complete() const
+    {
+        return daemons > 0 && in_force == daemons;
+    }
+};
+
+rollout_state count_rollout(const json::value& reply, revision wanted)
+{
+    rollout_state state;
+    for (const auto& each : array_field(reply, "counts"))
+    {
+        const auto daemons = number_field(each, "daemons");
+        state.daemons += daemons;
+        state.in_force +=
+            number_field(each, "revision") >= wanted.value() ? daemons : 0;
+    }
+    return state;
+}
+
+std::string lagging_names(const json::value& reply, revision wanted)
+{
+    std::string out;
+    std::size_t named = 0;
+    for (const auto& each : array_field(reply, "lagging"))
+    {
+        if (number_field(each, "revision") < wanted.value() &&
+            named++ < named_in_progress)
+        {
+            out += (out.empty() ? "" : ", ") + text_field(each, "host");
+        }
+    }
+    return out;
+}
+
+void print_status(
+    const command_context& context, const json::value& reply, revision wanted)
+{
+    auto& out = context.where.out;
+    const auto state = count_rollout(reply, wanted);
+    out << "revision " << wanted.value() << " is in force at " << state.in_force
+        << " of " << state.daemons << " daemons\n";
+    text_table table({"lagging daemon", "revision"});
+    for (const auto& each : array_field(reply, "lagging"))
+    {
+        if (number_field(each, "revision") < wanted.value())
+        {
+            table.add({text_field(each, "host"), text_field(each, "revision")});
+        }
+    }
+    if (!table.empty())
+    {
+        table.print(out);
+    }
+}
+
+duration wait_limit(const command_context& context)
+{
+    return std::chrono::seconds(
+        context.options["wait-seconds"].as<std::uint32_t>());
+}
+
+} // namespace
+
+void add_wait_options(cxxopts::OptionAdder& add)
+{
+    add("wait", "waits until it is in force everywhere");
+    add("wait-seconds",
+        "how long at most",
+        cxxopts::value<std::uint32_t>()->default_value("30"));
+}
+
+void add_status_options(cxxopts::OptionAdder& add)
+{
+    add("revision",
+        "asks for this revision, not for the latest",
+        cxxopts::value<std::uint64_t>());
+    add_wait_options(add);
+}
+
+exit_code show_status(const command_context& context)
+{
+    const auto reply = context.client.get("/v1/rollout");
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    const revision wanted(
+        context.has("revision")
+            ? context.options["revision"].as<std::uint64_t>()
+            : number_field(*reply, "revision"));
+    if (context.has("wait"))
+    {
+        return wait_in_force(context, wanted);
+    }
+    if (context.as_json)
+    {
+        print_json(context.where.out, *reply);
+        return exit_code::success;
+    }
+    print_status(context, *reply, wanted);
+    return exit_code::success;
+}
+
+exit_code wait_in_force(const command_context& context, revision wanted)
+{
+    const auto& where = context.where;
+    const auto until = where.now() + wait_limit(context);
+    while (true)
+    {
+        const auto reply = context.client.get("/v1/rollout");
+        if (!reply)
+        {
+            return report(context, reply.error());
+        }
+        const auto state = count_rollout(*reply, wanted);
+        if (state.complete())
+        {
+            where.out << "revision " << wanted.value() << " is in force at all "
+                      << state.daemons << " daemons\n";
+            return exit_code::success;
+        }
+        if (where.now() >= until)
+        {
+            print_status(context, *reply, wanted);
+            return exit_code::timed_out;
+        }
+        where.error << "revision " << wanted.value() << ": " << state.in_force
+                    << " of " << state.daemons << " daemons; waiting for "
+                    << lagging_names(*reply, wanted) << '\n';
+        where.sleep(poll_interval);
+    }
+}
+
+} // namespace nutmegusher::ctl
