--- /dev/null
+++ b/bench/capacity/measurement.hpp
@@ -0,0 +1,55 @@
+// Figures at several sizes, and their slope.
+#ifndef NUTMEGUSHER_BENCH_CAPACITY_MEASUREMENT_HPP
+#define NUTMEGUSHER_BENCH_CAPACITY_MEASUREMENT_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher::capacity
+{
+
+struct sample
+{
+    double size = 0;
+    double value = 0;
+};
+
+// `value = fixed + slope * size`, by least squares.
+struct measurement
+{
+    std::string what;
+    std::string unit;
+    std::vector<sample> samples;
+    double slope = 0;
+    double fixed = 0;
+};
+
+[[nodiscard]] measurement
+fit(std::string what, std::string unit, std::vector<sample> samples);
+
+// Bytes that the program has allocated now.
+[[nodiscard]] std::size_t allocated_bytes();
+
+template <class Work>
+double nanoseconds_of(Work&& work)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    std::forward<Work>(work)();
+    const std::chrono::duration<double, std::nano> taken =
+        std::chrono::steady_clock::now() - begin;
+    return taken.count();
+}
+
+// Keeps a result alive for the optimizer.
+template <class T>
+void keep(const T& value)
+{
+    asm volatile("" : : "g"(&value) : "memory");
+}
+
+} // namespace nutmegusher::capacity
+
+#endif
--- a/nutmegusher/execution/claim_table.hpp
+++ b/nutmegusher/execution/claim_table.hpp
@@ -27,7 +27,7 @@
     std::uint64_t attempt_lifetime_ms = 60ULL * 60 * 1000;
     // Above this estimate of all state new keys are refused. A finished key is
     // never forgotten early: that could let it run twice.
-    std::uint64_t max_bytes = 256ULL * 1024 * 1024;
+    std::uint64_t max_bytes = 1024ULL * 1024 * 1024;
     // Above this the oldest answers lose headers and body; the key stays.
     std::uint64_t max_answer_bytes = 64ULL * 1024 * 1024;
     std::uint64_t max_fences = 1'000'000;
--- a/nutmegusher/membership/lease_registry.cpp
+++ b/nutmegusher/membership/lease_registry.cpp
@@ -275,7 +275,7 @@
     out.set_complete(complete);
     out.set_epoch(epoch_);
     out.set_stamp(stamp_);
-    *out.mutable_rollout() = own_rollout();
+    *out.mutable_rollout() = recent_own_rollout(now);
     return out;
 }
 
@@ -442,6 +442,18 @@
     return tally.summary();
 }
 
+const messages::rollout_summary&
+lease_registry::recent_own_rollout(time_point now) const
+{
+    constexpr duration max_age = std::chrono::milliseconds(250);
+    if (now - own_rollout_at_ >= max_age)
+    {
+        own_rollout_ = own_rollout();
+        own_rollout_at_ = now;
+    }
+    return own_rollout_;
+}
+
 rollout_tally lease_registry::rollout() const
 {
     rollout_tally tally;
--- a/nutmegusher/membership/lease_registry.hpp
+++ b/nutmegusher/membership/lease_registry.hpp
@@ -174,6 +174,8 @@
     [[nodiscard]] messages::owned_lease
     lease_message(std::string_view host, time_point now) const;
     [[nodiscard]] messages::rollout_summary own_rollout() const;
+    [[nodiscard]] const messages::rollout_summary&
+    recent_own_rollout(time_point now) const;
 
     std::string self_;
     std::uint64_t epoch_;
@@ -187,6 +189,10 @@
     internal::registry_index owned_;
     std::unordered_map<std::string, owner_state> owners_;
     std::deque<handed_over> handed_over_;
+    // All control hosts ask several times a second; a pass over all leases for
+    // each of them would cost more than everything else here.
+    mutable messages::rollout_summary own_rollout_;
+    mutable time_point own_rollout_at_;
     time_point next_forget_;
 };
 
--- a/nutmegusher/membership/registry_exchange_test.cpp
+++ b/nutmegusher/membership/registry_exchange_test.cpp
@@ -124,6 +124,19 @@
     EXPECT_EQ(three.counts().upstreams, 1U);
 }
 
+TEST_F(registry_exchange_test, rollout_of_all_is_known_at_each)
+{
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    auto moved_on = sync("a");
+    moved_on.set_configuration_revision(8);
+    one.renew(start + seconds(1), moved_on);
+    two.renew(start + seconds(1), sync("b"));
+    pull(two, one, one_id, start + seconds(1));
+    EXPECT_EQ(two.rollout().daemons(), 2U);
+    EXPECT_EQ(two.rollout().daemons_at(revision(8)), 1U);
+}
+
 TEST_F(registry_exchange_test, silent_control_host_takes_nobody_along)
 {
     one.renew(start, sync("a"));
