Make the registry's upkeep follow changes, and number executions in the guard

Cause: a sync server asks for the stamp with each sync and for expiry ten times a second; counts and passes over 16,000 leases for each would cost more than a core.

A list of control hosts in each reply put the way back to a near one off again and again; the same list changes nothing now.

A guard without an execution number took 0, so two copies of an attempt in one daemon would both have got the claim; it takes the process's next number.

--- a/bench/capacity/measure_membership.cpp
+++ b/bench/capacity/measure_membership.cpp
@@ -115,7 +115,7 @@
              nanoseconds_of(
                  [&]
                  {
-                     registry->expire(now);
+                     registry->expire(start + std::chrono::seconds(7));
                  })});
 
         messages::sync_reply reply;
--- a/bench/capacity/model.cpp
+++ b/bench/capacity/model.cpp
@@ -174,10 +174,11 @@
     const auto registry = daemons * from.membership.lease_memory.slope;
     const auto syncs = daemons_a_relay() * syncs_a_second;
     const auto exchanges = (control_hosts - 1) * exchanges_a_second;
-    const auto registry_time = syncs * (from.membership.renewal_time.slope +
-                                        from.membership.idle_time.slope) +
-                               daemons * (from.membership.expire_time.slope +
-                                          from.membership.quiet_time.slope);
+    const auto registry_time =
+        syncs * (from.membership.renewal_time.slope +
+                 from.membership.idle_time.slope) +
+        daemons * (expiry_passes_a_second * from.membership.expire_time.slope +
+                   from.membership.quiet_time.slope);
     const auto wire_time = (syncs + 2 * exchanges) * exchange_core_ns;
     const auto fan_out =
         changes_a_second() * daemons_a_relay() *
--- a/bench/capacity/planned_size.hpp
+++ b/bench/capacity/planned_size.hpp
@@ -32,6 +32,9 @@
 inline constexpr double pings_a_second_busy = 2;
 inline constexpr double subset_size = 20;
 inline constexpr double lease_seconds = 6;
+// A pass finds the lease that ends next; by then it was renewed again.
+inline constexpr double expiry_passes_a_second =
+    1 / (lease_seconds - 1 / syncs_a_second);
 inline constexpr double failover_seconds = 0.5;
 inline constexpr double return_seconds = 60;
 inline constexpr double retention_seconds = 24.0 * 3600;
--- a/nutmegusher/execution/execution_guard.cpp
+++ b/nutmegusher/execution/execution_guard.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/execution/execution_guard.hpp"
 
+#include <atomic>
 #include <utility>
 
 namespace nutmegusher
@@ -17,6 +18,13 @@
     return {call_outcome::unknown, why, std::nullopt};
 }
 
+// Two copies of an attempt in one process must not pass for one another.
+std::uint64_t next_execution()
+{
+    static std::atomic<std::uint64_t> last = 0;
+    return ++last;
+}
+
 // By a verdict that says the attempt doesn't hold the claim and never will, or
 // that nothing is known.
 told_outcome conclude_refusal(const messages::claim_result& result)
@@ -52,6 +60,10 @@
 execution_guard::execution_guard(execution_terms terms)
     : terms_(std::move(terms))
 {
+    if (terms_.executor.execution() == 0)
+    {
+        terms_.executor.set_execution(next_execution());
+    }
 }
 
 guard_step execution_guard::begin(time_point now, std::uint64_t wall_ms)
--- a/nutmegusher/execution/execution_guard.hpp
+++ b/nutmegusher/execution/execution_guard.hpp
@@ -16,6 +16,7 @@
 {
     messages::claim_key key;
     messages::attempt by;
+    // `execution` may be left 0: each guard of a process then gets its own.
     messages::claim_executor executor;
     std::uint64_t request_digest = 0;
     // Not started at or after this.
--- a/nutmegusher/execution/execution_guard_test.cpp
+++ b/nutmegusher/execution/execution_guard_test.cpp
@@ -74,6 +74,24 @@
     EXPECT_EQ(guard.state(), guard_state::running);
 }
 
+TEST_F(execution_guard_test, copies_of_an_attempt_in_a_process_are_told_apart)
+{
+    auto copied = terms();
+    copied.executor.clear_execution();
+    copied.by.set_sequence(attempt_sequence().next(wall_ms));
+    execution_guard one(copied);
+    execution_guard two(copied);
+    const auto first = one.begin(start_time, wall_ms);
+    const auto second = two.begin(start_time, wall_ms);
+    EXPECT_NE(
+        first.propose->executor().execution(),
+        second.propose->executor().execution());
+    claim_table table;
+    EXPECT_EQ(table.apply(*first.propose).verdict(), messages::claim_granted);
+    EXPECT_EQ(
+        table.apply(*second.propose).verdict(), messages::claim_in_progress);
+}
+
 TEST_F(execution_guard_test, claims_nothing_after_the_deadline)
 {
     const auto step = guard.begin(deadline, wall_ms);
--- a/nutmegusher/execution/execution_world_test.hpp
+++ b/nutmegusher/execution/execution_world_test.hpp
@@ -183,7 +183,7 @@
     void add(execution_terms terms)
     {
         terms.executor.set_host("executor");
-        terms.executor.set_execution(executors_.size());
+        terms.executor.set_execution(executors_.size() + 1);
         terms.deadline = now_ + std::chrono::seconds(2);
         executors_.push_back({terms, execution_guard(terms)});
         const auto which = executors_.size() - 1;
--- a/nutmegusher/membership/lease_registry.cpp
+++ b/nutmegusher/membership/lease_registry.cpp
@@ -52,7 +52,7 @@
     value.incarnation = request.incarnation();
     value.revision = request.configuration_revision();
     value.renewed_at = now;
-    value.expires_at = now + options_.lease();
+    set_expiry(value, now + options_.lease());
     if (added || restarted || value.owner != self_)
     {
         own(host, value);
@@ -92,6 +92,8 @@
     {
         services_[before].remove(host, ++stamp_, now);
     }
+    upstreams_ += before.empty() ? 1 : 0;
+    upstreams_ -= after.empty() ? 1 : 0;
     if (!after.empty())
     {
         services_[after].put(host, ++stamp_);
@@ -109,6 +111,7 @@
     if (!value.record.service().empty())
     {
         services_[value.record.service()].remove(host, ++stamp_, now);
+        --upstreams_;
     }
     if (value.owner == self_)
     {
@@ -129,10 +132,7 @@
         }
     }
     end_handed_over(now);
-    for (auto at = entries_.begin(); at != entries_.end();)
-    {
-        at = at->second.expires_at <= now ? lose(at, now) : std::next(at);
-    }
+    end_leases(now);
     if (now >= next_forget_)
     {
         forget_removals(now);
@@ -140,6 +140,31 @@
     settle(now);
 }
 
+void lease_registry::end_leases(time_point now)
+{
+    if (now < next_expiry_)
+    {
+        return;
+    }
+    next_expiry_ = time_point::max();
+    for (auto at = entries_.begin(); at != entries_.end();)
+    {
+        if (at->second.expires_at <= now)
+        {
+            at = lose(at, now);
+            continue;
+        }
+        next_expiry_ = std::min(next_expiry_, at->second.expires_at);
+        ++at;
+    }
+}
+
+void lease_registry::set_expiry(entry& value, time_point at)
+{
+    value.expires_at = at;
+    next_expiry_ = std::min(next_expiry_, at);
+}
+
 void lease_registry::forget_removals(time_point now)
 {
     next_forget_ = now + options_.removal_memory;
@@ -417,8 +442,8 @@
     {
         if (value.owner == owner)
         {
-            value.expires_at =
-                std::min(value.expires_at, now + options_.lease());
+            set_expiry(
+                value, std::min(value.expires_at, now + options_.lease()));
         }
     }
 }
@@ -469,14 +494,11 @@
 {
     registry_counts out;
     out.leases = entries_.size();
+    out.owned = owned_.size();
+    out.upstreams = upstreams_;
     out.services = services_.size();
     out.stamp = stamp_;
     out.settled = settled_stamp_ != 0;
-    for (const auto& [host, value] : entries_)
-    {
-        out.owned += value.owner == self_ ? 1 : 0;
-        out.upstreams += value.record.service().empty() ? 0 : 1;
-    }
     return out;
 }
 
--- a/nutmegusher/membership/lease_registry.hpp
+++ b/nutmegusher/membership/lease_registry.hpp
@@ -89,7 +89,8 @@
     // A daemon's sync: renews its lease and takes its announcement.
     renewal renew(time_point now, const messages::sync_request& request);
 
-    // Ends the leases that ran out.
+    // Ends the leases that ran out. A pass over all leases is made only where
+    // one may have.
     void expire(time_point now);
 
     // Whether `answer` would bring something new; else the sync waits.
@@ -121,6 +122,12 @@
 
     [[nodiscard]] registry_counts counts() const;
 
+    // Rises with each change that a daemon or control host can ask for.
+    [[nodiscard]] std::uint64_t stamp() const
+    {
+        return stamp_;
+    }
+
 private:
     struct entry
     {
@@ -168,6 +175,8 @@
         time_point now);
     entry_map::iterator lose(entry_map::iterator at, time_point now);
     void settle(time_point now);
+    void end_leases(time_point now);
+    void set_expiry(entry& value, time_point at);
 
     [[nodiscard]] bool
     needs_complete_list(const messages::sync_request& request) const;
@@ -194,6 +203,10 @@
     mutable messages::rollout_summary own_rollout_;
     mutable time_point own_rollout_at_;
     time_point next_forget_;
+    // No lease runs out before this. Renewals don't move it: the next pass
+    // finds out.
+    time_point next_expiry_ = time_point::max();
+    std::size_t upstreams_ = 0;
 };
 
 } // namespace nutmegusher
--- a/nutmegusher/membership/lease_registry_test.cpp
+++ b/nutmegusher/membership/lease_registry_test.cpp
@@ -148,6 +148,25 @@
     EXPECT_EQ(reply.upstreams_size(), 0);
 }
 
+TEST_F(lease_registry_test, counts_follow_every_change)
+{
+    registry.renew(start, sync("a", "balances"));
+    registry.renew(start, sync("b", "balances"));
+    registry.renew(start, sync("c", ""));
+    EXPECT_EQ(registry.counts().owned, 3U);
+    EXPECT_EQ(registry.counts().upstreams, 2U);
+    registry.renew(start + seconds(3), sync("a", "statements", 1, 2));
+    registry.renew(start + seconds(3), sync("c", "statements", 1, 1));
+    EXPECT_EQ(registry.counts().upstreams, 3U);
+    registry.expire(start + seconds(6));
+    EXPECT_EQ(registry.counts().leases, 2U);
+    EXPECT_EQ(registry.counts().owned, 2U);
+    EXPECT_EQ(registry.counts().upstreams, 2U);
+    registry.expire(start + seconds(9));
+    EXPECT_EQ(registry.counts().owned, 0U);
+    EXPECT_EQ(registry.counts().upstreams, 0U);
+}
+
 TEST_F(lease_registry_test, rollout_counts_revisions_and_names_those_that_lag)
 {
     for (int number = 0; number < 40; ++number)
--- a/nutmegusher/membership/registry_index.cpp
+++ b/nutmegusher/membership/registry_index.cpp
@@ -32,6 +32,7 @@
     if (found != hosts_.end())
     {
         by_stamp_.erase(found->second.stamp);
+        present_ -= found->second.gone ? 0 : 1;
         hosts_.erase(found);
     }
 }
@@ -42,7 +43,9 @@
     if (!added)
     {
         by_stamp_.erase(at->second.stamp);
+        present_ -= at->second.gone ? 0 : 1;
     }
+    present_ += value.gone ? 0 : 1;
     at->second = value;
     by_stamp_.emplace(value.stamp, &*at);
 }
--- a/nutmegusher/membership/registry_index.hpp
+++ b/nutmegusher/membership/registry_index.hpp
@@ -4,6 +4,7 @@
 
 #include "nutmegusher/base/base.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -64,9 +65,10 @@
         }
     }
 
-    [[nodiscard]] bool empty() const
+    // Hosts that are here now.
+    [[nodiscard]] std::size_t size() const
     {
-        return by_stamp_.empty();
+        return present_;
     }
 
 private:
@@ -83,6 +85,7 @@
 
     host_map hosts_;
     std::map<std::uint64_t, host_map::value_type*> by_stamp_;
+    std::size_t present_ = 0;
     std::uint64_t forgotten_ = 0;
 };
 
--- a/nutmegusher/membership/sync_schedule.cpp
+++ b/nutmegusher/membership/sync_schedule.cpp
@@ -34,6 +34,7 @@
     }
     const subset_options all{.max_size = hosts.size(), .max_far = hosts.size()};
     std::vector<candidate> next;
+    next.reserve(hosts.size());
     for (const auto at : choose_subset(self_, here_, order, all))
     {
         const auto known = std::find_if(
@@ -46,6 +47,19 @@
         next.push_back(
             known != candidates_.end() ? *known : candidate{hosts[at], 0, {}});
     }
+    const bool same = std::equal(
+        next.begin(),
+        next.end(),
+        candidates_.begin(),
+        candidates_.end(),
+        [](const candidate& one, const candidate& other)
+        {
+            return one.host == other.host;
+        });
+    if (same)
+    {
+        return;
+    }
     std::optional<control_host> used;
     if (current_ < candidates_.size())
     {
--- a/nutmegusher/membership/sync_schedule.hpp
+++ b/nutmegusher/membership/sync_schedule.hpp
@@ -62,7 +62,8 @@
 public:
     sync_schedule(host_id self, place here, sync_schedule_options options = {});
 
-    // Those that there are now; what is known of them stays.
+    // Those that there are now; what is known of them stays. Nothing happens
+    // where they are the same, so each reply's list can be given.
     void set_hosts(const std::vector<control_host>& hosts);
 
     // The control host to use, and from when on. It changes only by the events
--- a/nutmegusher/membership/sync_schedule_test.cpp
+++ b/nutmegusher/membership/sync_schedule_test.cpp
@@ -103,6 +103,25 @@
     EXPECT_EQ(target(later + seconds(200)), "own");
 }
 
+TEST_F(sync_schedule_test, same_set_again_does_not_put_off_the_way_back)
+{
+    schedule.failed(start, random);
+    schedule.succeeded(start, random);
+    for (int second = 1; second < 70; ++second)
+    {
+        const auto now = start + seconds(second);
+        schedule.set_hosts(
+            {host("own", here),
+             host("far", elsewhere),
+             host("region", near_by)});
+        if (target(now) == "region")
+        {
+            schedule.succeeded(now, random);
+        }
+    }
+    EXPECT_EQ(target(start + seconds(70)), "own");
+}
+
 TEST_F(sync_schedule_test, new_set_of_hosts_keeps_the_one_in_use)
 {
     schedule.failed(start, random);
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -11,7 +11,7 @@
 cmake --build "$build" -j "${JOBS:-4}" --target capacity >/dev/null
 output=$("$build/bin/capacity" "${DISK:-$build}")
 if [ "${1:-}" = --write ]; then
-    prose=$(sed "/$mark/,\$d" "$page")
+    prose=$(sed "\#$mark#,\$d" "$page")
     printf '%s\n\n%s\n\n%s\n' "$prose" "$mark" "$output" >"$page"
 else
     printf '%s\n' "$output"
