--- /dev/null
+++ b/testing/configuration_watch.hpp
@@ -0,0 +1,65 @@
+// Operators who race each other and resend, and a check of what became of
+// every change that they saw accepted.
+#ifndef NUTMEGUSHER_TESTING_CONFIGURATION_WATCH_HPP
+#define NUTMEGUSHER_TESTING_CONFIGURATION_WATCH_HPP
+
+#include "testing/deployment.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace nutmegusher::test_support
+{
+
+// Changes one class's target from several operators at once while it runs, and
+// asks all daemons again and again for their revision.
+class configuration_watch
+{
+public:
+    // Requires: the class is declared; `target` outlives the value.
+    configuration_watch(
+        const deployment& target,
+        std::string class_name,
+        std::uint32_t operators);
+    ~configuration_watch();
+
+    configuration_watch(const configuration_watch&) = delete;
+    configuration_watch& operator=(const configuration_watch&) = delete;
+
+    void stop();
+
+    [[nodiscard]] std::uint64_t accepted() const;
+    [[nodiscard]] std::uint64_t conflicts() const;
+    [[nodiscard]] std::uint64_t observations() const;
+
+    // After `stop` and when all is mended: an empty text, or what is wrong: a
+    // step back of a daemon, two changes accepted at one revision, or a
+    // daemon that doesn't come to run the last accepted target.
+    [[nodiscard]] std::string verdict() const;
+
+private:
+    void operate(std::uint32_t which);
+    void observe();
+    void note_accepted(std::uint64_t revision, std::uint32_t latency_ms);
+
+    const deployment& target_;
+    std::string class_name_;
+    std::atomic<bool> running_ = true;
+    mutable std::mutex mutex_;
+    // Accepted targets by revision.
+    std::map<std::uint64_t, std::uint32_t> accepted_;
+    std::vector<std::string> problems_;
+    std::atomic<std::uint64_t> based_on_ = 0;
+    std::atomic<std::uint64_t> conflicts_ = 0;
+    std::atomic<std::uint64_t> observations_ = 0;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace nutmegusher::test_support
+
+#endif
--- /dev/null
+++ b/testing/demonstration.cpp
@@ -0,0 +1,226 @@
+// A deployment on loopback, shown step by step: three control hosts, daemons
+// beside stand-in upstreams of two services, of which one calls the other.
+//
+// Exit code 0: every step came out as it says; 1: one didn't.
+#include "testing/testing.hpp"
+
+#include <boost/json.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+namespace ts = nutmegusher::test_support;
+
+constexpr std::uint32_t new_target_ms = 1500;
+constexpr std::uint64_t unknown_revision = 999'999;
+constexpr double least_completed = 0.9;
+
+// Prints a step and remembers whether all went well.
+class report
+{
+public:
+    void step(const std::string& title)
+    {
+        std::cout << "\n== " << ++number_ << ". " << title << '\n';
+    }
+
+    void check(bool holds, const std::string& what)
+    {
+        std::cout << (holds ? "ok      " : "FAILED  ") << what << '\n';
+        good_ = good_ && holds;
+    }
+
+    [[nodiscard]] bool good() const
+    {
+        return good_;
+    }
+
+private:
+    int number_ = 0;
+    bool good_ = true;
+};
+
+ts::deployment_options demonstrated()
+{
+    ts::deployment_options options;
+    const std::string payouts =
+        R"({"service_ms": 5, "sub_calls": [{"target": "/balances/view"}]})";
+    const std::string views = R"({"service_ms": 3})";
+    options.upstreams = {
+        {"disbursement", payouts},
+        {"disbursement", payouts},
+        {"balances", views},
+        {"balances", views}};
+    return options;
+}
+
+void print_answer(const ts::http_answer& answer)
+{
+    std::cout << "HTTP " << answer.status << '\n';
+    for (const auto& header : answer.headers)
+    {
+        std::cout << "  " << header.name << ": " << header.value << '\n';
+    }
+    std::cout << "  (" << answer.body_size << " bytes of body)\n";
+}
+
+void show_payout(const ts::deployment& here, report& out)
+{
+    out.step("A member's payout; its upstream asks for a balance on the way");
+    ts::http_request request;
+    request.method = "POST";
+    request.target = "/disbursement/pay";
+    request.headers = {
+        {"nutmeg-customer", "relief-fund"},
+        {"idempotency-key", "demo-1"},
+        {"x-token", "demo"}};
+    request.body = "amount=250";
+    std::cout << "POST /disbursement/pay, key demo-1, by the daemon beside a "
+                 "balances upstream\n";
+    const auto answer = ts::send_request(here.daemon_callers(2), request);
+    out.check(answer && answer->status == 200, "the payout is answered");
+    if (answer)
+    {
+        print_answer(*answer);
+    }
+    const auto again = ts::send_request(here.daemon_callers(3), request);
+    out.check(
+        again && answer && again->body_digest == answer->body_digest,
+        "the same key through another daemon gets the first answer");
+    out.check(
+        here.executions_by_token("disbursement")["demo"].started == 1,
+        "the payout ran once");
+    out.check(
+        here.executions_by_token("balances")["demo"].started == 1,
+        "its sub-call ran once");
+}
+
+void show_dump(const ts::deployment& here, report& out)
+{
+    out.step("The state of a daemon (GET /v1/dump)");
+    ts::http_request request;
+    request.target = "/v1/dump";
+    const auto answer = ts::send_request(here.daemon_operators(0), request);
+    out.check(answer && answer->status == 200, "the dump is answered");
+    if (answer)
+    {
+        std::cout << answer->body << '\n';
+    }
+}
+
+void show_change(const ts::deployment& here, report& out)
+{
+    out.step("A change of target is in force everywhere");
+    const auto hosts = here.all_control_operators();
+    const auto present = ts::settle_change(
+        hosts, ts::target_change("ask", unknown_revision, "view", 1));
+    out.check(
+        present.outcome == ts::change_outcome::conflict,
+        "a change based on an unknown revision is a conflict");
+    const auto answer = ts::settle_change(
+        hosts,
+        ts::target_change("demo", present.revision, "view", new_target_ms));
+    out.check(
+        answer.outcome == ts::change_outcome::accepted,
+        "view's target " + std::to_string(new_target_ms) +
+            " ms is accepted as revision " + std::to_string(answer.revision));
+    out.check(
+        here.wait_in_force(answer.revision), "every daemon runs that revision");
+}
+
+void show_kills(ts::deployment& here, report& out)
+{
+    out.step("One process after another is killed while requests run");
+    ts::load_options load;
+    load.daemons = {here.daemon_callers(2), here.daemon_callers(3)};
+    load.classes = {ts::offered_payout(40), ts::offered_view(80)};
+    load.length = std::chrono::seconds(5);
+    load.retries = ts::client_retries::as_answer_allows;
+    load.max_tries = 6;
+    std::vector<ts::load_record> records;
+    std::thread running(
+        [&]
+        {
+            records = ts::run_load(load);
+        });
+    const auto pause = []
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    };
+    pause();
+    here.control(0).kill();
+    std::cout << "control host 0 killed\n";
+    pause();
+    here.daemon(0).kill();
+    std::cout << "a daemon of the disbursement service killed\n";
+    pause();
+    out.check(here.restart_control(0), "control host 0 started again");
+    out.check(here.restart_daemon(0), "the daemon started again");
+    running.join();
+    std::cout << ts::to_table(records, load);
+    auto counts = here.executions_by_token("disbursement");
+    for (const auto& [token, count] : here.executions_by_token("balances"))
+    {
+        // Views of their own; sub-calls bear the payout's token.
+        counts.emplace(token, count);
+    }
+    const auto violations = ts::check_executions(records, counts);
+    out.check(
+        violations.empty(),
+        "no payout ran twice, no \"not run\" was false, no answer was wrong");
+    const auto completed = ts::count_view(records, ts::caller_view::completed);
+    out.check(
+        static_cast<double>(completed) >=
+            least_completed * static_cast<double>(records.size()),
+        std::to_string(completed) + " of " + std::to_string(records.size()) +
+            " requests completed");
+}
+
+int demonstrate()
+{
+    report out;
+    out.step("Three control hosts, four daemons, four upstreams start");
+    auto started = ts::deployment::start(demonstrated());
+    if (!started)
+    {
+        std::cerr << "demonstration: " << started.error().message() << '\n';
+        return 1;
+    }
+    auto& here = **started;
+    out.check(
+        here.declare(ts::association_classes()),
+        "the classes payout, view, fund and statement are in force");
+    out.check(here.wait_served(ts::offered_view(1)), "views are served");
+    out.check(here.wait_served(ts::offered_payout(1)), "payouts are served");
+    if (out.good())
+    {
+        show_payout(here, out);
+        show_dump(here, out);
+        show_change(here, out);
+        show_kills(here, out);
+    }
+    if (!out.good())
+    {
+        std::cerr << here.logs();
+    }
+    std::cout << (out.good() ? "\nAll steps passed.\n" : "\nA step failed.\n");
+    return out.good() ? 0 : 1;
+}
+
+} // namespace
+
+int main()
+{
+    try
+    {
+        return demonstrate();
+    }
+    catch (const std::exception& problem)
+    {
+        std::cerr << "demonstration: " << problem.what() << '\n';
+        return 1;
+    }
+}
--- a/testing/deployment.cpp
+++ b/testing/deployment.cpp
@@ -103,6 +103,10 @@
 error_code deployment::state::start_upstream(std::size_t index)
 {
     const auto& what = plan.options().upstreams[index];
+    if (what.service.empty())
+    {
+        return {};
+    }
     const std::string name = "u" + std::to_string(index);
     const std::vector<std::string> arguments{
         "--service=" + what.service,
--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -26,6 +26,7 @@
 // A daemon and the upstream beside it.
 struct deployed_upstream
 {
+    // Empty: a daemon without an upstream.
     std::string service;
     // As for POST /stand-in/control.
     std::string behavior = "{}";
--- /dev/null
+++ b/testing/fault_injector.hpp
@@ -0,0 +1,77 @@
+// Random failures of a deployment's processes and connections, by seed.
+#ifndef NUTMEGUSHER_TESTING_FAULT_INJECTOR_HPP
+#define NUTMEGUSHER_TESTING_FAULT_INJECTOR_HPP
+
+#include "testing/deployment.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace nutmegusher::test_support
+{
+
+// Breaks one thing at a time or two, and mends each after a while. At most a
+// minority of the control hosts is broken at any moment, and data folders
+// stay; more is a matter for focused tests.
+class fault_injector
+{
+public:
+    fault_injector(deployment& target, std::uint64_t seed);
+
+    // Breaks or mends something. Call it every few hundred ms.
+    void step();
+
+    // Mends all that is broken.
+    void heal();
+
+    // How many failures of each kind were brought about.
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& injected() const
+    {
+        return injected_;
+    }
+
+private:
+    enum class part : std::uint8_t
+    {
+        control,
+        daemon,
+        upstream,
+        upstream_connections,
+        control_network
+    };
+    enum class harm : std::uint8_t
+    {
+        killed,
+        frozen,
+        silenced,
+        cut,
+        isolated,
+        misbehaving,
+        leaving
+    };
+    struct fault
+    {
+        part where = part::daemon;
+        harm how = harm::killed;
+        std::size_t index = 0;
+        std::uint32_t steps_left = 0;
+    };
+
+    [[nodiscard]] fault choose();
+    [[nodiscard]] bool allowed(const fault& wanted) const;
+    void apply(const fault& wanted);
+    void mend(const fault& broken);
+    void break_process(child_process& process, harm how);
+    void misbehave(std::size_t index);
+
+    deployment& target_;
+    random_engine random_;
+    std::vector<fault> open_;
+    std::map<std::string, std::uint64_t> injected_;
+};
+
+} // namespace nutmegusher::test_support
+
+#endif
--- a/testing/process.cpp
+++ b/testing/process.cpp
@@ -32,6 +32,24 @@
     return {number, boost::system::system_category()};
 }
 
+// A line of the kernel's status page of a process.
+std::uint64_t status_kib(pid_t id, std::string_view name)
+{
+    std::istringstream status(
+        read_file("/proc/" + std::to_string(id) + "/status"));
+    std::string word;
+    while (status >> word)
+    {
+        if (word == name)
+        {
+            std::uint64_t kib = 0;
+            status >> kib;
+            return kib;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 outcome<temporary_folder, error_code> temporary_folder::make()
@@ -165,19 +183,12 @@
 
 std::uint64_t child_process::peak_memory_kib() const
 {
-    std::istringstream status(
-        read_file("/proc/" + std::to_string(id_) + "/status"));
-    std::string word;
-    while (status >> word)
-    {
-        if (word == "VmHWM:")
-        {
-            std::uint64_t kib = 0;
-            status >> kib;
-            return kib;
-        }
-    }
-    return 0;
+    return status_kib(id_, "VmHWM:");
+}
+
+std::uint64_t child_process::resident_memory_kib() const
+{
+    return status_kib(id_, "VmRSS:");
 }
 
 std::chrono::milliseconds child_process::processor_time() const
--- a/testing/process.hpp
+++ b/testing/process.hpp
@@ -74,6 +74,8 @@
 
     // Highest resident memory up to now, KiB; 0 where unknown.
     [[nodiscard]] std::uint64_t peak_memory_kib() const;
+    // Resident memory now, KiB; 0 where unknown.
+    [[nodiscard]] std::uint64_t resident_memory_kib() const;
     // Processor time used up to now.
     [[nodiscard]] std::chrono::milliseconds processor_time() const;
 
