Let the relay tell connections of one process from the others

The control hosts' addresses stand in their replicated log, so every process must reach one by the same address, and all of them connect from 127.0.0.1. To cut one control host off, the relay asks the kernel's tables which process opened a connection. A test silences its own connections and not another's.

--- a/testing/deployment.cpp
+++ b/testing/deployment.cpp
@@ -36,7 +36,7 @@
     deployment_plan plan;
     temporary_folder folder;
     std::vector<std::unique_ptr<relay>> to_upstreams;
-    std::vector<internal::control_link> links;
+    std::vector<std::unique_ptr<relay>> to_controls;
     process_list controls;
     process_list daemons;
     process_list upstreams;
@@ -70,14 +70,14 @@
         }
         to_upstreams.push_back(std::move(*started));
     }
-    for (const auto& place : plan.control_links())
+    for (const auto& place : plan.control_relays())
     {
         auto started = relay::start(place.listen, place.target);
         if (!started)
         {
             return started.error();
         }
-        links.push_back({place.from, place.to, std::move(*started)});
+        to_controls.push_back(std::move(*started));
     }
     return {};
 }
@@ -260,11 +260,17 @@
         behavior.to_target = relay_direction::silent;
         behavior.to_client = relay_direction::silent;
     }
-    for (auto& link : state_->links)
+    const auto process = control(index).id();
+    for (std::size_t i = 0; i < state_->to_controls.size(); ++i)
     {
-        if (link.from == index || link.to == index)
+        auto& before = *state_->to_controls[i];
+        if (i == index)
         {
-            link.between->set(behavior);
+            before.set(behavior);
+        }
+        else
+        {
+            before.set_from(process, behavior);
         }
     }
 }
--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -41,8 +41,7 @@
     bool naive = false;
     // Each daemon reaches its upstream through a relay.
     bool relay_to_upstreams = false;
-    // Each control host reaches every other one, and each daemon each control
-    // host, through a relay of its own.
+    // A relay stands before each control host.
     bool relay_to_control = false;
 };
 
--- a/testing/deployment_plan.cpp
+++ b/testing/deployment_plan.cpp
@@ -10,14 +10,12 @@
 
 constexpr std::uint32_t first_control = 1;
 constexpr std::uint32_t first_daemon = 11;
-constexpr std::uint32_t first_link = 240;
 constexpr std::uint16_t callers_port = 8000;
 constexpr std::uint16_t upstream_port = 8001;
 constexpr std::uint16_t peers_port = 8002;
 constexpr std::uint16_t operators_port = 8003;
 constexpr std::uint16_t service_port = 9000;
 constexpr std::uint16_t relay_port = 9100;
-constexpr std::uint16_t first_link_port = 7000;
 
 std::uint32_t control_ip(std::size_t index)
 {
@@ -100,50 +98,32 @@
     return block_.address(control_ip(index), peers_port);
 }
 
-std::string
-deployment_plan::control_address(std::size_t from, std::size_t to) const
+std::string deployment_plan::control_address(std::size_t index) const
 {
-    if (!options_.relay_to_control || from == to)
-    {
-        return control_peers(to);
-    }
-    return block_.address(
-        first_link + static_cast<std::uint32_t>(to),
-        static_cast<std::uint16_t>(first_link_port + from));
+    return options_.relay_to_control
+               ? block_.address(control_ip(index), relay_port)
+               : control_peers(index);
 }
 
-std::vector<control_link_place> deployment_plan::control_links() const
+std::vector<control_relay_place> deployment_plan::control_relays() const
 {
-    std::vector<control_link_place> places;
-    if (!options_.relay_to_control)
-    {
-        return places;
-    }
-    for (std::size_t to = 0; to < options_.control_hosts; ++to)
+    std::vector<control_relay_place> places;
+    if (options_.relay_to_control)
     {
-        for (std::size_t from = 0; from < options_.control_hosts; ++from)
+        for (std::size_t i = 0; i < options_.control_hosts; ++i)
         {
-            if (from != to)
-            {
-                places.push_back(
-                    {from, to, control_address(from, to), control_peers(to)});
-            }
+            places.push_back({control_address(i), control_peers(i)});
         }
-        places.push_back(
-            {any_daemon,
-             to,
-             control_address(any_daemon, to),
-             control_peers(to)});
     }
     return places;
 }
 
-std::string deployment_plan::control_addresses(std::size_t from) const
+std::string deployment_plan::control_addresses() const
 {
     std::string text;
-    for (std::size_t to = 0; to < options_.control_hosts; ++to)
+    for (std::size_t i = 0; i < options_.control_hosts; ++i)
     {
-        text += (to == 0 ? "" : ", ") + control_address(from, to);
+        text += (i == 0 ? "" : ", ") + control_address(i);
     }
     return text;
 }
@@ -155,12 +135,12 @@
     for (std::size_t to = 0; to < options_.control_hosts; ++to)
     {
         initial += (to == 0 ? "" : ", ") + control_name(to) + "=" +
-                   control_address(index, to);
+                   control_address(to);
     }
     return host_section(control_name(index), "dc-1") +
            "\n[listen]\npeers = " + control_peers(index) +
            "\noperators = " + control_operators(index) +
-           "\n\n[control_hosts]\naddresses = " + control_addresses(index) +
+           "\n\n[control_hosts]\naddresses = " + control_addresses() +
            "\n\n[control]\ndata_folder = " + data_folder +
            "\ninitial = " + initial + "\n";
 }
@@ -174,8 +154,7 @@
         "\n[listen]\ncallers = " + daemon_callers(index) +
         "\nupstream = " + daemon_upstream(index) + "\npeers = " + peers +
         "\noperators = " + daemon_operators(index) +
-        "\n\n[control_hosts]\naddresses = " + control_addresses(any_daemon) +
-        "\n";
+        "\n\n[control_hosts]\naddresses = " + control_addresses() + "\n";
     if (options_.naive)
     {
         text += "\n[measurement]\nnaive = yes\n";
--- a/testing/deployment_plan.hpp
+++ b/testing/deployment_plan.hpp
@@ -11,25 +11,13 @@
 namespace nutmegusher::test_support::internal
 {
 
-// Stands for all daemons as the `from` of a link.
-inline constexpr std::size_t any_daemon = 50;
-
-// Where a relay between two parts of the control plane stands.
-struct control_link_place
+// Where the relay before a control host stands.
+struct control_relay_place
 {
-    std::size_t from = 0;
-    std::size_t to = 0;
     std::string listen;
     std::string target;
 };
 
-struct control_link
-{
-    std::size_t from = 0;
-    std::size_t to = 0;
-    std::unique_ptr<relay> between;
-};
-
 class deployment_plan
 {
 public:
@@ -52,7 +40,7 @@
     [[nodiscard]] std::string announced_address(std::size_t index) const;
 
     [[nodiscard]] std::size_t relayed_upstreams() const;
-    [[nodiscard]] std::vector<control_link_place> control_links() const;
+    [[nodiscard]] std::vector<control_relay_place> control_relays() const;
 
     [[nodiscard]] std::string
     control_settings(std::size_t index, const std::string& data_folder) const;
@@ -60,10 +48,9 @@
 
 private:
     [[nodiscard]] std::string control_peers(std::size_t index) const;
-    // A control host as `from` reaches it.
-    [[nodiscard]] std::string
-    control_address(std::size_t from, std::size_t to) const;
-    [[nodiscard]] std::string control_addresses(std::size_t from) const;
+    // A control host as others reach it.
+    [[nodiscard]] std::string control_address(std::size_t index) const;
+    [[nodiscard]] std::string control_addresses() const;
 
     deployment_options options_;
     address_block block_;
--- a/testing/relay.cpp
+++ b/testing/relay.cpp
@@ -1,6 +1,7 @@
 #include "testing/relay.hpp"
 
 #include "testing/endpoint.hpp"
+#include "testing/socket_owner.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +15,7 @@
 
 #include <array>
 #include <future>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -96,6 +98,7 @@
     }
 
     void set(const relay_behavior& behavior);
+    void set_from(pid_t process, const relay_behavior& behavior);
     void cut();
 
     [[nodiscard]] std::size_t open_connections() const
@@ -107,11 +110,15 @@
     asio::awaitable<void> accept_all();
     asio::awaitable<void> connect(pair_pointer pair);
     asio::awaitable<void> pump(pair_pointer pair, bool to_target);
+    // Of the connection's owner where there is one, else `otherwise`.
+    [[nodiscard]] relay_behavior behavior_of(
+        const relayed_pair& pair, const relay_behavior& otherwise) const;
 
     tcp_endpoint target_;
     asio::io_context context_{1};
     asio::ip::tcp::acceptor acceptor_{context_};
     relay_behavior for_new_;
+    std::map<pid_t, relay_behavior> by_process_;
     std::set<pair_pointer> open_;
     std::thread thread_;
 };
@@ -148,10 +155,35 @@
     for_new_.refuse_new = behavior.refuse_new;
     for (const auto& pair : open_)
     {
-        pair->behavior = behavior;
+        pair->behavior = behavior_of(*pair, behavior);
     }
 }
 
+void relay::server::set_from(pid_t process, const relay_behavior& behavior)
+{
+    by_process_[process] = behavior;
+    for (const auto& pair : open_)
+    {
+        pair->behavior = behavior_of(*pair, pair->behavior);
+    }
+}
+
+relay_behavior relay::server::behavior_of(
+    const relayed_pair& pair, const relay_behavior& otherwise) const
+{
+    error_code error;
+    const auto from = pair.client.remote_endpoint(error);
+    const auto here = pair.client.local_endpoint(error);
+    for (const auto& [process, behavior] : by_process_)
+    {
+        if (!error && internal::owns_connection(process, from, here))
+        {
+            return behavior;
+        }
+    }
+    return otherwise;
+}
+
 void relay::server::cut()
 {
     for (const auto& pair : open_)
@@ -173,7 +205,7 @@
             continue;
         }
         auto pair = std::make_shared<relayed_pair>(std::move(socket));
-        pair->behavior = for_new_;
+        pair->behavior = behavior_of(*pair, for_new_);
         open_.insert(pair);
         asio::co_spawn(context_, connect(std::move(pair)), asio::detached);
     }
@@ -267,6 +299,15 @@
         });
 }
 
+void relay::set_from(pid_t process, const relay_behavior& behavior)
+{
+    server_->run(
+        [this, process, &behavior]
+        {
+            server_->set_from(process, behavior);
+        });
+}
+
 void relay::cut()
 {
     server_->run(
--- a/testing/relay.hpp
+++ b/testing/relay.hpp
@@ -9,6 +9,8 @@
 
 #include "nutmegusher/base/base.hpp"
 
+#include <sys/types.h>
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -53,6 +55,10 @@
     // Holds from the return on, for open connections too.
     void set(const relay_behavior& behavior);
 
+    // The same for the connections that one process opens or has opened; the
+    // process needn't run any more. It goes before `set`.
+    void set_from(pid_t process, const relay_behavior& behavior);
+
     // Resets all open connections.
     void cut();
 
--- a/testing/stand_in_test.cpp
+++ b/testing/stand_in_test.cpp
@@ -1,6 +1,7 @@
 #include "testing/testing.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <future>
@@ -185,6 +186,23 @@
     EXPECT_TRUE(send_request(through, call("c", 8)));
 }
 
+TEST_F(stand_in, relay_silences_the_connections_of_one_process)
+{
+    const auto upstream = start({});
+    const auto through = block->address(3, 1000);
+    const auto between = relay::start(through, upstream->address());
+    ASSERT_TRUE(between);
+    relay_behavior silent;
+    silent.to_target = relay_direction::silent;
+    (*between)->set_from(getpid(), silent);
+    EXPECT_EQ(
+        send_request(through, call("a", 8), milliseconds(200)).error(),
+        http_failure::timed_out);
+    (*between)->set_from(getpid(), {});
+    (*between)->set_from(getppid(), silent);
+    EXPECT_TRUE(send_request(through, call("b", 8)));
+}
+
 TEST_F(stand_in, load_reports_each_request_once)
 {
     const auto upstream = start({});
