Tell a crash from a kill in the process driver

Processes also end with the thread that started them, so that a test that is itself killed leaves none behind.

--- a/testing/demonstration.cpp
+++ b/testing/demonstration.cpp
@@ -202,6 +202,7 @@
         show_change(here, out);
         show_kills(here, out);
     }
+    out.check(here.crashes().empty(), "no process ended by itself");
     if (!out.good())
     {
         std::cerr << here.logs();
--- a/testing/deployment.cpp
+++ b/testing/deployment.cpp
@@ -13,6 +13,19 @@
 using boost::system::error_code;
 using internal::deployment_plan;
 
+namespace
+{
+
+// The end of a log; the beginning of a long one rarely matters.
+std::string tail(const std::string& text)
+{
+    constexpr std::size_t most_shown = 3000;
+    return text.size() <= most_shown ? text
+                                     : text.substr(text.size() - most_shown);
+}
+
+} // namespace
+
 struct deployment::state
 {
     state(deployment_plan made, temporary_folder where)
@@ -24,6 +37,10 @@
     using process_list = std::vector<std::unique_ptr<child_process>>;
 
     error_code start_relays();
+    void note_crash(
+        const std::unique_ptr<child_process>& process,
+        const std::string& kind,
+        std::size_t index);
     error_code start_control(std::size_t index);
     error_code start_daemon(std::size_t index);
     error_code start_upstream(std::size_t index);
@@ -40,6 +57,8 @@
     process_list controls;
     process_list daemons;
     process_list upstreams;
+    // Those that were started again.
+    std::vector<std::string> crashes;
 };
 
 error_code deployment::state::start_program(
@@ -58,6 +77,17 @@
     return {};
 }
 
+void deployment::state::note_crash(
+    const std::unique_ptr<child_process>& process,
+    const std::string& kind,
+    std::size_t index)
+{
+    if (process && process->crashed())
+    {
+        crashes.push_back(kind + std::to_string(index));
+    }
+}
+
 error_code deployment::state::start_relays()
 {
     for (std::size_t i = 0; i < plan.relayed_upstreams(); ++i)
@@ -182,20 +212,37 @@
     return *state_->upstreams[index];
 }
 
+std::vector<std::string> deployment::crashes()
+{
+    for (std::size_t i = 0; i < control_count(); ++i)
+    {
+        state_->note_crash(state_->controls[i], "control ", i);
+    }
+    for (std::size_t i = 0; i < daemon_count(); ++i)
+    {
+        state_->note_crash(state_->daemons[i], "daemon ", i);
+        state_->note_crash(state_->upstreams[i], "upstream ", i);
+    }
+    return std::exchange(state_->crashes, {});
+}
+
 bool deployment::restart_control(std::size_t index)
 {
+    state_->note_crash(state_->controls[index], "control ", index);
     state_->controls[index].reset();
     return !state_->start_control(index);
 }
 
 bool deployment::restart_daemon(std::size_t index)
 {
+    state_->note_crash(state_->daemons[index], "daemon ", index);
     state_->daemons[index].reset();
     return !state_->start_daemon(index);
 }
 
 bool deployment::restart_upstream(std::size_t index)
 {
+    state_->note_crash(state_->upstreams[index], "upstream ", index);
     state_->upstreams[index].reset();
     return !state_->start_upstream(index);
 }
@@ -291,22 +338,18 @@
     return wait_in_force(last);
 }
 
-bool deployment::wait_in_force(
-    std::uint64_t revision, std::chrono::milliseconds limit) const
+bool deployment::each_daemon(
+    const std::function<bool(std::size_t)>& holds,
+    std::chrono::milliseconds limit) const
 {
-    const auto runs = [this, revision](std::size_t index)
-    {
-        const auto now = configuration_of(daemon_operators(index));
-        return now && now->revision >= revision;
-    };
     for (std::size_t i = 0; i < daemon_count(); ++i)
     {
-        if (state_->daemons[i]->running() && !wait_until(
-                                                 [&]
-                                                 {
-                                                     return runs(i);
-                                                 },
-                                                 limit))
+        auto& process = *state_->daemons[i];
+        const auto settled = [&]
+        {
+            return !process.running() || holds(i);
+        };
+        if (!wait_until(settled, limit) || process.crashed())
         {
             return false;
         }
@@ -314,26 +357,30 @@
     return true;
 }
 
+bool deployment::wait_in_force(
+    std::uint64_t revision, std::chrono::milliseconds limit) const
+{
+    const auto runs = [this, revision](std::size_t index)
+    {
+        const auto now = configuration_of(daemon_operators(index));
+        return now && now->revision >= revision;
+    };
+    return each_daemon(runs, limit);
+}
+
 bool deployment::wait_served(const offered_class& offered) const
 {
     load_options options;
     options.classes = {offered};
     std::uint32_t round = 0;
-    for (std::size_t i = 0; i < daemon_count(); ++i)
+    const auto served = [&](std::size_t index)
     {
-        options.daemons = {daemon_callers(i)};
-        const auto served = [&]
-        {
-            options.prefix =
-                "ready-" + std::to_string(i) + "-" + std::to_string(++round);
-            return run_one(options).view == caller_view::completed;
-        };
-        if (state_->daemons[i]->running() && !wait_until(served))
-        {
-            return false;
-        }
-    }
-    return true;
+        options.daemons = {daemon_callers(index)};
+        options.prefix =
+            "ready-" + std::to_string(index) + "-" + std::to_string(++round);
+        return run_one(options).view == caller_view::completed;
+    };
+    return each_daemon(served, std::chrono::seconds(30));
 }
 
 void deployment::control_upstream(
@@ -378,12 +425,12 @@
     for (std::size_t i = 0; i < control_count(); ++i)
     {
         const auto name = state_->plan.control_name(i) + ".log";
-        text += "== " + name + "\n" + file(name);
+        text += "== " + name + "\n" + tail(file(name));
     }
     for (std::size_t i = 0; i < daemon_count(); ++i)
     {
         const auto name = state_->plan.daemon_name(i) + ".log";
-        text += "== " + name + "\n" + file(name);
+        text += "== " + name + "\n" + tail(file(name));
     }
     return text;
 }
--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -16,6 +16,7 @@
 #include "testing/relay.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -66,6 +67,9 @@
     [[nodiscard]] child_process& daemon(std::size_t index);
     [[nodiscard]] child_process& upstream(std::size_t index);
 
+    // Names of the processes that ended by themselves, up to now.
+    [[nodiscard]] std::vector<std::string> crashes();
+
     // Start again what has ended, on the same settings and folders.
     bool restart_control(std::size_t index);
     bool restart_daemon(std::size_t index);
@@ -92,12 +96,14 @@
     // its own upstream. False where it doesn't happen.
     [[nodiscard]] bool declare(const std::vector<declared_class>& classes);
 
-    // Until every running daemon in `daemons` runs `revision` or a later one.
+    // Until every running daemon runs `revision` or a later one; false where
+    // one crashed.
     [[nodiscard]] bool wait_in_force(
         std::uint64_t revision,
         std::chrono::milliseconds limit = std::chrono::seconds(30)) const;
 
-    // Until a call of the class through each running daemon is completed.
+    // Until a call of the class through each running daemon is completed; false
+    // where one crashed.
     [[nodiscard]] bool wait_served(const offered_class& offered) const;
 
     void control_upstream(std::size_t index, const std::string& behavior) const;
@@ -118,6 +124,12 @@
 
     explicit deployment(std::unique_ptr<state> state);
 
+    // False where a daemon crashed or didn't come to hold it within `limit`;
+    // one that was ended is left out.
+    [[nodiscard]] bool each_daemon(
+        const std::function<bool(std::size_t)>& holds,
+        std::chrono::milliseconds limit) const;
+
     std::unique_ptr<state> state_;
 };
 
--- a/testing/hunt.cpp
+++ b/testing/hunt.cpp
@@ -156,7 +156,13 @@
     {
         std::cout << "payouts aren't served after all was mended\n";
     }
-    const bool clean = problems.empty() && totals.violations == 0 && served;
+    const auto crashes = here.crashes();
+    for (const auto& name : crashes)
+    {
+        std::cout << name << " crashed\n";
+    }
+    const bool clean =
+        problems.empty() && crashes.empty() && totals.violations == 0 && served;
     if (!clean)
     {
         std::cerr << here.logs();
--- a/testing/process.cpp
+++ b/testing/process.cpp
@@ -26,6 +26,8 @@
 
 constexpr std::chrono::milliseconds poll_period(10);
 constexpr mode_t log_mode = 0644;
+// Runs a program that ends with its parent; part of every Debian system.
+constexpr const char* set_privileges = "/usr/bin/setpriv";
 
 error_code system_error(int number)
 {
@@ -85,7 +87,8 @@
     const std::vector<std::string>& arguments,
     const std::string& log)
 {
-    std::vector<std::string> words{program};
+    std::vector<std::string> words{
+        set_privileges, "--pdeathsig", "KILL", program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
     pointers.reserve(words.size() + 1);
@@ -105,7 +108,7 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     pid_t id = 0;
     const int failed = posix_spawn(
-        &id, program.c_str(), &actions, nullptr, pointers.data(), environ);
+        &id, set_privileges, &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0)
     {
@@ -128,6 +131,7 @@
 {
     if (running())
     {
+        last_signal_ = number;
         ::kill(id_, number);
     }
 }
@@ -164,6 +168,11 @@
     return !exit_;
 }
 
+bool child_process::crashed()
+{
+    return !running() && exit_->code < 0 && exit_->code != -last_signal_;
+}
+
 std::optional<process_exit>
 child_process::wait_exit(std::chrono::milliseconds limit)
 {
--- a/testing/process.hpp
+++ b/testing/process.hpp
@@ -39,7 +39,8 @@
     int code = 0;
 };
 
-// A child process; ended (SIGKILL) and reaped at the latest with the value.
+// A child process; ended (SIGKILL) and reaped at the latest with the value. The
+// kernel ends it too where the thread that started it ends before.
 class child_process
 {
 public:
@@ -70,6 +71,8 @@
     std::optional<process_exit> wait_exit(std::chrono::milliseconds limit);
 
     [[nodiscard]] bool running();
+    // Ended by a signal that didn't come from here.
+    [[nodiscard]] bool crashed();
     [[nodiscard]] pid_t id() const;
 
     // Highest resident memory up to now, KiB; 0 where unknown.
@@ -83,6 +86,7 @@
     explicit child_process(pid_t id);
 
     pid_t id_;
+    int last_signal_ = 0;
     std::optional<process_exit> exit_;
 };
 
--- a/testing/stand_in_test.cpp
+++ b/testing/stand_in_test.cpp
@@ -167,6 +167,26 @@
     EXPECT_EQ(counts.at("c/payout/k1").started, 2U);
 }
 
+TEST_F(stand_in, a_crash_is_told_from_a_kill)
+{
+    const auto folder = temporary_folder::make();
+    ASSERT_TRUE(folder);
+    const std::vector<std::string> arguments{
+        "--service=s", "--address=" + block->address(2, 9000)};
+    const auto start_one = [&]
+    {
+        return std::move(*child_process::start(
+            built_program("stand_in_upstream"), arguments, folder->path("l")));
+    };
+    const auto killed = start_one();
+    killed->kill();
+    EXPECT_FALSE(killed->crashed());
+    const auto crashed = start_one();
+    ::kill(crashed->id(), SIGABRT);
+    ASSERT_TRUE(crashed->wait_exit(std::chrono::seconds(10)));
+    EXPECT_TRUE(crashed->crashed());
+}
+
 TEST_F(stand_in, relay_silences_open_connections_and_lets_new_ones_work)
 {
     const auto upstream = start({});
