Don't await inside a conditional expression in the sync client

Daemons crashed within the first second of a deployment, at times before their first log line, at times with a double free. sync_client::sync_with awaited inside '?:' and converted to an optional message; g++ 12 destroys that temporary twice. Shown apart from the daemon: a coroutine of one line with 'at ? co_await f() : std::nullopt' over a struct with a string is a heap-use-after-free under AddressSanitizer.

--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -101,7 +101,11 @@
     }
     news_ = false;
     const auto request = make_request();
-    const auto reply = at ? co_await exchange(*at, request) : std::nullopt;
+    std::optional<messages::sync_reply> reply;
+    if (at)
+    {
+        reply = co_await exchange(*at, request);
+    }
     if (!reply && news_)
     {
         co_return; // the poll was ended on purpose
