--- a/nutmegusher/control/replica_test.cpp
+++ b/nutmegusher/control/replica_test.cpp
@@ -174,5 +174,106 @@
     EXPECT_EQ(hosts.violation(), "");
 }
 
+// All restart at once after many changes; with snapshots little is replayed.
+void restart_after_many(const snapshot_policy& policy, bool snapshots)
+{
+    cluster hosts(3, seed, policy);
+    accept(hosts, "first");
+    for (int i = 0; i < 1000; ++i)
+    {
+        hosts.propose(*hosts.leader(), "item-" + std::to_string(i));
+    }
+    ASSERT_TRUE(hosts.run_until(
+        [&]
+        {
+            return hosts.acknowledged("item-999");
+        }));
+    for (auto& each : hosts.hosts)
+    {
+        each.crash();
+    }
+    for (auto& each : hosts.hosts)
+    {
+        ASSERT_TRUE(each.start());
+    }
+    accept(hosts, "last");
+    auto& leader = *hosts.leader();
+    EXPECT_TRUE(hosts.holds_all_acknowledged(leader));
+    EXPECT_EQ(leader.running().snapshot_index() > 900, snapshots);
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, a_thousand_changes_outlive_a_restart_without_snapshot)
+{
+    restart_after_many({100'000, 0.0, 1024}, false);
+}
+
+TEST(replica, a_thousand_changes_outlive_a_restart_with_snapshots)
+{
+    restart_after_many({50, 0.0, 20}, true);
+}
+
+TEST(replica, a_second_host_lost_just_after_a_repair_loses_nothing)
+{
+    cluster hosts(3, seed);
+    for (int i = 0; i < 50; ++i)
+    {
+        accept(hosts, "item-" + std::to_string(i));
+    }
+    auto* lost =
+        hosts.leader() == &hosts.hosts[0] ? &hosts.hosts[1] : &hosts.hosts[0];
+    lost->replace_disk();
+    ASSERT_TRUE(lost->start());
+    ASSERT_TRUE(hosts.run_until(
+        [&]
+        {
+            auto* leader = hosts.leader();
+            return leader != nullptr && hosts.repair(*leader);
+        }));
+    hosts.leader()->replace_disk();
+    accept(hosts, "after");
+    EXPECT_TRUE(hosts.holds_all_acknowledged(*hosts.leader()));
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, a_full_disk_stops_the_leader_and_another_one_accepts)
+{
+    cluster hosts(3, seed);
+    accept(hosts, "before");
+    auto& full = *hosts.leader();
+    full.disk.set_capacity(0);
+    hosts.propose(full, "on the full disk");
+    EXPECT_FALSE(full.up());
+    accept(hosts, "after");
+    full.disk.set_capacity(std::nullopt);
+    ASSERT_TRUE(full.start());
+    EXPECT_TRUE(hosts.run_until(
+        [&]
+        {
+            return all_hold(hosts, "after");
+        }));
+    EXPECT_EQ(hosts.violation(), "");
+}
+
+TEST(replica, an_emptied_folder_has_no_vote)
+{
+    cluster hosts(3, seed);
+    accept(hosts, "kept");
+    // The only host that is left of those that hold the item, and two empty
+    // ones: no majority, so nothing may be accepted.
+    auto& left = *hosts.leader();
+    for (auto& each : hosts.hosts)
+    {
+        if (&each != &left)
+        {
+            each.replace_disk();
+            ASSERT_TRUE(each.start());
+        }
+    }
+    hosts.run(std::chrono::seconds(20));
+    EXPECT_EQ(hosts.leader(), nullptr);
+    EXPECT_FALSE(hosts.propose(left, "refused"));
+}
+
 } // namespace
 } // namespace nutmegusher::control_test
