Let an operator settle a claim whose executor has ended

Cause: a crash between grant and finish leaves a key "in progress" for ever; nothing could end that.

The command names the holder's attempt and execution as seen.

--- a/nutmegusher/execution/claim_table.cpp
+++ b/nutmegusher/execution/claim_table.cpp
@@ -25,10 +25,12 @@
     return result;
 }
 
-messages::claim_result in_progress(const messages::attempt& holder)
+template <class Running>
+messages::claim_result in_progress(const Running& running)
 {
     auto result = verdict(messages::claim_in_progress);
-    *result.mutable_holder() = holder;
+    *result.mutable_holder() = running.holder;
+    *result.mutable_executor() = running.executor;
     return result;
 }
 
@@ -85,6 +87,8 @@
         return fence_off(key, command);
     case messages::claim_command::kLookUp:
         return find(command.key());
+    case messages::claim_command::kResolve:
+        return resolve(key, command);
     case messages::claim_command::ACTION_NOT_SET:
         break;
     }
@@ -99,7 +103,7 @@
         return verdict(messages::claim_verdict_none);
     }
     const auto& value = found->second;
-    return value.running ? in_progress(value.running->holder)
+    return value.running ? in_progress(*value.running)
                          : already_finished(value.answer);
 }
 
@@ -175,7 +179,7 @@
     {
         return same(value.running->executor, command.executor())
                    ? verdict(messages::claim_granted)
-                   : in_progress(value.running->holder);
+                   : in_progress(*value.running);
     }
     return refuse(key, command);
 }
@@ -218,7 +222,7 @@
     {
         return verdict(messages::claim_other_request);
     }
-    return value.running ? in_progress(value.running->holder)
+    return value.running ? in_progress(*value.running)
                          : already_finished(value.answer);
 }
 
@@ -242,14 +246,48 @@
     {
         return verdict(messages::claim_not_held);
     }
+    store(*found, command, command.finish().answer());
+    return verdict(messages::claim_granted);
+}
+
+void claim_table::store(
+    record_map::value_type& entry,
+    const messages::claim_command& command,
+    const messages::stored_answer& answer)
+{
+    auto& [key, value] = entry;
     value.running.reset();
     value.holder_fingerprint = fingerprint(key, command.by());
     value.finished_at_ms = finish_time(command);
-    value.answer = command.finish().answer().SerializeAsString();
+    value.answer = answer.SerializeAsString();
     bytes_ += value.answer.size();
     answer_bytes_ += value.answer.size();
-    finished_.push_back(&*found);
+    finished_.push_back(&entry);
     strip_answers();
+}
+
+// The operator knows what became of the call. Only the holder that was seen is
+// settled: the key may have moved on since.
+messages::claim_result claim_table::resolve(
+    const std::string& key, const messages::claim_command& command)
+{
+    const auto found = records_.find(key);
+    if (found == records_.end() || !holds(found->second, command.by()) ||
+        !same(found->second.running->executor, command.executor()))
+    {
+        return verdict(messages::claim_not_held);
+    }
+    if (command.resolve().has_answer())
+    {
+        store(*found, command, command.resolve().answer());
+        return verdict(messages::claim_granted);
+    }
+    if (!add_fence(key, command.by()))
+    {
+        return verdict(messages::claim_unavailable);
+    }
+    bytes_ -= cost(key);
+    records_.erase(found);
     return verdict(messages::claim_granted);
 }
 
@@ -296,7 +334,7 @@
     const auto found = records_.find(key);
     if (found != records_.end() && holds(found->second, command.by()))
     {
-        return in_progress(command.by());
+        return in_progress(*found->second.running);
     }
     const bool finished_itself =
         found != records_.end() && ran(key, found->second, command.by());
@@ -316,7 +354,7 @@
     {
         return verdict(messages::claim_other_request);
     }
-    return value.running ? in_progress(value.running->holder)
+    return value.running ? in_progress(*value.running)
                          : already_finished(value.answer);
 }
 
--- a/nutmegusher/execution/claim_table.hpp
+++ b/nutmegusher/execution/claim_table.hpp
@@ -72,6 +72,8 @@
 //   which proves that it never started.
 // - A fence by the entry daemon ends an attempt which doesn't hold the claim:
 //   it never will. So does a release, and so does a refused start.
+// - An operator may settle a claim in the holder's place. That is only safe
+//   when the holder's process has ended: a frozen one would still start.
 // - A key that was released, or whose attempts were fenced, can be claimed by a
 //   new attempt.
 //
@@ -140,6 +142,12 @@
     release(const std::string& key, const messages::claim_command& command);
     messages::claim_result
     fence_off(const std::string& key, const messages::claim_command& command);
+    messages::claim_result
+    resolve(const std::string& key, const messages::claim_command& command);
+    void store(
+        record_map::value_type& entry,
+        const messages::claim_command& command,
+        const messages::stored_answer& answer);
 
     [[nodiscard]] std::uint64_t
     finish_time(const messages::claim_command& command) const;
--- a/nutmegusher/execution/claim_table_test.cpp
+++ b/nutmegusher/execution/claim_table_test.cpp
@@ -190,6 +190,37 @@
     EXPECT_EQ(table.counts().running, 1U);
 }
 
+TEST_F(claim_table_test, operator_settles_only_the_holder_that_was_seen)
+{
+    auto ran = command(1);
+    ran.mutable_resolve()->mutable_answer()->set_status(201);
+    EXPECT_EQ(apply(ran), messages::claim_not_held);
+    apply(start(1));
+    auto other = ran;
+    *other.mutable_by() = attempt_of(2);
+    EXPECT_EQ(apply(other), messages::claim_not_held);
+    auto copy = ran;
+    copy.mutable_executor()->set_execution(99);
+    EXPECT_EQ(apply(copy), messages::claim_not_held);
+    EXPECT_EQ(
+        table.find(key_of("k")).executor().execution(),
+        ran.executor().execution());
+    EXPECT_EQ(apply(ran), messages::claim_granted);
+    EXPECT_EQ(apply(ran), messages::claim_not_held);
+    EXPECT_EQ(table.apply(start(3)).answer().status(), 201U);
+}
+
+TEST_F(claim_table_test, operator_frees_a_key_whose_holder_never_ran)
+{
+    apply(start(1));
+    auto never = command(1);
+    never.mutable_resolve();
+    EXPECT_EQ(apply(never), messages::claim_granted);
+    EXPECT_EQ(apply(start(1)), messages::claim_fenced);
+    EXPECT_EQ(apply(finish(1)), messages::claim_not_held);
+    EXPECT_EQ(apply(start(2)), messages::claim_granted);
+}
+
 TEST_F(claim_table_test, late_copy_of_a_refused_start_is_not_granted)
 {
     apply(start(1));
--- a/nutmegusher/execution/execution_world_test.hpp
+++ b/nutmegusher/execution/execution_world_test.hpp
@@ -314,10 +314,15 @@
     void disturb(std::size_t which)
     {
         auto& one = executors_[which];
-        if (choose_(2) == 0)
+        const auto how = choose_(3);
+        if (how == 0)
         {
             one.alive = false;
         }
+        else if (how == 1)
+        {
+            resolve(which);
+        }
         else if (one.alive)
         {
             perform(
@@ -325,6 +330,28 @@
         }
     }
 
+    // An operator who knows what a crashed executor did.
+    void resolve(std::size_t which)
+    {
+        const auto& one = executors_[which];
+        if (one.alive)
+        {
+            return;
+        }
+        messages::claim_command command;
+        *command.mutable_key() = one.terms.key;
+        *command.mutable_by() = one.terms.by;
+        *command.mutable_executor() = one.terms.executor;
+        command.set_proposed_at_ms(wall_ms_);
+        command.mutable_resolve();
+        if (one.executed)
+        {
+            command.mutable_resolve()->mutable_answer()->set_body(
+                std::to_string(which));
+        }
+        table_.apply(command);
+    }
+
     void fence(std::size_t which)
     {
         const auto& terms = executors_[which].terms;
