Settle a call left as running from the command line

Cause: the claim table can settle a claim whose executor has ended; nobody could ask it to.

GET /v1/outcome shows the holder, POST /v1/outcome settles it, and `nutmegusherctl outcome settle` sends it once, for the execution that the operator names.

--- a/nutmegusher/ctl/command.hpp
+++ b/nutmegusher/ctl/command.hpp
@@ -73,9 +73,10 @@
 exit_code show_status(const command_context& context);
 exit_code wait_in_force(const command_context& context, revision wanted);
 
-// control_commands.cpp
+// control_commands.cpp and outcome_commands.cpp
 void add_upstreams_options(cxxopts::OptionAdder& add);
 void add_outcome_options(cxxopts::OptionAdder& add);
+void add_settle_options(cxxopts::OptionAdder& add);
 void add_replace_options(cxxopts::OptionAdder& add);
 exit_code show_upstreams(const command_context& context);
 exit_code show_dump(const command_context& context);
@@ -83,6 +84,7 @@
 exit_code show_control(const command_context& context);
 exit_code replace_control_host(const command_context& context);
 exit_code show_outcome(const command_context& context);
+exit_code settle_outcome(const command_context& context);
 
 } // namespace nutmegusher::ctl
 
--- a/nutmegusher/ctl/control_commands.cpp
+++ b/nutmegusher/ctl/control_commands.cpp
@@ -1,11 +1,10 @@
-// Commands about one process, the control hosts and outcomes.
+// Commands about one process and the control hosts.
 #include "nutmegusher/ctl/command.hpp"
 #include "nutmegusher/ctl/json_text.hpp"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <cctype>
 #include <ostream>
 
 namespace nutmegusher::ctl
@@ -19,29 +18,6 @@
                     : print_text(context.where.out, value);
 }
 
-// As a part of a query.
-std::string percent_encoded(std::string_view text)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    constexpr unsigned high_digit = 4;
-    constexpr unsigned low_digit = 15;
-    std::string out;
-    for (const auto each : text)
-    {
-        const auto byte = static_cast<unsigned char>(each);
-        if (std::isalnum(byte) != 0 || each == '-' || each == '_' ||
-            each == '.')
-        {
-            out += each;
-            continue;
-        }
-        out += '%';
-        out += digits[byte >> high_digit];
-        out += digits[byte & low_digit];
-    }
-    return out;
-}
-
 } // namespace
 
 exit_code show(const command_context& context, const std::string& target)
@@ -135,20 +111,4 @@
     return exit_code::success;
 }
 
-void add_outcome_options(cxxopts::OptionAdder& add)
-{
-    add("customer", "the customer", cxxopts::value<std::string>());
-    add("class", "the class", cxxopts::value<std::string>());
-    add("key", "the idempotency key", cxxopts::value<std::string>());
-}
-
-exit_code show_outcome(const command_context& context)
-{
-    return show(
-        context,
-        "/v1/outcome?customer=" + percent_encoded(context.text("customer")) +
-            "&class=" + percent_encoded(context.text("class")) +
-            "&key=" + percent_encoded(context.text("key")));
-}
-
 } // namespace nutmegusher::ctl
--- /dev/null
+++ b/nutmegusher/ctl/outcome_commands.cpp
@@ -0,0 +1,139 @@
+// Commands about calls that may not be repeated.
+#include "nutmegusher/ctl/command.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cctype>
+#include <ostream>
+
+namespace nutmegusher::ctl
+{
+namespace
+{
+
+// As a part of a query.
+std::string percent_encoded(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned high_digit = 4;
+    constexpr unsigned low_digit = 15;
+    std::string out;
+    for (const auto each : text)
+    {
+        const auto byte = static_cast<unsigned char>(each);
+        if (std::isalnum(byte) != 0 || each == '-' || each == '_' ||
+            each == '.')
+        {
+            out += each;
+            continue;
+        }
+        out += '%';
+        out += digits[byte >> high_digit];
+        out += digits[byte & low_digit];
+    }
+    return out;
+}
+
+std::string outcome_target(const command_context& context)
+{
+    return "/v1/outcome?customer=" + percent_encoded(context.text("customer")) +
+           "&class=" + percent_encoded(context.text("class")) +
+           "&key=" + percent_encoded(context.text("key"));
+}
+
+bool is_holder(const json::value& holder, const command_context& context)
+{
+    return text_field(holder, "executor_host") == context.text("executor") &&
+           number_field(holder, "execution") ==
+               context.options["execution"].as<std::uint64_t>();
+}
+
+exit_code refuse(const command_context& context, std::string_view why)
+{
+    context.where.error << "error: " << why << '\n';
+    return exit_code::bad_usage;
+}
+
+exit_code
+send_settlement(const command_context& context, const json::value& holder)
+{
+    json::object body{
+        {"customer", context.text("customer")},
+        {"class", context.text("class")},
+        {"key", context.text("key")},
+        {"holder", holder}};
+    if (context.has("never-ran"))
+    {
+        body["never_ran"] = true;
+    }
+    else
+    {
+        body["status"] = context.options["ran"].as<std::uint32_t>();
+    }
+    const auto reply =
+        context.client.post_once("/v1/outcome", json::serialize(body));
+    if (!reply)
+    {
+        if (reply.error().problem == client_problem::no_reply)
+        {
+            context.where.error << "it may have been settled; see `outcome`\n";
+        }
+        return report(context, reply.error());
+    }
+    context.where.out << "settled\n";
+    return exit_code::success;
+}
+
+} // namespace
+
+void add_outcome_options(cxxopts::OptionAdder& add)
+{
+    add("customer", "the customer", cxxopts::value<std::string>());
+    add("class", "the class", cxxopts::value<std::string>());
+    add("key", "the idempotency key", cxxopts::value<std::string>());
+}
+
+void add_settle_options(cxxopts::OptionAdder& add)
+{
+    add_outcome_options(add);
+    add("executor",
+        "host that held the call, as `outcome` shows it; its process must have "
+        "ended, a frozen one would still run the call",
+        cxxopts::value<std::string>());
+    add("execution",
+        "number of the execution, as `outcome` shows it",
+        cxxopts::value<std::uint64_t>());
+    add("never-ran", "the call had no effect; its key becomes free");
+    add("ran",
+        "the call took effect; later calls get this HTTP status",
+        cxxopts::value<std::uint32_t>());
+}
+
+exit_code show_outcome(const command_context& context)
+{
+    return show(context, outcome_target(context));
+}
+
+exit_code settle_outcome(const command_context& context)
+{
+    if (context.has("never-ran") == context.has("ran"))
+    {
+        return refuse(context, "give one of --never-ran and --ran STATUS");
+    }
+    const auto reply = context.client.get(outcome_target(context));
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    const auto* const holder = find_field(*reply, "holder");
+    if (holder == nullptr || !is_holder(*holder, context))
+    {
+        context.where.error
+            << "error: this execution doesn't hold the call; see `outcome`\n";
+        return exit_code::conflict;
+    }
+    return send_settlement(context, *holder);
+}
+
+} // namespace nutmegusher::ctl
--- a/nutmegusher/execution/claim_encoding.hpp
+++ b/nutmegusher/execution/claim_encoding.hpp
@@ -92,6 +92,15 @@
     return stable_hash(bytes);
 }
 
+// What a record costs besides key and answer: two allocations, the map's node
+// and bucket, the queue's slot. bench/capacity measures the true figure.
+inline constexpr std::uint64_t record_overhead_bytes = 200;
+
+inline std::uint64_t record_cost(const std::string& key)
+{
+    return record_overhead_bytes + key.size();
+}
+
 inline bool same(const messages::attempt& one, const messages::attempt& other)
 {
     return one.sequence() == other.sequence() &&
--- a/nutmegusher/execution/claim_table.cpp
+++ b/nutmegusher/execution/claim_table.cpp
@@ -1,9 +1,7 @@
 #include "nutmegusher/execution/claim_table.hpp"
 
-#include "nutmegusher/execution/attempt_sequence.hpp"
 #include "nutmegusher/execution/claim_encoding.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace nutmegusher
@@ -14,10 +12,6 @@
 using internal::fingerprint;
 using internal::same;
 
-// What a record costs besides key and answer: two allocations, the map's node
-// and bucket, the queue's slot. bench/capacity measures the true figure.
-constexpr std::uint64_t record_overhead_bytes = 200;
-
 messages::claim_result verdict(messages::claim_verdict value)
 {
     messages::claim_result result;
@@ -41,27 +35,6 @@
     return result;
 }
 
-// What is kept of an answer when memory is short.
-std::string without_body(const std::string& bytes)
-{
-    messages::stored_answer answer;
-    answer.ParseFromString(bytes);
-    answer.clear_headers();
-    if (!answer.body_dropped())
-    {
-        answer.set_body_digest(stable_hash(answer.body()));
-        answer.set_body_size(answer.body().size());
-        answer.set_body_dropped(true);
-    }
-    answer.clear_body();
-    return answer.SerializeAsString();
-}
-
-std::uint64_t cost(const std::string& key)
-{
-    return record_overhead_bytes + key.size();
-}
-
 } // namespace
 
 claim_table::claim_table(claim_limits limits)
@@ -118,54 +91,6 @@
         .log_time_ms = log_time_ms_};
 }
 
-void claim_table::advance_time(std::uint64_t proposed_at_ms)
-{
-    if (log_time_ms_ == 0)
-    {
-        log_time_ms_ = proposed_at_ms;
-        return;
-    }
-    const auto bound = log_time_ms_ + limits_.max_time_step_ms;
-    log_time_ms_ = std::max(log_time_ms_, std::min(proposed_at_ms, bound));
-}
-
-void claim_table::forget_expired()
-{
-    while (!finished_.empty() &&
-           finished_.front()->second.finished_at_ms + limits_.retention_ms <
-               log_time_ms_)
-    {
-        const auto& [key, value] = *finished_.front();
-        bytes_ -= cost(key) + value.answer.size();
-        answer_bytes_ -= value.answer.size();
-        finished_.pop_front();
-        stripped_ -= std::min<std::size_t>(stripped_, 1);
-        records_.erase(records_.find(key));
-    }
-    while (!fences_.empty() &&
-           fences_.front().fenced_at_ms + limits_.attempt_lifetime_ms <
-               log_time_ms_)
-    {
-        fence_set_.erase(fences_.front().fingerprint);
-        fences_.pop_front();
-    }
-}
-
-void claim_table::strip_answers()
-{
-    while (answer_bytes_ > limits_.max_answer_bytes &&
-           stripped_ < finished_.size())
-    {
-        auto& answer = finished_[stripped_]->second.answer;
-        bytes_ -= answer.size();
-        answer_bytes_ -= answer.size();
-        answer = without_body(answer);
-        bytes_ += answer.size();
-        answer_bytes_ += answer.size();
-        ++stripped_;
-    }
-}
-
 messages::claim_result claim_table::start(
     const std::string& key, const messages::claim_command& command)
 {
@@ -196,7 +121,7 @@
     {
         return verdict(messages::claim_attempt_expired);
     }
-    if (bytes_ + cost(key) > limits_.max_bytes)
+    if (bytes_ + internal::record_cost(key) > limits_.max_bytes)
     {
         return verdict(messages::claim_unavailable);
     }
@@ -286,22 +211,11 @@
     {
         return verdict(messages::claim_unavailable);
     }
-    bytes_ -= cost(key);
+    bytes_ -= internal::record_cost(key);
     records_.erase(found);
     return verdict(messages::claim_granted);
 }
 
-// Retention counts from the latest time that anyone names: the log time lags
-// after a quiet spell, and catching up must not end the retention early.
-std::uint64_t
-claim_table::finish_time(const messages::claim_command& command) const
-{
-    const auto previous =
-        finished_.empty() ? 0 : finished_.back()->second.finished_at_ms;
-    const auto issued = attempt_sequence::issued_at_ms(command.by().sequence());
-    return std::max({log_time_ms_, command.proposed_at_ms(), issued, previous});
-}
-
 // Sent by an execution that never started and never will. Without a record its
 // start wasn't applied yet, or was released already: the fence ends it.
 messages::claim_result claim_table::release(
@@ -322,7 +236,7 @@
     }
     if (held)
     {
-        bytes_ -= cost(key);
+        bytes_ -= internal::record_cost(key);
         records_.erase(found);
     }
     return verdict(messages::claim_granted);
@@ -369,53 +283,4 @@
     return !value.running && value.holder_fingerprint == fingerprint(key, by);
 }
 
-// False where there are too many fences to remember one more.
-bool claim_table::add_fence(const std::string& key, const messages::attempt& by)
-{
-    const auto print = fingerprint(key, by);
-    if (fence_set_.contains(print))
-    {
-        return true;
-    }
-    if (fences_.size() >= limits_.max_fences)
-    {
-        return false;
-    }
-    // Not before the attempt was issued, by whatever clock: until the fence is
-    // forgotten the attempt has expired.
-    const auto issued = attempt_sequence::issued_at_ms(by.sequence());
-    const auto previous = fences_.empty() ? 0 : fences_.back().fenced_at_ms;
-    const auto at = std::max({log_time_ms_, issued, previous});
-    fence_set_.insert(print);
-    fences_.push_back({print, at});
-    return true;
-}
-
-bool claim_table::is_fenced(
-    const std::string& key, const messages::attempt& by) const
-{
-    return !fence_set_.empty() && fence_set_.contains(fingerprint(key, by));
-}
-
-bool claim_table::is_expired(const messages::attempt& by) const
-{
-    return attempt_sequence::issued_at_ms(by.sequence()) +
-               limits_.attempt_lifetime_ms <
-           log_time_ms_;
-}
-
-void claim_table::insert_running(std::string key, record value)
-{
-    bytes_ += cost(key);
-    records_.emplace(std::move(key), std::move(value));
-}
-
-void claim_table::insert_finished(std::string key, record value)
-{
-    bytes_ += cost(key) + value.answer.size();
-    answer_bytes_ += value.answer.size();
-    const auto added = records_.emplace(std::move(key), std::move(value)).first;
-    finished_.push_back(&*added);
-}
-
 } // namespace nutmegusher
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/node/operator_api.hpp"
 
 #include "nutmegusher/node/json_messages.hpp"
+#include "nutmegusher/node/outcome_api.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -25,7 +26,6 @@
 // For one change: a new leader is elected within it.
 constexpr duration change_limit = std::chrono::seconds(4);
 constexpr duration change_pause = std::chrono::milliseconds(50);
-constexpr duration outcome_limit = std::chrono::seconds(2);
 
 struct operator_answer
 {
@@ -132,123 +132,6 @@
     co_return operator_answer{status_of(result.verdict()), to_json(result)};
 }
 
-// "a=1&b=2" behind '?', with %XX decoded.
-std::map<std::string, std::string> parse_query(std::string_view path)
-{
-    std::map<std::string, std::string> values;
-    const auto start = path.find('?');
-    std::string_view rest =
-        start == std::string_view::npos ? "" : path.substr(start + 1);
-    const auto decoded = [](std::string_view text)
-    {
-        std::string out;
-        for (std::size_t i = 0; i < text.size(); ++i)
-        {
-            if (text[i] == '%' && i + 2 < text.size())
-            {
-                const std::string hex(text.substr(i + 1, 2));
-                out += static_cast<char>(std::strtol(hex.c_str(), nullptr, 16));
-                i += 2;
-            }
-            else
-            {
-                out += text[i];
-            }
-        }
-        return out;
-    };
-    while (!rest.empty())
-    {
-        const auto end = rest.find('&');
-        const auto pair = rest.substr(0, end);
-        const auto equals = pair.find('=');
-        if (equals != std::string_view::npos)
-        {
-            values[decoded(pair.substr(0, equals))] =
-                decoded(pair.substr(equals + 1));
-        }
-        rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
-    }
-    return values;
-}
-
-std::string_view state_text(messages::claim_verdict verdict)
-{
-    switch (verdict)
-    {
-    case messages::claim_in_progress:
-        return "unknown";
-    case messages::claim_already_finished:
-        return "completed";
-    default:
-        return "not-run";
-    }
-}
-
-bool is_printable(std::string_view text)
-{
-    return std::all_of(
-        text.begin(),
-        text.end(),
-        [](char c)
-        {
-            return (c >= ' ' && c <= '~') || c == '\n';
-        });
-}
-
-// Asks one control host after the other, until one has read the key's log.
-asio::awaitable<std::optional<messages::claim_result>>
-find_claim(worker& here, const messages::claim_key& key)
-{
-    const auto body = key.SerializeAsString();
-    const auto until = host_clock().now() + outcome_limit;
-    for (const auto& host : here.shared.claims.control_hosts())
-    {
-        const auto left = until - host_clock().now();
-        const auto answer = co_await wire::call(
-            here.peers, host, "/control/find-claim", body, left);
-        messages::claim_result result;
-        if (answer && result.ParseFromString(*answer) &&
-            result.verdict() != messages::claim_unavailable)
-        {
-            co_return result;
-        }
-    }
-    co_return std::nullopt;
-}
-
-asio::awaitable<operator_answer>
-answer_outcome(worker& here, std::string_view path)
-{
-    auto query = parse_query(path);
-    messages::claim_key key;
-    key.set_customer(query["customer"]);
-    key.set_class_name(query["class"]);
-    key.set_idempotency_key(query["key"]);
-    if (key.customer().empty() || key.class_name().empty() ||
-        key.idempotency_key().empty())
-    {
-        co_return error_answer(422, "customer-class-and-key-are-needed");
-    }
-    const auto result = co_await find_claim(here, key);
-    if (!result)
-    {
-        co_return error_answer(503, "claims-unavailable");
-    }
-    json::object object{{"outcome", state_text(result->verdict())}};
-    if (result->verdict() == messages::claim_already_finished)
-    {
-        const auto& answer = result->answer();
-        object["status"] = answer.status();
-        object["body_bytes"] = answer.body_size();
-        if (is_printable(answer.body()))
-        {
-            object["body"] = answer.body();
-        }
-    }
-    co_return operator_answer{200, std::move(object)};
-}
-
 json::value dump(worker& here, const operator_sources& sources)
 {
     const auto& shared = here.shared;
@@ -307,6 +190,11 @@
     {
         co_return co_await answer_change(here, std::move(body));
     }
+    if (path == "/v1/outcome")
+    {
+        auto [status, value] = co_await settle_outcome(here, std::move(body));
+        co_return operator_answer{status, std::move(value)};
+    }
     if (path == "/v1/drain")
     {
         sources.drain();
@@ -356,7 +244,8 @@
     }
     if (path == "/v1/outcome")
     {
-        co_return co_await answer_outcome(here, target);
+        auto [status, value] = co_await look_up_outcome(here, target);
+        co_return operator_answer{status, std::move(value)};
     }
     co_return error_answer(404, "no-such-resource");
 }
--- /dev/null
+++ b/nutmegusher/node/outcome_api.hpp
@@ -0,0 +1,38 @@
+// What operators ask and settle about calls that may not be repeated.
+#ifndef NUTMEGUSHER_NODE_OUTCOME_API_HPP
+#define NUTMEGUSHER_NODE_OUTCOME_API_HPP
+
+#include "nutmegusher/node/json_messages.hpp"
+#include "nutmegusher/node/worker.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace nutmegusher::node
+{
+
+// An HTTP status and a body.
+using outcome_answer = std::pair<unsigned, json::value>;
+
+// `GET /v1/outcome?customer=&class=&key=`.
+asio::awaitable<outcome_answer>
+look_up_outcome(worker& here, std::string_view target);
+
+// `POST /v1/outcome`: settles a claim whose executor has ended for good.
+asio::awaitable<outcome_answer> settle_outcome(worker& here, std::string body);
+
+// The command behind `POST /v1/outcome`, without its time.
+// Errors: `json_error`.
+[[nodiscard]] leaf::result<messages::claim_command>
+parse_settlement(std::string_view text);
+
+// The body of `GET /v1/outcome`.
+[[nodiscard]] json::value outcome_json(const messages::claim_result& result);
+
+} // namespace nutmegusher::node
+
+#endif
