--- a/nutmegusher/execution/claim_table.cpp
+++ b/nutmegusher/execution/claim_table.cpp
@@ -1,9 +1,7 @@
 #include "nutmegusher/execution/claim_table.hpp"
 
-#include "nutmegusher/execution/attempt_sequence.hpp"
 #include "nutmegusher/execution/claim_encoding.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace nutmegusher
@@ -14,10 +12,6 @@
 using internal::fingerprint;
 using internal::same;
 
-// What a record costs besides key and answer: two allocations, the map's node
-// and bucket, the queue's slot. bench/capacity measures the true figure.
-constexpr std::uint64_t record_overhead_bytes = 200;
-
 messages::claim_result verdict(messages::claim_verdict value)
 {
     messages::claim_result result;
@@ -25,10 +19,12 @@
     return result;
 }
 
-messages::claim_result in_progress(const messages::attempt& holder)
+template <class Running>
+messages::claim_result in_progress(const Running& running)
 {
     auto result = verdict(messages::claim_in_progress);
-    *result.mutable_holder() = holder;
+    *result.mutable_holder() = running.holder;
+    *result.mutable_executor() = running.executor;
     return result;
 }
 
@@ -39,27 +35,6 @@
     return result;
 }
 
-// What is kept of an answer when memory is short.
-std::string without_body(const std::string& bytes)
-{
-    messages::stored_answer answer;
-    answer.ParseFromString(bytes);
-    answer.clear_headers();
-    if (!answer.body_dropped())
-    {
-        answer.set_body_digest(stable_hash(answer.body()));
-        answer.set_body_size(answer.body().size());
-        answer.set_body_dropped(true);
-    }
-    answer.clear_body();
-    return answer.SerializeAsString();
-}
-
-std::uint64_t cost(const std::string& key)
-{
-    return record_overhead_bytes + key.size();
-}
-
 } // namespace
 
 claim_table::claim_table(claim_limits limits)
@@ -85,6 +60,8 @@
         return fence_off(key, command);
     case messages::claim_command::kLookUp:
         return find(command.key());
+    case messages::claim_command::kResolve:
+        return resolve(key, command);
     case messages::claim_command::ACTION_NOT_SET:
         break;
     }
@@ -99,7 +76,7 @@
         return verdict(messages::claim_verdict_none);
     }
     const auto& value = found->second;
-    return value.running ? in_progress(value.running->holder)
+    return value.running ? in_progress(*value.running)
                          : already_finished(value.answer);
 }
 
@@ -114,54 +91,6 @@
         .log_time_ms = log_time_ms_};
 }
 
-void claim_table::advance_time(std::uint64_t proposed_at_ms)
-{
-    if (log_time_ms_ == 0)
-    {
-        log_time_ms_ = proposed_at_ms;
-        return;
-    }
-    const auto bound = log_time_ms_ + limits_.max_time_step_ms;
-    log_time_ms_ = std::max(log_time_ms_, std::min(proposed_at_ms, bound));
-}
-
-void claim_table::forget_expired()
-{
-    while (!finished_.empty() &&
-           finished_.front()->second.finished_at_ms + limits_.retention_ms <
-               log_time_ms_)
-    {
-        const auto& [key, value] = *finished_.front();
-        bytes_ -= cost(key) + value.answer.size();
-        answer_bytes_ -= value.answer.size();
-        finished_.pop_front();
-        stripped_ -= std::min<std::size_t>(stripped_, 1);
-        records_.erase(records_.find(key));
-    }
-    while (!fences_.empty() &&
-           fences_.front().fenced_at_ms + limits_.attempt_lifetime_ms <
-               log_time_ms_)
-    {
-        fence_set_.erase(fences_.front().fingerprint);
-        fences_.pop_front();
-    }
-}
-
-void claim_table::strip_answers()
-{
-    while (answer_bytes_ > limits_.max_answer_bytes &&
-           stripped_ < finished_.size())
-    {
-        auto& answer = finished_[stripped_]->second.answer;
-        bytes_ -= answer.size();
-        answer_bytes_ -= answer.size();
-        answer = without_body(answer);
-        bytes_ += answer.size();
-        answer_bytes_ += answer.size();
-        ++stripped_;
-    }
-}
-
 messages::claim_result claim_table::start(
     const std::string& key, const messages::claim_command& command)
 {
@@ -175,7 +104,7 @@
     {
         return same(value.running->executor, command.executor())
                    ? verdict(messages::claim_granted)
-                   : in_progress(value.running->holder);
+                   : in_progress(*value.running);
     }
     return refuse(key, command);
 }
@@ -192,7 +121,7 @@
     {
         return verdict(messages::claim_attempt_expired);
     }
-    if (bytes_ + cost(key) > limits_.max_bytes)
+    if (bytes_ + internal::record_cost(key) > limits_.max_bytes)
     {
         return verdict(messages::claim_unavailable);
     }
@@ -218,7 +147,7 @@
     {
         return verdict(messages::claim_other_request);
     }
-    return value.running ? in_progress(value.running->holder)
+    return value.running ? in_progress(*value.running)
                          : already_finished(value.answer);
 }
 
@@ -242,26 +171,49 @@
     {
         return verdict(messages::claim_not_held);
     }
+    store(*found, command, command.finish().answer());
+    return verdict(messages::claim_granted);
+}
+
+void claim_table::store(
+    record_map::value_type& entry,
+    const messages::claim_command& command,
+    const messages::stored_answer& answer)
+{
+    auto& [key, value] = entry;
     value.running.reset();
     value.holder_fingerprint = fingerprint(key, command.by());
     value.finished_at_ms = finish_time(command);
-    value.answer = command.finish().answer().SerializeAsString();
+    value.answer = answer.SerializeAsString();
     bytes_ += value.answer.size();
     answer_bytes_ += value.answer.size();
-    finished_.push_back(&*found);
+    finished_.push_back(&entry);
     strip_answers();
-    return verdict(messages::claim_granted);
 }
 
-// Retention counts from the latest time that anyone names: the log time lags
-// after a quiet spell, and catching up must not end the retention early.
-std::uint64_t
-claim_table::finish_time(const messages::claim_command& command) const
+// The operator knows what became of the call. Only the holder that was seen is
+// settled: the key may have moved on since.
+messages::claim_result claim_table::resolve(
+    const std::string& key, const messages::claim_command& command)
 {
-    const auto previous =
-        finished_.empty() ? 0 : finished_.back()->second.finished_at_ms;
-    const auto issued = attempt_sequence::issued_at_ms(command.by().sequence());
-    return std::max({log_time_ms_, command.proposed_at_ms(), issued, previous});
+    const auto found = records_.find(key);
+    if (found == records_.end() || !holds(found->second, command.by()) ||
+        !same(found->second.running->executor, command.executor()))
+    {
+        return verdict(messages::claim_not_held);
+    }
+    if (command.resolve().has_answer())
+    {
+        store(*found, command, command.resolve().answer());
+        return verdict(messages::claim_granted);
+    }
+    if (!add_fence(key, command.by()))
+    {
+        return verdict(messages::claim_unavailable);
+    }
+    bytes_ -= internal::record_cost(key);
+    records_.erase(found);
+    return verdict(messages::claim_granted);
 }
 
 // Sent by an execution that never started and never will. Without a record its
@@ -284,7 +236,7 @@
     }
     if (held)
     {
-        bytes_ -= cost(key);
+        bytes_ -= internal::record_cost(key);
         records_.erase(found);
     }
     return verdict(messages::claim_granted);
@@ -296,7 +248,7 @@
     const auto found = records_.find(key);
     if (found != records_.end() && holds(found->second, command.by()))
     {
-        return in_progress(command.by());
+        return in_progress(*found->second.running);
     }
     const bool finished_itself =
         found != records_.end() && ran(key, found->second, command.by());
@@ -316,7 +268,7 @@
     {
         return verdict(messages::claim_other_request);
     }
-    return value.running ? in_progress(value.running->holder)
+    return value.running ? in_progress(*value.running)
                          : already_finished(value.answer);
 }
 
@@ -331,53 +283,4 @@
     return !value.running && value.holder_fingerprint == fingerprint(key, by);
 }
 
-// False where there are too many fences to remember one more.
-bool claim_table::add_fence(const std::string& key, const messages::attempt& by)
-{
-    const auto print = fingerprint(key, by);
-    if (fence_set_.contains(print))
-    {
-        return true;
-    }
-    if (fences_.size() >= limits_.max_fences)
-    {
-        return false;
-    }
-    // Not before the attempt was issued, by whatever clock: until the fence is
-    // forgotten the attempt has expired.
-    const auto issued = attempt_sequence::issued_at_ms(by.sequence());
-    const auto previous = fences_.empty() ? 0 : fences_.back().fenced_at_ms;
-    const auto at = std::max({log_time_ms_, issued, previous});
-    fence_set_.insert(print);
-    fences_.push_back({print, at});
-    return true;
-}
-
-bool claim_table::is_fenced(
-    const std::string& key, const messages::attempt& by) const
-{
-    return !fence_set_.empty() && fence_set_.contains(fingerprint(key, by));
-}
-
-bool claim_table::is_expired(const messages::attempt& by) const
-{
-    return attempt_sequence::issued_at_ms(by.sequence()) +
-               limits_.attempt_lifetime_ms <
-           log_time_ms_;
-}
-
-void claim_table::insert_running(std::string key, record value)
-{
-    bytes_ += cost(key);
-    records_.emplace(std::move(key), std::move(value));
-}
-
-void claim_table::insert_finished(std::string key, record value)
-{
-    bytes_ += cost(key) + value.answer.size();
-    answer_bytes_ += value.answer.size();
-    const auto added = records_.emplace(std::move(key), std::move(value)).first;
-    finished_.push_back(&*added);
-}
-
 } // namespace nutmegusher
