--- a/nutmegusher/policy/admission_level.cpp
+++ b/nutmegusher/policy/admission_level.cpp
@@ -121,7 +121,7 @@
 
 std::string format_levels(const answer_levels& levels)
 {
-    const std::string own = format_level(levels.own);
+    std::string own = format_level(levels.own);
     if (levels.deeper == admission_level{})
     {
         return own;
