--- /dev/null
+++ b/nutmegusher/policy/entry_gate_test.cpp
@@ -0,0 +1,120 @@
+#include "nutmegusher/policy/policy.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegusher
+{
+namespace
+{
+
+class gate : public testing::Test
+{
+protected:
+    gate()
+    {
+        call.work_class = 1;
+        call.rank = 4;
+    }
+
+    // Offers `per_interval` requests, of which `capacity` can be served;
+    // answers carry the share. Returns how many the gate let in.
+    int interval(int per_interval, int capacity, std::uint64_t customers = 50)
+    {
+        int passed = 0;
+        for (int index = 0; index < per_interval; ++index)
+        {
+            call.request = engine();
+            call.customer = uniform_below(engine, customers);
+            const bool in = !under_test.check(call, clock.now()).has_value();
+            passed += in ? 1 : 0;
+            clock.advance(entry_gate::interval / per_interval);
+        }
+        const double share =
+            passed > capacity ? capacity / static_cast<double>(passed) : 1.0;
+        admission_level level;
+        level.short_lane = lane_level_below(share < 1.0 ? 4.0 + share : 10.0);
+        under_test.on_level(call, level, clock.now());
+        return passed;
+    }
+
+    manual_clock clock;
+    random_engine engine{1};
+    entry_gate under_test;
+    call_facts call;
+};
+
+TEST_F(gate, lets_everything_in_while_nothing_is_refused)
+{
+    EXPECT_EQ(interval(100, 100), 100);
+    EXPECT_EQ(interval(100, 100), 100);
+}
+
+TEST_F(gate, lets_in_about_what_passes_below)
+{
+    for (int index = 0; index < 20; ++index)
+    {
+        interval(500, 100);
+    }
+    int passed = 0;
+    for (int index = 0; index < 40; ++index)
+    {
+        passed += interval(500, 100);
+    }
+    EXPECT_GT(passed, 40 * 60);
+    EXPECT_LT(passed, 40 * 200);
+}
+
+TEST_F(gate, reopens_within_a_second)
+{
+    for (int index = 0; index < 20; ++index)
+    {
+        interval(500, 5);
+    }
+    EXPECT_LT(under_test.open_share(1), 0.1);
+    for (int index = 0; index < 10; ++index)
+    {
+        interval(100, 100);
+    }
+    EXPECT_DOUBLE_EQ(under_test.open_share(1), 1.0);
+}
+
+TEST_F(gate, keeps_a_heavy_customer_from_the_others)
+{
+    for (int index = 0; index < 20; ++index)
+    {
+        interval(400, 100, 1);
+    }
+    call.customer = 77;
+    call.request = ~std::uint64_t{0} / 2;
+    EXPECT_FALSE(under_test.check(call, clock.now()).has_value());
+}
+
+TEST(chain_levels, forgets_what_was_heard_long_ago)
+{
+    manual_clock clock;
+    chain_levels levels;
+    admission_level level;
+    level.short_lane = {3, 100};
+    levels.on_sub_call_level(1, level, clock.now());
+    EXPECT_EQ(levels.deeper_for(1, clock.now()), level);
+    EXPECT_EQ(levels.deeper_for(2, clock.now()), admission_level{});
+    clock.advance(chain_levels::lifetime);
+    EXPECT_EQ(levels.deeper_for(1, clock.now()), admission_level{});
+}
+
+TEST(return_schedule, sends_later_callers_away_for_longer)
+{
+    manual_clock clock;
+    return_schedule returns;
+    duration last{0};
+    for (int index = 0; index < 100; ++index)
+    {
+        last = returns.next(100.0, clock.now());
+    }
+    EXPECT_NEAR(std::chrono::duration<double>(last).count(), 1.0, 0.05);
+    clock.advance(std::chrono::seconds(2));
+    EXPECT_EQ(returns.wait(clock.now()), shortest_return);
+}
+
+} // namespace
+} // namespace nutmegusher
