Repeat no work for a full service further down

Cause: a call whose sub-call was refused for overload was tried at another upstream of its own service, and met the same full service again.

--- a/bench/policy/replay_upstreams.hpp
+++ b/bench/policy/replay_upstreams.hpp
@@ -173,9 +173,12 @@
             });
         return;
     }
+    const bool full = answer.how == try_failure::overload ||
+                      answer.how == try_failure::overload_deeper;
     reply(
         call,
-        {.how = try_failure::upstream_failed,
+        {.how =
+             full ? try_failure::overload_deeper : try_failure::upstream_failed,
          .certainly_not_run = answer.certainly_not_run,
          .come_back = answer.come_back});
     end_at(at, ticket, call_result::failed);
--- a/nutmegusher/policy/retry_policy.cpp
+++ b/nutmegusher/policy/retry_policy.cpp
@@ -31,7 +31,9 @@
     }
     const bool service_full =
         !failed.takes_elsewhere || failed.tries > most_refused_tries - 1;
-    if (failed.how == try_failure::overload && service_full)
+    const bool refused_here =
+        failed.how == try_failure::overload && service_full;
+    if (refused_here || failed.how == try_failure::overload_deeper)
     {
         return no_retry{no_retry_reason::overloaded};
     }
--- a/nutmegusher/policy/retry_policy.hpp
+++ b/nutmegusher/policy/retry_policy.hpp
@@ -32,7 +32,10 @@
     // The upstream answered that it failed.
     upstream_failed,
     // The deadline passed.
-    deadline
+    deadline,
+    // The call ran, and one of its sub-calls was refused for overload: another
+    // upstream here would meet the same full service.
+    overload_deeper
 };
 
 struct failed_try
--- a/nutmegusher/policy/retry_test.cpp
+++ b/nutmegusher/policy/retry_test.cpp
@@ -56,6 +56,13 @@
     EXPECT_EQ(reason(), no_retry_reason::overloaded);
 }
 
+TEST_F(retrying, repeats_no_work_for_a_full_service_below)
+{
+    failed.how = try_failure::overload_deeper;
+    failed.certainly_not_run = true;
+    EXPECT_EQ(reason(), no_retry_reason::overloaded);
+}
+
 TEST_F(retrying, stops_without_tokens_or_time)
 {
     failed.tokens = 0;
