--- /dev/null
+++ b/nutmegusher/control/replica_rules_test.cpp
@@ -0,0 +1,165 @@
+// Rules that chance seldom breaks, one replica at a time.
+#include "nutmegusher/control/control.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegusher
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::hours(1)};
+
+messages::replica_set three_voters()
+{
+    messages::replica_set members;
+    for (std::uint64_t id = 1; id <= 3; ++id)
+    {
+        auto& member = *members.add_members();
+        member.set_identity(id);
+        member.set_voter(true);
+    }
+    return members;
+}
+
+// Replica 1 of three, with an uncommitted entry of term 2 at index 2, which
+// has won the election of term 3.
+class elected_replica : public testing::Test
+{
+protected:
+    elected_replica()
+        : engine(1)
+    {
+        recovered_log recovered;
+        recovered.state.set_term(2);
+        recovered.base.set_last_index(1);
+        recovered.base.set_last_term(1);
+        *recovered.base.mutable_members() = three_voters();
+        messages::log_entry entry;
+        entry.set_index(2);
+        entry.set_term(2);
+        entry.mutable_configuration_change()->set_change_id("old");
+        recovered.entries.push_back(entry);
+        replica_settings settings;
+        settings.self = replica_id(1);
+        core.emplace(std::move(
+            replica::create(settings, recovered, engine, start).value()));
+        core->tick(now);
+        vote(true);
+        save();
+        vote(false);
+    }
+
+    void vote(bool pre_vote)
+    {
+        messages::replica_message message;
+        message.set_from(2);
+        message.set_to(1);
+        message.set_term(3);
+        message.mutable_voted()->set_granted(true);
+        message.mutable_voted()->set_pre_vote(pre_vote);
+        core->step(message, now);
+    }
+
+    // Member 2 says that it holds all up to `index`.
+    void acknowledge(log_index index)
+    {
+        messages::replica_message message;
+        message.set_from(2);
+        message.set_to(1);
+        message.set_term(3);
+        message.mutable_appended()->set_success(true);
+        message.mutable_appended()->set_match_index(index);
+        core->step(message, now);
+    }
+
+    void save()
+    {
+        while (core->take_ready(now))
+        {
+            core->saved();
+        }
+    }
+
+    std::optional<replica_refusal>
+    refusal_of(const messages::replica_set& members)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<replica_refusal>>
+            {
+                BOOST_LEAF_CHECK(core->propose_members(members, now));
+                return std::optional<replica_refusal>();
+            },
+            [](const replica_failure& failure)
+            {
+                return std::optional(failure.refusal);
+            },
+            []
+            {
+                return std::optional<replica_refusal>();
+            });
+    }
+
+    messages::replica_set with_fourth(bool voter)
+    {
+        auto members = three_voters();
+        auto& added = *members.add_members();
+        added.set_identity(4);
+        added.set_voter(voter);
+        return members;
+    }
+
+    time_point now = start + std::chrono::seconds(10);
+    random_engine engine;
+    std::optional<replica> core;
+};
+
+TEST_F(elected_replica, commits_older_entries_only_with_one_of_its_own)
+{
+    ASSERT_EQ(core->role(), replica_role::leader);
+    save();
+    acknowledge(2);
+    EXPECT_EQ(core->commit(), 1U);
+    acknowledge(3);
+    EXPECT_EQ(core->commit(), 3U);
+}
+
+TEST_F(elected_replica, changes_no_membership_before_an_entry_of_its_own)
+{
+    save();
+    EXPECT_EQ(
+        refusal_of(with_fourth(false)), replica_refusal::membership_pending);
+    acknowledge(3);
+    EXPECT_EQ(refusal_of(with_fourth(false)), std::nullopt);
+}
+
+TEST_F(elected_replica, changes_one_membership_at_a_time)
+{
+    save();
+    acknowledge(3);
+    ASSERT_EQ(refusal_of(with_fourth(false)), std::nullopt);
+    save();
+    EXPECT_EQ(refusal_of(three_voters()), replica_refusal::membership_pending);
+}
+
+TEST_F(elected_replica, promotes_no_learner_that_lacks_entries)
+{
+    save();
+    acknowledge(3);
+    ASSERT_EQ(refusal_of(with_fourth(false)), std::nullopt);
+    save();
+    acknowledge(4);
+    EXPECT_EQ(refusal_of(with_fourth(true)), replica_refusal::not_caught_up);
+}
+
+TEST_F(elected_replica, changes_one_voter_at_most)
+{
+    save();
+    acknowledge(3);
+    auto members = three_voters();
+    members.mutable_members()->DeleteSubrange(1, 2);
+    EXPECT_EQ(refusal_of(members), replica_refusal::too_many_changes);
+}
+
+} // namespace
+} // namespace nutmegusher
--- a/nutmegusher/control/storage_test.cpp
+++ b/nutmegusher/control/storage_test.cpp
@@ -116,6 +116,31 @@
     EXPECT_EQ(failed->offset, offset);
 }
 
+// Power is lost after a received snapshot is written, before the log that it
+// replaces is; what is appended later must not stand behind that old log.
+TEST(group_storage, drops_a_log_that_a_newer_snapshot_has_replaced)
+{
+    memory_disk target;
+    random_engine engine(1);
+    group_storage<memory_disk> storage(target, 0);
+    save(storage, 1, 5);
+    auto ready = ready_with(1, 0);
+    ready.install = messages::snapshot();
+    ready.install->set_last_index(10);
+    ready.install->set_last_term(1);
+    target.fail_after(1);
+    EXPECT_TRUE(failure_of(
+        [&]
+        {
+            return storage.save(ready);
+        }));
+    target.crash(engine);
+    EXPECT_EQ(loaded_entries(target), 0U);
+    group_storage<memory_disk> again(target, 0);
+    save(again, 11, 12);
+    EXPECT_EQ(loaded_entries(target), 2U);
+}
+
 TEST(group_storage, misses_the_files_of_a_group_that_was_used)
 {
     memory_disk target;
--- a/nutmegusher/node/control_part.cpp
+++ b/nutmegusher/node/control_part.cpp
@@ -95,6 +95,7 @@
     case replace_outcome::foreign_data_folder:
         return 409;
     case replace_outcome::new_host_unreachable:
+    case replace_outcome::wrong_host:
     case replace_outcome::timed_out:
         break;
     }
