--- a/nutmegusher/control/configuration_store_test.cpp
+++ b/nutmegusher/control/configuration_store_test.cpp
@@ -98,7 +98,7 @@
 
 TEST(configuration_store, names_problem_and_field)
 {
-    const auto problem = [](messages::change change)
+    const auto problem = [](const messages::change& change)
     {
         configuration_store store;
         store.apply(declare("first", "payout", 0));
