Let the command line read what the control hosts answer

Cause: the answers of control hosts came to be other ones than the command line expected: history is a list, rollout gave totals and no counts, replace takes old, new and address. Against them `--wait` would never have ended and history would have been empty.

Not run: against running processes.

--- a/nutmegusher/ctl/change_commands.cpp
+++ b/nutmegusher/ctl/change_commands.cpp
@@ -310,7 +310,9 @@
         return exit_code::success;
     }
     text_table table({"revision", "what", "class", "author", "change id"});
-    for (const auto& each : array_field(*reply, "changes"))
+    const auto* const all = reply->if_array();
+    for (const auto& each :
+         all != nullptr ? *all : array_field(*reply, "changes"))
     {
         const auto* const change = find_field(each, "change");
         if (change == nullptr ||
--- a/nutmegusher/ctl/control_commands.cpp
+++ b/nutmegusher/ctl/control_commands.cpp
@@ -93,8 +93,8 @@
 exit_code replace_control_host(const command_context& context)
 {
     const json::object body{
-        {"lost", context.text("lost")},
-        {"host", context.text("new")},
+        {"old", context.text("lost")},
+        {"new", context.text("new")},
         {"address", context.text("address-of-new")}};
     const auto reply =
         context.client.post_once("/v1/control/replace", json::serialize(body));
--- a/nutmegusher/ctl/status_commands.cpp
+++ b/nutmegusher/ctl/status_commands.cpp
@@ -28,6 +28,14 @@
 rollout_state count_rollout(const json::value& reply, revision wanted)
 {
     rollout_state state;
+    if (find_field(reply, "counts") == nullptr)
+    {
+        // Counted against the latest revision: no more can be in force.
+        const bool known = number_field(reply, "revision") >= wanted.value();
+        state.daemons = number_field(reply, "daemons");
+        state.in_force = known ? number_field(reply, "in_force") : 0;
+        return state;
+    }
     for (const auto& each : array_field(reply, "counts"))
     {
         const auto daemons = number_field(each, "daemons");
--- a/nutmegusher/ctl/status_commands_test.cpp
+++ b/nutmegusher/ctl/status_commands_test.cpp
@@ -35,6 +35,18 @@
     EXPECT_THAT(out.str(), HasSubstr("in force at all 16 daemons"));
 }
 
+TEST_F(ctl_test, totals_will_do_where_there_are_no_counts)
+{
+    answer(
+        "/v1/rollout", 200, R"({"revision": 9, "daemons": 2, "in_force": 2})");
+    answer(
+        "/v1/rollout", 200, R"({"revision": 10, "daemons": 2, "in_force": 1})");
+    answer(
+        "/v1/rollout", 200, R"({"revision": 10, "daemons": 2, "in_force": 2})");
+    EXPECT_EQ(command("status --wait --revision 10"), exit_code::success);
+    EXPECT_EQ(queries.size(), 3U);
+}
+
 TEST_F(ctl_test, wait_ends_with_4_when_its_time_is_over)
 {
     answer("/v1/rollout", 200, lagging);
--- a/nutmegusher/node/control_part.cpp
+++ b/nutmegusher/node/control_part.cpp
@@ -186,10 +186,18 @@
         lagging.push_back(json::object{
             {"host", each.host.str()}, {"revision", each.runs.value()}});
     }
+    const auto summary = tally.summary();
+    json::array counts;
+    for (const auto& each : summary.counts())
+    {
+        counts.push_back(json::object{
+            {"revision", each.revision()}, {"daemons", each.daemons()}});
+    }
     return json::object{
         {"revision", wanted.value()},
         {"daemons", tally.daemons()},
         {"in_force", tally.daemons_at(wanted)},
+        {"counts", std::move(counts)},
         {"lagging", std::move(lagging)}};
 }
 
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -9,9 +9,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <algorithm>
 #include <array>
-#include <map>
 #include <optional>
 #include <utility>
 
