Count the short queue in the upstream's own time

Cause: the queue was bounded by four times of what a call takes now, which grows with the queues below: at the end of a surge 216 calls stood before a service that was idle itself. It is bounded by the own time without load now, except for rank 0, which waits as long as its deadline lets it.

--- a/nutmegusher/policy/admission_lane.cpp
+++ b/nutmegusher/policy/admission_lane.cpp
@@ -44,15 +44,20 @@
     return std::max(duration(0), call.target - (call.deadline - now));
 }
 
-duration most_wait(
-    const call_facts& call, duration needed, duration spare, time_point now)
+// `run`: the upstream's own time without load. What the call takes now would
+// grow with the queues below, and this queue with it.
+duration
+most_wait(const call_facts& call, duration run, duration spare, time_point now)
 {
     const duration by_runs = std::clamp<duration>(
-        needed * most_wait_in_runs, least_patience, most_patience);
+        run * most_wait_in_runs, least_patience, most_patience);
     const duration short_queue = std::max(by_runs, spent_on(call, now));
     const duration by_deadline = spare / wait_divisor;
-    return needed == duration(0) ? by_deadline
-                                 : std::min(short_queue, by_deadline);
+    // The first rank is refused last: it waits for as long as that can help.
+    const bool refused_last = call.rank == 0;
+    return refused_last || run == duration(0)
+               ? by_deadline
+               : std::min(short_queue, by_deadline);
 }
 
 double to_seconds(duration time)
@@ -77,7 +82,8 @@
     meter_.on_offered(call.rank, now);
     const duration needed = times_.expected(call.work_class, now);
     const duration spare = call.deadline - now - needed;
-    const duration patience = most_wait(call, needed, spare, now);
+    const duration patience =
+        most_wait(call, times_.no_load(call.work_class), spare, now);
     if (call.deadline <= now)
     {
         return refused{refusal_reason::deadline, duration(0)};
--- a/nutmegusher/policy/service_times.cpp
+++ b/nutmegusher/policy/service_times.cpp
@@ -116,6 +116,13 @@
     return from_seconds(times.recent * std::exp2(-halvings));
 }
 
+duration service_times::no_load(std::uint64_t work_class) const
+{
+    const auto found = classes_.find(work_class);
+    return found == classes_.end() ? duration(0)
+                                   : from_seconds(found->second.no_load);
+}
+
 duration service_times::typical() const
 {
     return from_seconds(typical_);
--- a/nutmegusher/policy/service_times.hpp
+++ b/nutmegusher/policy/service_times.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] duration
     expected(std::uint64_t work_class, time_point now) const;
 
+    // The upstream's own part of a call without load; zero where unknown.
+    [[nodiscard]] duration no_load(std::uint64_t work_class) const;
+
     // The mean no-load time over the classes, weighed by recent answers.
     // Zero where nothing is known.
     [[nodiscard]] duration typical() const;
