Cut the gate's noise: act on a tenth, keep a trickle of a twentieth

Cause: at exactly the capacity random arrivals alone put 5% of the calls of a window over it, and the gates shut the lowest rank for that; and from a trickle of 2% to open took an interval or two more than from 5%.

--- a/nutmegusher/policy/entry_gate.cpp
+++ b/nutmegusher/policy/entry_gate.cpp
@@ -16,7 +16,7 @@
 // One interval's levels never close more than three quarters of what is open.
 constexpr double deepest_cut = 0.25;
 // The trickle that brings news while all is refused: of what is offered.
-constexpr double least_open = 0.02;
+constexpr double least_open = 0.05;
 // Reopening: half as much again after the first quiet interval; the step
 // doubles, up to four times the whole. From the trickle to open takes five
 // intervals, half of the second in which service has to be back.
--- a/nutmegusher/policy/pressure_meter.hpp
+++ b/nutmegusher/policy/pressure_meter.hpp
@@ -64,7 +64,7 @@
     // Refusing less than this at the entry costs more capacity than the
     // wasted work it saves: the deep service must still see some surplus to
     // stay filled.
-    static constexpr double noticeable = 0.05;
+    static constexpr double noticeable = 0.1;
 
     // Short, as whoever hears of refusals cuts what he sends, and must not cut
     // it again for the same ones; long enough for a few dozen calls.
