Let the test of a forgotten peer see that its streams stay

With forget closing its sessions at once the test passed, because the server hadn't noticed yet when it was asked. It looks at the client's streams as well now, and fails in that trial.

--- a/nutmegusher/wire/session_pool_test.cpp
+++ b/nutmegusher/wire/session_pool_test.cpp
@@ -183,6 +183,7 @@
         co_await until(one_open);
         pool.forget(peer);
         EXPECT_EQ(pool.sessions(), 0U);
+        EXPECT_EQ((*session)->open_streams(), 1U);
         EXPECT_EQ(server->open_streams(), 1U);
     }
     const auto none_connected = [&server]
