Let only the rank tell classes apart in the proof of "refused last"

With the naive decisions the proof passed as well: payouts had three seconds where the others had two, so that a first-in-first-out queue favoured them. All classes have one second now.

--- a/testing/overload_test.cpp
+++ b/testing/overload_test.cpp
@@ -33,11 +33,15 @@
     deployment_options options;
     // Two upstreams, four slots of 10 ms each: 800 calls a second.
     options.upstreams.assign(2, {"cash", R"({"slots": 4, "service_ms": 10})"});
-    const auto payout = in_shared_service(offered_payout(150));
-    const auto view = in_shared_service(offered_view(300));
+    auto payout = in_shared_service(offered_payout(150));
+    auto view = in_shared_service(offered_view(300));
     auto statement = in_shared_service(offered_statement(1500));
     statement.answer_bytes = 1000;
-    statement.timeout = std::chrono::milliseconds(2000);
+    // The same time for all, so that only the rank tells them apart.
+    for (auto* offered : {&payout, &view, &statement})
+    {
+        offered->timeout = std::chrono::milliseconds(1000);
+    }
     start(options, shared_service_classes(), {payout, view});
     auto offered = load({payout, view, statement}, 4);
     offered.retries = client_retries::none;
