Let the relay forget a process, so that a second isolation is whole

In a run on a busy machine isolated_control_host_accepts_nothing failed: a daemon stayed at the old revision for 30 s. The relay had kept the first round's entry for the process, as 'pass', and it went before the second round's silence; the leader was cut off from one follower only. The entry is erased now, a test of the relay covers it, and the proof passes.

The partial partition itself is a real fault of the product and stands in docs/PROOFS.md: a control host without a leader goes on answering syncs, so its daemons don't hear of accepted changes.

--- a/testing/deployment.cpp
+++ b/testing/deployment.cpp
@@ -315,10 +315,14 @@
         {
             before.set(behavior);
         }
-        else
+        else if (isolated)
         {
             before.set_from(process, behavior);
         }
+        else
+        {
+            before.forget(process);
+        }
     }
 }
 
--- a/testing/relay.cpp
+++ b/testing/relay.cpp
@@ -99,6 +99,7 @@
 
     void set(const relay_behavior& behavior);
     void set_from(pid_t process, const relay_behavior& behavior);
+    void forget(pid_t process);
     void cut();
 
     [[nodiscard]] std::size_t open_connections() const
@@ -168,6 +169,12 @@
     }
 }
 
+void relay::server::forget(pid_t process)
+{
+    set_from(process, for_new_);
+    by_process_.erase(process);
+}
+
 relay_behavior relay::server::behavior_of(
     const relayed_pair& pair, const relay_behavior& otherwise) const
 {
@@ -308,6 +315,15 @@
         });
 }
 
+void relay::forget(pid_t process)
+{
+    server_->run(
+        [this, process]
+        {
+            server_->forget(process);
+        });
+}
+
 void relay::cut()
 {
     server_->run(
--- a/testing/relay.hpp
+++ b/testing/relay.hpp
@@ -59,6 +59,9 @@
     // process needn't run any more. It goes before `set`.
     void set_from(pid_t process, const relay_behavior& behavior);
 
+    // Takes `set_from` back: the process is like any other again.
+    void forget(pid_t process);
+
     // Resets all open connections.
     void cut();
 
--- a/testing/stand_in_test.cpp
+++ b/testing/stand_in_test.cpp
@@ -219,6 +219,12 @@
         send_request(through, call("a", 8), milliseconds(200)).error(),
         http_failure::timed_out);
     (*between)->set_from(getpid(), {});
+    (*between)->set(silent);
+    EXPECT_TRUE(send_request(through, call("c", 8)));
+    (*between)->forget(getpid());
+    (*between)->set(silent);
+    EXPECT_FALSE(send_request(through, call("d", 8), milliseconds(200)));
+    (*between)->set({});
     (*between)->set_from(getppid(), silent);
     EXPECT_TRUE(send_request(through, call("b", 8)));
 }
