Keep each class's revision where a daemon follows changes

Cause: a daemon that took a change as a delta showed the class at revision 0, so the next change from the command line was based on 0 and refused as a conflict. Found by a run of three control hosts with nutmegusherctl.

The revision of the change becomes the class's; the test failed without.

--- a/nutmegusher/node/configuration_controller.cpp
+++ b/nutmegusher/node/configuration_controller.cpp
@@ -51,7 +51,9 @@
     if (what.has_declare())
     {
         const auto found = position_of(what.declare().name());
-        (found == classes.end() ? *to.add_classes() : *found) = what.declare();
+        auto& declared = found == classes.end() ? *to.add_classes() : *found;
+        declared = what.declare();
+        declared.set_revision(accepted.revision());
     }
     else if (what.has_set_target())
     {
@@ -59,6 +61,7 @@
         if (found != classes.end())
         {
             *found->mutable_target() = what.set_target().target();
+            found->set_revision(accepted.revision());
         }
     }
     else if (const auto found = position_of(what.remove_class());
--- a/nutmegusher/node/configuration_controller_test.cpp
+++ b/nutmegusher/node/configuration_controller_test.cpp
@@ -69,6 +69,12 @@
 {
     configuration_controller controller;
     controller.accept(declare_at(1, declared("a", "", "/")));
+    // What an operator's next change of the class is based on.
+    const auto class_revision = [&controller]
+    {
+        return controller.current()->message().classes(0).revision();
+    };
+    EXPECT_EQ(class_revision(), 1U);
     messages::configuration_delta delta;
     auto& target = *delta.add_changes();
     target.set_revision(2);
@@ -78,6 +84,7 @@
         ->mutable_target()
         ->set_latency_ms(70);
     controller.accept(delta);
+    EXPECT_EQ(class_revision(), 2U);
     EXPECT_EQ(
         controller.current()->find(class_name("a"))->target,
         std::chrono::milliseconds(70));
