--- a/nutmegusher/node/admission_gate.cpp
+++ b/nutmegusher/node/admission_gate.cpp
@@ -105,8 +105,7 @@
     const auto found = running_.find(request);
     if (found != running_.end())
     {
-        controller_.sub_call_started(
-            found->second.ticket, host_clock().now());
+        controller_.sub_call_started(found->second.ticket, host_clock().now());
     }
 }
 
--- a/nutmegusher/node/daemon_main.cpp
+++ b/nutmegusher/node/daemon_main.cpp
@@ -6,6 +6,7 @@
 #include "nutmegusher/wire/wire.hpp"
 
 #include <cxxopts.hpp>
+#include <google/protobuf/stubs/logging.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -101,6 +102,9 @@
 {
     // A peer that has gone is an error of its connection, not of the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Protobuf would write a line, unlimited, for each malformed text that a
+    // peer sends.
+    google::protobuf::SetLogHandler(nullptr);
     auto options = make_options();
     try
     {
--- a/nutmegusher/node/forward_filter.cpp
+++ b/nutmegusher/node/forward_filter.cpp
@@ -160,6 +160,8 @@
              std::string(to_string(call_outcome::completed))});
         head.fields.push_back(
             {std::string(field::tries), std::to_string(call_.tries)});
+        head.fields.push_back(
+            {std::string(field::request_id), call_.request.str()});
         call_.answered = true;
         if (co_await call_.exchange.answer(std::move(head), stored.body()))
         {
--- a/nutmegusher/node/forward_try.cpp
+++ b/nutmegusher/node/forward_try.cpp
@@ -201,9 +201,10 @@
 {
     const auto& shared = call_.here.shared;
     const auto& of = *call_.work_class;
-    const auto limit = shared.routes.try_timeout(of.service, to_.handle, of.bulk);
-    const bool can_move = of.repeatable && call_.body_complete &&
-                          call_.tokens().count() > 0;
+    const auto limit =
+        shared.routes.try_timeout(of.service, to_.handle, of.bulk);
+    const bool can_move =
+        of.repeatable && call_.body_complete && call_.tokens().count() > 0;
     if (!limit || !can_move || *limit >= call_.time_left())
     {
         return;
@@ -360,10 +361,7 @@
     }
     auto& shared = call_.here.shared;
     const auto ahead = shared.routes.on_levels(
-        call_.work_class->service,
-        to_.handle,
-        *levels,
-        call_.work_class->bulk);
+        call_.work_class->service, to_.handle, *levels, call_.work_class->bulk);
     if (call_.part_of)
     {
         const auto root = call_.part_of->terms().work_class.str();
--- a/nutmegusher/node/path_test.cpp
+++ b/nutmegusher/node/path_test.cpp
@@ -182,6 +182,8 @@
     const auto again = pay("k1");
     EXPECT_EQ(again.status, 201U);
     EXPECT_EQ(again.body, "run 1");
+    EXPECT_FALSE(first.field("nutmeg-request-id").empty());
+    EXPECT_FALSE(again.field("nutmeg-request-id").empty());
     const auto other = pay("k1", "8");
     EXPECT_EQ(other.status, 422U);
     EXPECT_EQ(other.field("nutmeg-reason"), "key-reused");
