Give the slot of a given-up payout back at its deadline

A call that may not be repeated is waited for a minute after its caller gave up, so that its outcome becomes known, and kept its admission slot all that time; a handful of silent connections took the whole limit. Ruled out: the limit's shrinking alone (views recover at once), the claims (no call ran twice).

Now the slot is released at the deadline as timed out; the wait goes on without it. Both timers' handlers hold weak references, as one may already be queued when its owner ends.

--- a/nutmegusher/node/forward_try.cpp
+++ b/nutmegusher/node/forward_try.cpp
@@ -211,12 +211,14 @@
     }
     slowness_ = std::make_unique<asio::steady_timer>(call_.here.context);
     slowness_->expires_after(*limit);
+    std::weak_ptr<forward_try*> weak = alive_;
     slowness_->async_wait(
-        [this](boost::system::error_code stopped)
+        [weak](boost::system::error_code stopped)
         {
-            if (!stopped)
+            const auto self = weak.lock();
+            if (!stopped && self && (*self)->slowness_)
             {
-                move_if_worth();
+                (*self)->move_if_worth();
             }
         });
 }
--- a/nutmegusher/node/forward_try.hpp
+++ b/nutmegusher/node/forward_try.hpp
@@ -73,9 +73,10 @@
     time_point started_;
     std::unique_ptr<wire::client_stream> stream_;
     std::optional<lent_tokens> lent_;
-    // Runs while no answer has begun. Its handler isn't called once the timer
-    // has gone, and both end on the worker's thread.
+    // Runs while no answer has begun.
     std::unique_ptr<asio::steady_timer> slowness_;
+    // A timer's handler may already be queued when the try ends.
+    std::shared_ptr<forward_try*> alive_ = std::make_shared<forward_try*>(this);
     // Given up in favour of a faster upstream.
     bool moved_ = false;
     bool reported_ = false;
--- a/nutmegusher/node/upstream_chain.cpp
+++ b/nutmegusher/node/upstream_chain.cpp
@@ -5,6 +5,10 @@
 #include "nutmegusher/node/peer_call.hpp"
 #include "nutmegusher/node/upstream_filter.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+
 namespace nutmegusher::node
 {
 
@@ -103,27 +107,52 @@
     }
 
 private:
-    // Gives the slot back with the call's result, however the call ends.
+    // Gives the slot back with the call's result when the call ends, and at the
+    // deadline of one whose answer is waited for longer (it may not be
+    // repeated). Load pattern: connections that have gone silent. Without it
+    // each such call would hold its slot for a minute.
     class slot
     {
     public:
         slot(peer_call& call, const call_facts& facts)
             : call_(call)
             , facts_(facts)
+            , deadline_(call.here.context)
         {
+            deadline_.expires_at(facts.deadline);
+            std::weak_ptr<slot*> weak = alive_;
+            deadline_.async_wait(
+                [weak](boost::system::error_code)
+                {
+                    if (const auto self = weak.lock())
+                    {
+                        (*self)->release(call_result::timed_out);
+                    }
+                });
         }
 
         ~slot()
         {
-            call_.here.shared.admission.finish(facts_, call_.result);
+            release(call_.result);
         }
 
         slot(const slot&) = delete;
         slot& operator=(const slot&) = delete;
 
     private:
+        void release(call_result result)
+        {
+            if (!std::exchange(released_, true))
+            {
+                call_.here.shared.admission.finish(facts_, result);
+            }
+        }
+
         peer_call& call_;
         call_facts facts_;
+        asio::steady_timer deadline_;
+        std::shared_ptr<slot*> alive_ = std::make_shared<slot*>(this);
+        bool released_ = false;
     };
 
     static call_facts facts_of(const peer_call& call, ticket_id ticket)
