Hold a slot only while the upstream works; prove that no host without a leader is believed

Cause: at three times the capacity payouts were whole, but goodput was 581 a second of 800: a payout kept its admission slot while its claim was made and its outcome recorded, two commits of the log beside 10 ms of work, and the limit took that time for the upstream's. Now the slot ends with the upstream's answer, and the time of a claim counts like a sub-call's. Ruled out: the limit itself (lookups alone reach the capacity).

--- a/nutmegusher/node/admission_gate.cpp
+++ b/nutmegusher/node/admission_gate.cpp
@@ -20,7 +20,7 @@
 // A suspended `enter`. `verdict` and `timer` are touched on `executor` only.
 struct admission_gate::waiter
 {
-    explicit waiter(asio::any_io_executor on)
+    explicit waiter(const asio::any_io_executor& on)
         : executor(on)
         , timer(on)
     {
--- a/nutmegusher/node/claim_filter.cpp
+++ b/nutmegusher/node/claim_filter.cpp
@@ -140,11 +140,16 @@
             co_return guard_.cancel(
                 wall_milliseconds(), outcome_reason::cancelled);
         }
+        // Like a sub-call, the time of a claim isn't the upstream's own.
+        auto& gate = call_.here.shared.admission;
+        const auto request = stable_hash(call_.terms.request.str());
+        gate.sub_call_started(request);
         const auto result = co_await propose_claim(
             call_.here.peers,
             call_.here.shared.claims,
             std::move(command),
             propose_limit);
+        gate.sub_call_ended(request, false);
         if (result)
         {
             co_return guard_.claim_replied(
@@ -163,6 +168,8 @@
     asio::awaitable<guard_step> start()
     {
         co_await run_();
+        // The outcome is recorded without a slot: it isn't the upstream's work.
+        call_.release_slot();
         if (call_.answer && !refused_without_effect())
         {
             co_return guard_.call_completed(
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -429,19 +429,18 @@
 }
 
 template <class State>
-asio::awaitable<void>
-serve_connection(std::shared_ptr<State> server, tcp::socket socket)
+asio::awaitable<void> serve_connection(
+    std::shared_ptr<State> server, std::unique_ptr<beast::tcp_stream> stream)
 {
     const counted one(server->connections);
     boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
+    stream->socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
-    while (co_await serve_request(*server, stream, buffer))
+    while (co_await serve_request(*server, *stream, buffer))
     {
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream.close();
+    stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream->close();
 }
 
 template <class State>
@@ -460,9 +459,10 @@
             continue; // closes it
         }
         auto executor = server->acceptor.get_executor();
+        auto stream = std::make_unique<beast::tcp_stream>(std::move(socket));
         asio::co_spawn(
             executor,
-            serve_connection(server, std::move(socket)),
+            serve_connection(server, std::move(stream)),
             asio::detached);
     }
 }
@@ -471,7 +471,7 @@
 
 leaf::result<std::unique_ptr<http_server>> http_server::listen(
     asio::io_context& context,
-    tcp::endpoint address,
+    const tcp::endpoint& address,
     http_handler handler,
     const http_server_options& options)
 {
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -91,7 +91,7 @@
     // Errors: `listen_error`.
     [[nodiscard]] static leaf::result<std::unique_ptr<http_server>> listen(
         asio::io_context& context,
-        asio::ip::tcp::endpoint address,
+        const asio::ip::tcp::endpoint& address,
         http_handler handler,
         const http_server_options& options);
 
--- a/nutmegusher/node/own_upstream.cpp
+++ b/nutmegusher/node/own_upstream.cpp
@@ -86,7 +86,7 @@
 }
 
 own_upstream::own_upstream(
-    const host_settings& host, endpoint peers, incarnation run)
+    const host_settings& host, const endpoint& peers, incarnation run)
 {
     record_.set_host(host.id.str());
     record_.set_incarnation(run.value());
--- a/nutmegusher/node/own_upstream.hpp
+++ b/nutmegusher/node/own_upstream.hpp
@@ -44,7 +44,8 @@
 class own_upstream
 {
 public:
-    own_upstream(const host_settings& host, endpoint peers, incarnation run);
+    own_upstream(
+        const host_settings& host, const endpoint& peers, incarnation run);
 
     upstream_change announce(const announcement& said, time_point now);
 
--- a/nutmegusher/node/path_test.cpp
+++ b/nutmegusher/node/path_test.cpp
@@ -301,6 +301,7 @@
 {
     serve_with(echo, "balances");
     std::vector<std::future<bool>> callers;
+    callers.reserve(8);
     for (int caller = 0; caller < 8; ++caller)
     {
         callers.push_back(std::async(
--- a/nutmegusher/node/peer_call.hpp
+++ b/nutmegusher/node/peer_call.hpp
@@ -67,6 +67,9 @@
     std::optional<request_ledger::running_request> running;
     // For the admission controller.
     call_result result = call_result::never_started;
+    // Gives the admission slot back with `result`; what follows doesn't use
+    // the upstream. Calls after the first one do nothing.
+    std::function<void()> release_slot = [] {};
     // Calls that may not be repeated are answered by their claim.
     std::optional<whole_answer> answer;
     std::optional<upstream_failure> failure;
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/node/settings.hpp"
 
+#include "nutmegusher/node/settings_reader.hpp"
+
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
@@ -18,6 +20,8 @@
 {
 
 namespace pt = boost::property_tree;
+using internal::reader;
+using internal::trimmed;
 
 constexpr std::array known{
     known_setting{"host", "id", "", "name of this host, unique"},
@@ -84,7 +88,6 @@
 constexpr std::uint32_t least_header_bytes = 1024;
 constexpr std::uint32_t most_header_bytes = 1048576;
 constexpr std::uint32_t most_body_bytes = 16777216;
-constexpr std::size_t longest_name = 64;
 
 std::string_view problem_text(settings_problem problem)
 {
@@ -118,331 +121,6 @@
     return "refused";
 }
 
-std::string trimmed(std::string_view text)
-{
-    const auto first = text.find_first_not_of(" \t\r");
-    if (first == std::string_view::npos)
-    {
-        return {};
-    }
-    const auto last = text.find_last_not_of(" \t\r");
-    return std::string(text.substr(first, last - first + 1));
-}
-
-std::vector<std::string> split(std::string_view text)
-{
-    std::vector<std::string> parts;
-    std::istringstream in{std::string(text)};
-    std::string part;
-    while (std::getline(in, part, ','))
-    {
-        if (auto item = trimmed(part); !item.empty())
-        {
-            parts.push_back(std::move(item));
-        }
-    }
-    return parts;
-}
-
-// Where each key stands; PropertyTree doesn't keep lines.
-class line_index
-{
-public:
-    explicit line_index(std::string_view text)
-    {
-        std::istringstream in{std::string(text)};
-        std::string raw;
-        std::string section;
-        for (std::size_t line = 1; std::getline(in, raw); ++line)
-        {
-            const auto item = trimmed(raw);
-            if (item.empty() || item.front() == ';' || item.front() == '#')
-            {
-                continue;
-            }
-            if (item.front() == '[')
-            {
-                section = item.substr(1, item.find(']') - 1);
-                sections_.emplace(section, line);
-                continue;
-            }
-            const auto key = trimmed(item.substr(0, item.find('=')));
-            lines_.emplace(section + "." + key, line);
-        }
-    }
-
-    [[nodiscard]] std::size_t
-    line_of(const std::string& section, const std::string& key) const
-    {
-        const auto found = lines_.find(section + "." + key);
-        if (found != lines_.end())
-        {
-            return found->second;
-        }
-        const auto start = sections_.find(section);
-        return start == sections_.end() ? 0 : start->second;
-    }
-
-private:
-    std::map<std::string, std::size_t> lines_;
-    std::map<std::string, std::size_t> sections_;
-};
-
-bool is_name(std::string_view text)
-{
-    const auto allowed = [](char c)
-    {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-               (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
-    };
-    return !text.empty() && text.size() <= longest_name &&
-           std::all_of(text.begin(), text.end(), allowed);
-}
-
-// Reads typed values and fails with the place of each.
-class reader
-{
-public:
-    reader(std::string_view file, std::string_view text, pt::ptree tree)
-        : file_(file)
-        , lines_(text)
-        , tree_(std::move(tree))
-    {
-    }
-
-    [[nodiscard]] leaf::result<void> check_keys() const
-    {
-        for (const auto& [section, keys] : tree_)
-        {
-            if (!has_section(section))
-            {
-                return fail(section, "", "", settings_problem::unknown_section);
-            }
-            for (const auto& [key, value] : keys)
-            {
-                if (!has_key(section, key))
-                {
-                    return fail(
-                        section,
-                        key,
-                        value.data(),
-                        settings_problem::unknown_key);
-                }
-            }
-        }
-        return {};
-    }
-
-    [[nodiscard]] bool has(const char* section) const
-    {
-        return tree_.find(section) != tree_.not_found();
-    }
-
-    [[nodiscard]] std::optional<std::string>
-    text(const std::string& section, const std::string& key) const
-    {
-        const auto found = tree_.find(section);
-        if (found == tree_.not_found())
-        {
-            return std::nullopt;
-        }
-        const auto value = found->second.find(key);
-        if (value == found->second.not_found())
-        {
-            return std::nullopt;
-        }
-        return trimmed(value->second.data());
-    }
-
-    [[nodiscard]] leaf::result<std::string>
-    required(const std::string& section, const std::string& key) const
-    {
-        if (auto value = text(section, key))
-        {
-            return *std::move(value);
-        }
-        return fail(section, key, "", settings_problem::missing_key);
-    }
-
-    template <class Name>
-    [[nodiscard]] leaf::result<Name>
-    required_name(const std::string& section, const std::string& key) const
-    {
-        BOOST_LEAF_AUTO(value, required(section, key));
-        if (!is_name(value))
-        {
-            return fail(section, key, value, settings_problem::bad_name);
-        }
-        return Name(value);
-    }
-
-    [[nodiscard]] leaf::result<endpoint>
-    address(const std::string& section, const std::string& key) const
-    {
-        BOOST_LEAF_AUTO(value, required(section, key));
-        if (const auto parsed = parse_endpoint(value))
-        {
-            return *parsed;
-        }
-        return fail(section, key, value, settings_problem::bad_address);
-    }
-
-    [[nodiscard]] leaf::result<std::optional<endpoint>>
-    optional_address(const std::string& section, const std::string& key) const
-    {
-        if (!text(section, key))
-        {
-            return std::optional<endpoint>();
-        }
-        BOOST_LEAF_AUTO(value, address(section, key));
-        return std::optional<endpoint>(value);
-    }
-
-    [[nodiscard]] leaf::result<std::uint32_t> count(
-        const std::string& section,
-        const std::string& key,
-        std::uint32_t default_value,
-        std::uint32_t least,
-        std::uint32_t most) const
-    {
-        const auto value = text(section, key);
-        if (!value)
-        {
-            return default_value;
-        }
-        std::uint32_t parsed = 0;
-        const auto* const end = value->data() + value->size();
-        const auto [rest, code] = std::from_chars(value->data(), end, parsed);
-        if (code == std::errc::result_out_of_range)
-        {
-            return fail(section, key, *value, settings_problem::out_of_range);
-        }
-        if (code != std::errc() || rest != end)
-        {
-            return fail(section, key, *value, settings_problem::bad_number);
-        }
-        if (parsed < least || parsed > most)
-        {
-            return fail(section, key, *value, settings_problem::out_of_range);
-        }
-        return parsed;
-    }
-
-    // True for `yes`, false for `no`.
-    [[nodiscard]] leaf::result<bool> choice(
-        const std::string& section,
-        const std::string& key,
-        std::string_view yes,
-        std::string_view no,
-        bool default_value) const
-    {
-        const auto value = text(section, key);
-        if (!value)
-        {
-            return default_value;
-        }
-        if (*value != yes && *value != no)
-        {
-            return fail(section, key, *value, settings_problem::bad_choice);
-        }
-        return *value == yes;
-    }
-
-    [[nodiscard]] leaf::result<std::vector<endpoint>>
-    addresses(const std::string& section, const std::string& key) const
-    {
-        BOOST_LEAF_AUTO(value, required(section, key));
-        std::vector<endpoint> all;
-        for (const auto& item : split(value))
-        {
-            const auto parsed = parse_endpoint(item);
-            if (!parsed)
-            {
-                return fail(section, key, item, settings_problem::bad_address);
-            }
-            all.push_back(*parsed);
-        }
-        if (all.empty())
-        {
-            return fail(section, key, value, settings_problem::empty_list);
-        }
-        return all;
-    }
-
-    [[nodiscard]] leaf::result<std::vector<named_address>>
-    named_addresses(const std::string& section, const std::string& key) const
-    {
-        BOOST_LEAF_AUTO(value, required(section, key));
-        std::vector<named_address> all;
-        for (const auto& item : split(value))
-        {
-            const auto equals = item.find('=');
-            const auto parsed =
-                equals == std::string::npos
-                    ? std::nullopt
-                    : parse_endpoint(
-                          trimmed(std::string_view(item).substr(equals + 1)));
-            if (!parsed)
-            {
-                return fail(section, key, item, settings_problem::bad_address);
-            }
-            const auto host = trimmed(std::string_view(item).substr(0, equals));
-            if (!is_name(host))
-            {
-                return fail(section, key, item, settings_problem::bad_name);
-            }
-            all.push_back({host_id(host), *parsed});
-        }
-        if (all.empty())
-        {
-            return fail(section, key, value, settings_problem::empty_list);
-        }
-        return all;
-    }
-
-private:
-    [[nodiscard]] leaf::error_id fail(
-        const std::string& section,
-        const std::string& key,
-        std::string_view value,
-        settings_problem problem) const
-    {
-        return leaf::new_error(settings_error{
-            file_,
-            lines_.line_of(section, key),
-            section,
-            key,
-            std::string(value),
-            problem});
-    }
-
-    static bool has_section(std::string_view section)
-    {
-        return std::any_of(
-            known.begin(),
-            known.end(),
-            [section](const auto& entry)
-            {
-                return entry.section == section;
-            });
-    }
-
-    static bool has_key(std::string_view section, std::string_view key)
-    {
-        return std::any_of(
-            known.begin(),
-            known.end(),
-            [&](const auto& entry)
-            {
-                return entry.section == section && entry.key == key;
-            });
-    }
-
-    std::string file_;
-    line_index lines_;
-    pt::ptree tree_;
-};
-
 leaf::result<host_settings> read_host(const reader& in)
 {
     host_settings host;
@@ -657,7 +335,7 @@
             "",
             problem_of(error)});
     }
-    return read_all(reader(file_name, text, std::move(tree)));
+    return read_all(reader(file_name, text, tree));
 }
 
 leaf::result<settings> read_settings(const std::filesystem::path& file)
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -86,7 +86,7 @@
 // A sync that is held until there is news.
 struct sync_server::waiter
 {
-    explicit waiter(asio::any_io_executor on)
+    explicit waiter(const asio::any_io_executor& on)
         : executor(on)
         , timer(on)
     {
--- a/nutmegusher/node/upstream_chain.cpp
+++ b/nutmegusher/node/upstream_chain.cpp
@@ -102,8 +102,13 @@
         {
             co_return;
         }
-        const slot held(call, facts);
+        slot held(call, facts);
+        call.release_slot = [&held]
+        {
+            held.release_now();
+        };
         co_await next();
+        call.release_slot = [] {};
     }
 
 private:
@@ -139,6 +144,11 @@
         slot(const slot&) = delete;
         slot& operator=(const slot&) = delete;
 
+        void release_now()
+        {
+            release(call_.result);
+        }
+
     private:
         void release(call_result result)
         {
--- a/testing/configuration_test.cpp
+++ b/testing/configuration_test.cpp
@@ -263,6 +263,25 @@
     EXPECT_EQ(steps_back, 0U);
 }
 
+TEST_F(configuration, control_host_without_a_leader_holds_no_daemon_back)
+{
+    learn_view_revision();
+    start_watch();
+    for (std::size_t i = 0; i < here->control_count(); ++i)
+    {
+        here->part_control(i, true);
+        reachable = here->all_control_operators();
+        reachable.erase(reachable.begin() + static_cast<std::ptrdiff_t>(i));
+        const auto latency = 1800 + static_cast<std::uint32_t>(i);
+        ASSERT_EQ(set_view_target(latency).outcome, change_outcome::accepted)
+            << here->logs();
+        EXPECT_TRUE(everywhere(latency)) << here->logs();
+        here->part_control(i, false);
+    }
+    EXPECT_TRUE(everywhere(1802));
+    EXPECT_EQ(steps_back, 0U);
+}
+
 TEST_F(configuration, frozen_leader_wakes_late_and_reverts_nothing)
 {
     learn_view_revision();
--- a/testing/deployment.cpp
+++ b/testing/deployment.cpp
@@ -24,6 +24,14 @@
                                      : text.substr(text.size() - most_shown);
 }
 
+relay_behavior both_silent()
+{
+    relay_behavior behavior;
+    behavior.to_target = relay_direction::silent;
+    behavior.to_client = relay_direction::silent;
+    return behavior;
+}
+
 } // namespace
 
 struct deployment::state
@@ -301,12 +309,7 @@
 
 void deployment::isolate_control(std::size_t index, bool isolated)
 {
-    relay_behavior behavior;
-    if (isolated)
-    {
-        behavior.to_target = relay_direction::silent;
-        behavior.to_client = relay_direction::silent;
-    }
+    const auto behavior = isolated ? both_silent() : relay_behavior();
     const auto process = control(index).id();
     for (std::size_t i = 0; i < state_->to_controls.size(); ++i)
     {
@@ -326,6 +329,29 @@
     }
 }
 
+void deployment::part_control(std::size_t index, bool parted)
+{
+    const auto hold = [parted](relay& before, pid_t process)
+    {
+        if (parted)
+        {
+            before.set_from(process, both_silent());
+        }
+        else
+        {
+            before.forget(process);
+        }
+    };
+    for (std::size_t i = 0; i < state_->to_controls.size(); ++i)
+    {
+        if (i != index)
+        {
+            hold(*state_->to_controls[i], control(index).id());
+            hold(*state_->to_controls[index], control(i).id());
+        }
+    }
+}
+
 bool deployment::declare(const std::vector<declared_class>& classes)
 {
     std::uint64_t last = 0;
--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -92,6 +92,10 @@
     // or joins it again. Requires: `relay_to_control`.
     void isolate_control(std::size_t index, bool isolated);
 
+    // Cuts a control host off silently from the other control hosts only;
+    // daemons still reach all. Requires: `relay_to_control`.
+    void part_control(std::size_t index, bool parted);
+
     // Declares the classes and waits until every daemon runs them and knows
     // its own upstream. False where it doesn't happen.
     [[nodiscard]] bool declare(const std::vector<declared_class>& classes);
