--- a/nutmegusher/node/control_part.cpp
+++ b/nutmegusher/node/control_part.cpp
@@ -22,7 +22,6 @@
 constexpr duration hand_over_limit = std::chrono::seconds(3);
 // What `history` shows at most.
 constexpr std::size_t most_history = 1000;
-// Daemons that lag which `rollout` names.
 constexpr std::string_view sync_path = "/control/sync";
 constexpr std::string_view registry_path = "/control/registry";
 
--- a/nutmegusher/node/outcome_api.cpp
+++ b/nutmegusher/node/outcome_api.cpp
@@ -67,6 +67,7 @@
     return values;
 }
 
+// No record proves nothing: an attempt may still be on its way.
 std::string_view state_text(messages::claim_verdict verdict)
 {
     switch (verdict)
@@ -76,7 +77,7 @@
     case messages::claim_already_finished:
         return "completed";
     default:
-        return "not-run";
+        return "no-record";
     }
 }
 
--- a/nutmegusher/node/outcome_api_test.cpp
+++ b/nutmegusher/node/outcome_api_test.cpp
@@ -80,6 +80,12 @@
     EXPECT_EQ(field_refused(with("status", 201)), "out-of-range never_ran");
 }
 
+TEST(outcome_json, no_record_is_not_taken_for_not_run)
+{
+    const auto shown = outcome_json(messages::claim_result());
+    EXPECT_EQ(shown.at("outcome").as_string(), "no-record");
+}
+
 TEST(outcome_json, holder_can_be_given_back)
 {
     messages::claim_result result;
