Don't say 'not run' after a try that may have run

A repeatable call is tried again after a try that broke or was given up; when the next one was refused, the caller was told that one's outcome. Calls that may not be repeated aren't affected: they are tried again only after a proof.

path.not_run_is_not_said_after_a_try_that_may_have_run brings it about and failed before ('not-run' after 2 tries); with the tries' outcomes joined it passes.

--- a/nutmegusher/node/forward_filter.cpp
+++ b/nutmegusher/node/forward_filter.cpp
@@ -110,6 +110,7 @@
                 co_return true;
             }
         }
+        may_have_run_ = may_have_run_ || !failed.certainly_not_run;
         last_ = failed.told;
         co_return !co_await may_try_again(failed);
     }
@@ -218,6 +219,10 @@
 
     asio::awaitable<void> give_up(refusal told)
     {
+        if (may_have_run_)
+        {
+            told.result = call_outcome::unknown;
+        }
         if (told.come_back <= duration::zero() && status_of(told.reason) >= 500)
         {
             // A fault without a known end: about the time that a call takes.
@@ -244,6 +249,9 @@
     entry_call& call_;
     std::vector<upstream_handle> tried_;
     std::optional<refusal> last_;
+    // One of the tries wasn't proved not to have run: only a repeatable call
+    // is tried again after that, and its caller isn't told "not run".
+    bool may_have_run_ = false;
 };
 
 } // namespace
--- a/nutmegusher/node/path_test.cpp
+++ b/nutmegusher/node/path_test.cpp
@@ -297,6 +297,24 @@
     }
 }
 
+TEST_F(path, not_run_is_not_said_after_a_try_that_may_have_run)
+{
+    std::atomic<int> runs = 0;
+    const auto breaks_and_leaves =
+        [&](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        co_await body_of(exchange);
+        ++runs;
+        beside.shared.admission.set_leaving(true);
+    };
+    serve_with(breaks_and_leaves, "balances");
+    const auto answer = request(entry.callers(), "GET", "/balances/all");
+    EXPECT_EQ(runs, 1);
+    EXPECT_EQ(answer.field("nutmeg-outcome"), "unknown")
+        << answer.field("nutmeg-reason") << " after "
+        << answer.field("nutmeg-tries") << " tries";
+}
+
 TEST_F(path, parallel_callers_each_get_their_own_answer)
 {
     serve_with(echo, "balances");
