Don't let a caller's departure reach a try that has ended

The watch for the caller's departure held the stream of its try, and stays set while the next try waits for a connection.

path.a_caller_that_leaves_between_tries_is_survived brings it about: under valgrind an invalid read in client_stream::cancel before, nothing after (without valgrind it passes both times). Ruled out by that test's first form: the wait for a fence, during which the try is still there.

--- a/nutmegusher/node/forward_try.cpp
+++ b/nutmegusher/node/forward_try.cpp
@@ -171,15 +171,19 @@
     stream_->expire_after(call_.time_left());
     if (call_.body_complete)
     {
+        // The watch outlives this try: the caller may leave between two.
         std::weak_ptr<bool> gone = call_.caller_gone;
-        auto* const stream = stream_.get();
+        std::weak_ptr<forward_try*> weak = alive_;
         call_.exchange.on_disconnect(
-            [gone, stream]
+            [gone, weak]
             {
                 if (const auto flag = gone.lock())
                 {
                     *flag = true;
-                    stream->cancel();
+                }
+                if (const auto self = weak.lock())
+                {
+                    (*self)->stream_->cancel();
                 }
             });
     }
--- a/nutmegusher/node/path_test.cpp
+++ b/nutmegusher/node/path_test.cpp
@@ -1,12 +1,15 @@
 // The path from a caller to an upstream and back, over real sockets.
 #include "nutmegusher/node/test_deployment.hpp"
 
+#include <boost/asio/write.hpp>
+
 #include <gtest/gtest.h>
 
 #include <array>
 #include <future>
 #include <mutex>
 #include <set>
+#include <thread>
 
 namespace nutmegusher::node::test
 {
@@ -315,6 +318,49 @@
         << answer.field("nutmeg-tries") << " tries";
 }
 
+// Asks, and closes the connection a little after the upstream has run the
+// request once more.
+void ask_and_hang_up(const endpoint& at, const std::atomic<int>& runs)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(at);
+    const int before = runs;
+    const std::string text = "GET /balances/all HTTP/1.1\r\nhost: x\r\n\r\n";
+    asio::write(socket, asio::buffer(text));
+    const auto until = host_clock().now() + std::chrono::seconds(5);
+    while (runs == before && host_clock().now() < until)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+}
+
+// The first try has ended, and the second one waits for a host that accepts
+// and says nothing, when the caller leaves.
+TEST_F(path, a_caller_that_leaves_between_tries_is_survived)
+{
+    asio::io_context context;
+    const endpoint any(asio::ip::address_v4::loopback(), 0);
+    asio::ip::tcp::acceptor silent(context, any);
+    std::atomic<int> runs = 0;
+    const auto breaks = [&](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        co_await body_of(exchange);
+        ++runs;
+    };
+    serve_with(breaks, "balances");
+    route_to(
+        entry,
+        "balances",
+        {{"beside", beside.peers()}, {"silent", silent.local_endpoint()}});
+    for (int i = 0; i < 6; ++i)
+    {
+        ask_and_hang_up(entry.callers(), runs);
+    }
+    EXPECT_EQ(request(entry.callers(), "GET", "/nothing").status, 404U);
+}
+
 TEST_F(path, parallel_callers_each_get_their_own_answer)
 {
     serve_with(echo, "balances");
