--- a/cmake/nutmegusher_build.cmake
+++ b/cmake/nutmegusher_build.cmake
@@ -43,8 +43,13 @@
 
 find_package(Threads REQUIRED)
 find_package(Protobuf REQUIRED)
-find_package(GTest REQUIRED)
-find_package(benchmark REQUIRED)
+# For machines that only run the programs: no tests, no benchmarks, and none of
+# their libraries.
+option(NUTMEGUSHER_PROGRAMS_ONLY "Build the programs and nothing else" OFF)
+if(NOT NUTMEGUSHER_PROGRAMS_ONLY)
+    find_package(GTest REQUIRED)
+    find_package(benchmark REQUIRED)
+endif()
 find_package(Boost 1.81 REQUIRED COMPONENTS json)
 
 # nutmegusher_library(NAME SOURCES a.cpp ... DEPENDS x y ...)
@@ -67,6 +72,9 @@
 # nutmegusher_test(NAME SOURCES a_test.cpp ... DEPENDS nutmegusher_x ...)
 # A GoogleTest program, registered with CTest as one test.
 function(nutmegusher_test name)
+    if(NUTMEGUSHER_PROGRAMS_ONLY)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
     if(NOT ARG_TIMEOUT)
         set(ARG_TIMEOUT 300)
--- a/nutmegusher/control/configuration_check.cpp
+++ b/nutmegusher/control/configuration_check.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/control/configuration_check.hpp"
 
+#include "nutmegusher/control/route_check.hpp"
+
 #include <algorithm>
 
 namespace nutmegusher
@@ -128,6 +130,8 @@
     }
     case messages::change::kRemoveClass:
         return check_name(change.remove_class(), "remove_class");
+    case messages::change::kInstallRoutes:
+        return check_routes(change.install_routes());
     case messages::change::ACTION_NOT_SET:
         break;
     }
@@ -161,6 +165,7 @@
         return change.set_target().class_name();
     case messages::change::kRemoveClass:
         return change.remove_class();
+    case messages::change::kInstallRoutes:
     case messages::change::ACTION_NOT_SET:
         break;
     }
--- a/nutmegusher/control/configuration_check.hpp
+++ b/nutmegusher/control/configuration_check.hpp
@@ -35,7 +35,7 @@
 [[nodiscard]] std::optional<configuration_problem>
 check_change(const messages::change& change);
 
-// The class that a change is about; empty where it has no action.
+// The class that a change is about; empty where it is about none.
 [[nodiscard]] std::string_view
 changed_class_name(const messages::change& change);
 
--- a/nutmegusher/control/configuration_store.cpp
+++ b/nutmegusher/control/configuration_store.cpp
@@ -66,7 +66,7 @@
             known->set_revision(accepted.revision());
         }
     }
-    else
+    else if (!change.has_install_routes())
     {
         remove(change.remove_class());
     }
@@ -98,7 +98,9 @@
     {
         perform(change);
     }
-    if (!change.change_id().empty())
+    const bool accepted = result.verdict() == messages::change_accepted;
+    if (!change.change_id().empty() &&
+        (accepted || !change.has_install_routes()))
     {
         remember(change, result);
     }
@@ -132,6 +134,10 @@
     {
         return invalid(problem->problem, std::move(problem->field));
     }
+    if (change.has_install_routes())
+    {
+        return judge_routes(change.install_routes());
+    }
     const auto name = changed_class_name(change);
     const auto present = class_revision(name);
     if (present.value() != change.based_on())
@@ -155,6 +161,22 @@
     return refused(messages::change_accepted, revision_.next());
 }
 
+messages::change_result configuration_store::judge_routes(
+    const messages::route_document& document) const
+{
+    if (document.based_on() != routes_.version())
+    {
+        return refused(
+            messages::change_conflict,
+            nutmegusher::revision(routes_.version()));
+    }
+    if (document.version() <= routes_.version())
+    {
+        return invalid(messages::problem_old_version, "version");
+    }
+    return refused(messages::change_accepted, revision_.next());
+}
+
 nutmegusher::revision
 configuration_store::class_revision(std::string_view name) const
 {
@@ -199,6 +221,11 @@
         {
             classes_.erase(name);
         });
+    if (change.has_install_routes())
+    {
+        routes_ = change.install_routes();
+        accepted = without_routes(accepted);
+    }
     history_.push_back(std::move(accepted));
     if (history_.size() > limits_.history)
     {
@@ -226,6 +253,10 @@
     {
         *all.add_classes() = declared;
     }
+    if (routes_.version() > 0)
+    {
+        *all.mutable_routes() = routes_;
+    }
     return all;
 }
 
@@ -248,6 +279,10 @@
     {
         *delta.add_changes() = *change;
     }
+    if (replaces_routes(delta))
+    {
+        *delta.mutable_routes() = routes_;
+    }
     return delta;
 }
 
@@ -285,6 +320,7 @@
         const auto name = declared.name();
         store.classes_[name] = std::move(declared);
     }
+    store.routes_ = std::move(*state.mutable_present()->mutable_routes());
     for (auto& accepted : *state.mutable_history())
     {
         store.history_.push_back(std::move(accepted));
@@ -341,6 +377,39 @@
             });
         target.set_revision(accepted.revision());
     }
+    if (delta.has_routes())
+    {
+        *target.mutable_routes() = delta.routes();
+    }
+}
+
+messages::accepted_change
+without_routes(const messages::accepted_change& accepted)
+{
+    if (!accepted.what().has_install_routes())
+    {
+        return accepted;
+    }
+    messages::accepted_change kept;
+    kept.set_revision(accepted.revision());
+    const auto& from = accepted.what();
+    auto& to = *kept.mutable_what();
+    to.set_change_id(from.change_id());
+    to.set_author(from.author());
+    to.mutable_install_routes()->set_version(from.install_routes().version());
+    to.mutable_install_routes()->set_based_on(from.install_routes().based_on());
+    return kept;
+}
+
+bool replaces_routes(const messages::configuration_delta& delta)
+{
+    return std::any_of(
+        delta.changes().begin(),
+        delta.changes().end(),
+        [](const auto& accepted)
+        {
+            return accepted.what().has_install_routes();
+        });
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/control/configuration_store.hpp
+++ b/nutmegusher/control/configuration_store.hpp
@@ -40,6 +40,10 @@
 // - A change id is answered once: a resend gets the first answer, and other
 //   content under the same id is refused.
 // - Every accepted change raises the revision by one; nothing lowers it.
+// - A document of routes replaces the one before whole. It must name the
+//   present document's version as the one that it builds on, and have a higher
+//   one. Only its acceptance is remembered: a document that came too early may
+//   be sent again.
 //
 //     configuration_store store;
 //     const auto result = store.apply(change);
@@ -95,6 +99,8 @@
         messages::change_result answer;
     };
 
+    [[nodiscard]] messages::change_result
+    judge_routes(const messages::route_document& document) const;
     [[nodiscard]] nutmegusher::revision
     class_revision(std::string_view name) const;
     [[nodiscard]] messages::change_result
@@ -107,6 +113,8 @@
     configuration_limits limits_;
     nutmegusher::revision revision_;
     std::map<std::string, messages::work_class, std::less<>> classes_;
+    messages::route_document routes_;
+    // A change of routes stands here without its content.
     std::deque<messages::accepted_change> history_;
     std::map<std::string, remembered_answer, std::less<>> remembered_;
     std::deque<std::string> remembered_order_;
@@ -117,6 +125,15 @@
     messages::configuration& target,
     const messages::configuration_delta& delta);
 
+// A copy of an accepted change for lists that are kept: of a document of routes
+// only the numbers, as hundreds of whole ones would outweigh all else.
+[[nodiscard]] messages::accepted_change
+without_routes(const messages::accepted_change& accepted);
+
+// Whether one of the delta's changes replaced the routes.
+[[nodiscard]] bool
+replaces_routes(const messages::configuration_delta& delta);
+
 } // namespace nutmegusher
 
 #endif
--- a/nutmegusher/control/control.hpp
+++ b/nutmegusher/control/control.hpp
@@ -24,6 +24,7 @@
 #include "nutmegusher/control/replica.hpp"
 #include "nutmegusher/control/replica_log.hpp"
 #include "nutmegusher/control/replicated_group.hpp"
+#include "nutmegusher/control/route_check.hpp"
 #include "nutmegusher/control/state_machine.hpp"
 #include "nutmegusher/control/storage_error.hpp"
 
--- a/nutmegusher/control/membership_plan.hpp
+++ b/nutmegusher/control/membership_plan.hpp
@@ -8,8 +8,10 @@
 #include "nutmegusher/control/replica.hpp"
 #include "nutmegusher/messages/replication.pb.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 
 namespace nutmegusher
 {
@@ -53,6 +55,43 @@
 [[nodiscard]] bool
 can_succeed(const replica& core, replica_id member, time_point now);
 
+// One member as the leader sees it now.
+struct member_view
+{
+    messages::replica_member member;
+    // How long nothing was heard of it; zero for the leader itself.
+    duration silent_for{0};
+    // Holds all that is committed.
+    bool caught_up = false;
+};
+
+// How many voters there should be, and when one counts as lost.
+struct voter_goal
+{
+    // Twice the losses to be borne at once, plus one.
+    std::size_t voters = 0;
+    // Above what a freeze of the scheduler, an election and a repeated packet
+    // take together; far below the time until a second loss.
+    duration lost_after = std::chrono::seconds(2);
+};
+
+// The membership that brings the group nearer to the goal, one change at a
+// time; nothing where there is none to make. `asking` are hosts that want to
+// be voters.
+//
+// Without it each lost disk needs an operator before the next loss, and two
+// of them leave five voters with no majority after a third.
+//
+// - A lost voter is removed only when its successor votes, and only where the
+//   voters that answer are a majority without it: so a partition removes
+//   nobody.
+// - A voter whose host has come back under a new identity is lost for good.
+// - A host beyond the goal stays a learner until a voter is lost.
+[[nodiscard]] std::optional<messages::replica_set> membership_towards(
+    const voter_goal& goal,
+    std::span<const member_view> present,
+    std::span<const messages::replica_member> asking);
+
 } // namespace nutmegusher
 
 #endif
--- a/nutmegusher/node/daemon_main.cpp
+++ b/nutmegusher/daemon/daemon_main.cpp
@@ -3,7 +3,9 @@
 #include "nutmegusher/node/daemon.hpp"
 #include "nutmegusher/node/http_server.hpp"
 #include "nutmegusher/node/settings.hpp"
+#include "nutmegusher/routed/routed.hpp"
 #include "nutmegusher/wire/wire.hpp"
+#include "platform/platform.hpp"
 
 #include <cxxopts.hpp>
 #include <google/protobuf/stubs/logging.h>
@@ -34,6 +36,9 @@
     add("s,settings",
         "INI file, see docs/SETTINGS.md",
         cxxopts::value<std::string>());
+    add("settings-variable",
+        "environment variable that holds the file's path",
+        cxxopts::value<std::string>());
     add("check", "read the settings, say what is wrong, and end");
     add("h,help", "this text");
     add("version", "the version");
@@ -53,6 +58,33 @@
     return code;
 }
 
+// Null where callers, upstreams and operators speak the product's own
+// interface.
+std::unique_ptr<extension> added_to(const settings& read)
+{
+    if (read.dialect != "platform")
+    {
+        return nullptr;
+    }
+    return routed::make_routed_extension(platform::make_adapter());
+}
+
+// The file's path from `--settings` or the named variable; empty: neither.
+std::string settings_file(const cxxopts::ParseResult& given)
+{
+    if (given.count("settings") > 0)
+    {
+        return given["settings"].as<std::string>();
+    }
+    if (given.count("settings-variable") == 0)
+    {
+        return {};
+    }
+    const auto variable = given["settings-variable"].as<std::string>();
+    const char* const value = std::getenv(variable.c_str());
+    return value == nullptr ? std::string() : std::string(value);
+}
+
 int run(const std::string& file, bool check_only)
 {
     return leaf::try_handle_all(
@@ -66,7 +98,7 @@
             }
             start_logging(
                 read.log.format, read.host.id.str(), read.log.lines_per_second);
-            BOOST_LEAF_AUTO(process, daemon::start(read));
+            BOOST_LEAF_AUTO(process, daemon::start(read, added_to(read)));
             process->run();
             return EXIT_SUCCESS;
         },
@@ -119,12 +151,14 @@
             std::cout << "nutmegusherd " << version << "\n";
             return EXIT_SUCCESS;
         }
-        if (given.count("settings") == 0)
+        const auto file = settings_file(given);
+        if (file.empty())
         {
-            return report("--settings FILE is needed", exit_bad_input);
+            return report(
+                "--settings FILE or --settings-variable NAME is needed",
+                exit_bad_input);
         }
-        return run(
-            given["settings"].as<std::string>(), given.count("check") > 0);
+        return run(file, given.count("check") > 0);
     }
     catch (const cxxopts::exceptions::exception& error)
     {
--- a/nutmegusher/node/admission_gate.cpp
+++ b/nutmegusher/node/admission_gate.cpp
@@ -1,48 +1,12 @@
 #include "nutmegusher/node/admission_gate.hpp"
 
-#include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
-#include <optional>
+#include <memory>
 
 namespace nutmegusher::node
 {
 
-namespace
-{
-constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
-} // namespace
-
-// A suspended `enter`. `verdict` and `timer` are touched on `executor` only.
-struct admission_gate::waiter
-{
-    explicit waiter(const asio::any_io_executor& on)
-        : executor(on)
-        , timer(on)
-    {
-    }
-
-    asio::any_io_executor executor;
-    asio::steady_timer timer;
-    std::optional<gate_verdict> verdict;
-
-    static void wake(std::shared_ptr<waiter> self, gate_verdict verdict)
-    {
-        auto& executor = self->executor;
-        asio::post(
-            executor,
-            [self = std::move(self), verdict]
-            {
-                self->verdict = verdict;
-                self->timer.cancel();
-            });
-    }
-};
-
 admission_gate::admission_gate(std::uint64_t seed, bool naive)
     : naive_(naive)
     , controller_(seed)
@@ -64,11 +28,11 @@
         co_return admitted();
     }
     auto executor = co_await asio::this_coro::executor;
-    std::shared_ptr<waiter> mine;
+    std::shared_ptr<waiting_calls::waiter> mine;
     {
         const std::scoped_lock lock(mutex_);
         const auto at = controller_.arrive(call, host_clock().now());
-        deliver(at.others);
+        waiting_.deliver(at.others);
         if (const auto* no = std::get_if<refused>(&at.verdict))
         {
             co_return *no;
@@ -78,20 +42,15 @@
             note_running(call);
             co_return admitted();
         }
-        mine = std::make_shared<waiter>(executor);
-        mine->timer.expires_at(asio::steady_timer::time_point::max());
-        waiting_.emplace(call.ticket, mine);
+        mine = waiting_.add(call.ticket, executor);
     }
-    while (!mine->verdict)
-    {
-        co_await mine->timer.async_wait(as_tuple_awaitable);
-    }
-    if (std::holds_alternative<admitted>(*mine->verdict))
+    const auto verdict = co_await waiting_calls::wait(mine);
+    if (std::holds_alternative<admitted>(*verdict))
     {
         const std::scoped_lock lock(mutex_);
         note_running(call);
     }
-    co_return *mine->verdict;
+    co_return *verdict;
 }
 
 void admission_gate::note_running(const call_facts& call)
@@ -140,20 +99,16 @@
     {
         running_.erase(found);
     }
-    deliver(controller_.finish(call.ticket, result, host_clock().now()));
+    waiting_.deliver(controller_.finish(call.ticket, result, host_clock().now()));
 }
 
 void admission_gate::cancel(ticket_id ticket)
 {
     const std::scoped_lock lock(mutex_);
-    const auto found = waiting_.find(ticket);
-    if (found == waiting_.end())
+    if (waiting_.withdraw(ticket))
     {
-        return;
+        waiting_.deliver(controller_.cancel(ticket, host_clock().now()));
     }
-    waiter::wake(std::move(found->second), gone());
-    waiting_.erase(found);
-    deliver(controller_.cancel(ticket, host_clock().now()));
 }
 
 void admission_gate::tick()
@@ -163,7 +118,7 @@
     const auto due = controller_.next_event();
     if (due && *due <= now)
     {
-        deliver(controller_.tick(now));
+        waiting_.deliver(controller_.tick(now));
     }
 }
 
@@ -176,7 +131,7 @@
 void admission_gate::set_leaving(bool leaving)
 {
     const std::scoped_lock lock(mutex_);
-    deliver(controller_.set_leaving(leaving, host_clock().now()));
+    waiting_.deliver(controller_.set_leaving(leaving, host_clock().now()));
 }
 
 admission_level admission_gate::level() const
@@ -191,24 +146,4 @@
     return controller_.state();
 }
 
-void admission_gate::deliver(std::span<const settlement> settled)
-{
-    for (const auto& each : settled)
-    {
-        const auto found = waiting_.find(each.ticket);
-        if (found == waiting_.end())
-        {
-            continue;
-        }
-        const auto verdict = std::visit(
-            [](const auto& value)
-            {
-                return gate_verdict(value);
-            },
-            each.verdict);
-        waiter::wake(std::move(found->second), verdict);
-        waiting_.erase(found);
-    }
-}
-
 } // namespace nutmegusher::node
--- a/nutmegusher/node/admission_gate.hpp
+++ b/nutmegusher/node/admission_gate.hpp
@@ -4,6 +4,7 @@
 #define NUTMEGUSHER_NODE_ADMISSION_GATE_HPP
 
 #include "nutmegusher/base/base.hpp"
+#include "nutmegusher/node/waiting_calls.hpp"
 #include "nutmegusher/policy/policy.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -13,20 +14,12 @@
 #include <mutex>
 #include <span>
 #include <unordered_map>
-#include <variant>
 
 namespace nutmegusher::node
 {
 
 namespace asio = boost::asio;
 
-// The caller went away while its call waited.
-struct gone
-{
-};
-
-using gate_verdict = std::variant<admitted, refused, gone>;
-
 class admission_gate
 {
 public:
@@ -67,7 +60,6 @@
     [[nodiscard]] admission_state state() const;
 
 private:
-    struct waiter;
 
     struct running_call
     {
@@ -75,14 +67,13 @@
         bool refused_deeper = false;
     };
 
-    void deliver(std::span<const settlement> settled);
     void note_running(const call_facts& call);
 
     const bool naive_;
     mutable std::mutex mutex_;
     admission_controller controller_;
     std::uint64_t last_ticket_ = 0;
-    std::unordered_map<ticket_id, std::shared_ptr<waiter>> waiting_;
+    waiting_calls waiting_;
     // By the hash of the request id; of a request that calls itself in a
     // circle the last call counts.
     std::unordered_map<std::uint64_t, running_call> running_;
--- a/nutmegusher/node/call.hpp
+++ b/nutmegusher/node/call.hpp
@@ -48,6 +48,7 @@
     bad_header,
     no_such_class,
     no_such_service,
+    no_such_route,
     in_progress,
     key_reused,
     too_large,
@@ -59,6 +60,7 @@
     starting,
     claims_unavailable,
     deadline,
+    upstream_refused, // by the upstream itself, without having run it
     upstream_failed,
     answer_broken,
     connection_lost,
--- a/nutmegusher/node/configuration_controller.cpp
+++ b/nutmegusher/node/configuration_controller.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/node/configuration_controller.hpp"
 
+#include "nutmegusher/control/control.hpp"
+
 #include <algorithm>
 
 namespace nutmegusher::node
@@ -33,50 +35,12 @@
     return below.substr(0, below.find('?'));
 }
 
-void apply_change(
-    messages::configuration& to, const messages::accepted_change& accepted)
-{
-    auto& classes = *to.mutable_classes();
-    const auto position_of = [&classes](const std::string& name)
-    {
-        return std::find_if(
-            classes.begin(),
-            classes.end(),
-            [&name](const auto& item)
-            {
-                return item.name() == name;
-            });
-    };
-    const auto& what = accepted.what();
-    if (what.has_declare())
-    {
-        const auto found = position_of(what.declare().name());
-        auto& declared = found == classes.end() ? *to.add_classes() : *found;
-        declared = what.declare();
-        declared.set_revision(accepted.revision());
-    }
-    else if (what.has_set_target())
-    {
-        const auto found = position_of(what.set_target().class_name());
-        if (found != classes.end())
-        {
-            *found->mutable_target() = what.set_target().target();
-            found->set_revision(accepted.revision());
-        }
-    }
-    else if (const auto found = position_of(what.remove_class());
-             found != classes.end())
-    {
-        classes.erase(found);
-    }
-    to.set_revision(accepted.revision());
-}
-
 } // namespace
 
 configuration_view::configuration_view(const messages::configuration& from)
     : at_(from.revision())
     , message_(from)
+    , routes_(route_table::create(from.routes()))
 {
     for (const auto& item : from.classes())
     {
@@ -149,17 +113,27 @@
     const messages::configuration& from,
     const messages::configuration_delta& delta)
 {
-    auto result = from;
-    if (delta.has_full() && delta.full().revision() > from.revision())
+    if (delta.has_full())
     {
-        result = delta.full();
+        return delta.full().revision() > from.revision() ? delta.full() : from;
     }
-    for (const auto& accepted : delta.changes())
+    const auto next = std::find_if(
+        delta.changes().begin(),
+        delta.changes().end(),
+        [&from](const auto& accepted)
+        {
+            return accepted.revision() == from.revision() + 1;
+        });
+    auto result = from;
+    if (next != delta.changes().end())
     {
-        if (accepted.revision() == result.revision() + 1)
+        messages::configuration_delta missing;
+        missing.mutable_changes()->Assign(next, delta.changes().end());
+        if (delta.has_routes())
         {
-            apply_change(result, accepted);
+            *missing.mutable_routes() = delta.routes();
         }
+        nutmegusher::apply_delta(result, missing);
     }
     return result;
 }
--- a/nutmegusher/node/configuration_controller.hpp
+++ b/nutmegusher/node/configuration_controller.hpp
@@ -10,6 +10,7 @@
 
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/messages/configuration.pb.h"
+#include "nutmegusher/routes/routes.hpp"
 
 #include <cstdint>
 #include <map>
@@ -61,6 +62,11 @@
     // Whether any class names the service.
     [[nodiscard]] bool knows_service(std::string_view service) const;
 
+    [[nodiscard]] const route_table& routes() const
+    {
+        return routes_;
+    }
+
     [[nodiscard]] const messages::configuration& message() const
     {
         return message_;
@@ -69,6 +75,7 @@
 private:
     revision at_;
     messages::configuration message_;
+    route_table routes_;
     std::vector<class_entry> classes_;
     std::unordered_map<std::string, std::vector<std::size_t>> by_service_;
 };
--- a/nutmegusher/node/control_feed.cpp
+++ b/nutmegusher/node/control_feed.cpp
@@ -8,14 +8,18 @@
 void control_feed::accept(const messages::accepted_change& accepted)
 {
     messages::configuration_delta delta;
-    *delta.add_changes() = accepted;
+    *delta.add_changes() = without_routes(accepted);
+    if (accepted.what().has_install_routes())
+    {
+        *delta.mutable_routes() = accepted.what().install_routes();
+    }
     const std::scoped_lock lock(mutex_);
     if (accepted.revision() <= present_.revision())
     {
         return;
     }
     nutmegusher::apply_delta(present_, delta);
-    history_.push_back(accepted);
+    history_.push_back(delta.changes(0));
     if (history_.size() > history_limit_)
     {
         history_.pop_front();
@@ -34,6 +38,12 @@
     }
 }
 
+revision control_feed::at() const
+{
+    const std::scoped_lock lock(mutex_);
+    return revision(present_.revision());
+}
+
 messages::configuration control_feed::present() const
 {
     const std::scoped_lock lock(mutex_);
@@ -59,6 +69,10 @@
     {
         *delta.add_changes() = *change;
     }
+    if (replaces_routes(delta))
+    {
+        *delta.mutable_routes() = present_.routes();
+    }
     return delta;
 }
 
--- a/nutmegusher/node/control_feed.hpp
+++ b/nutmegusher/node/control_feed.hpp
@@ -21,6 +21,7 @@
     // After a start or a snapshot.
     void restore(const configuration_store& store);
 
+    [[nodiscard]] revision at() const;
     [[nodiscard]] messages::configuration present() const;
     [[nodiscard]] messages::configuration_delta since(revision from) const;
     [[nodiscard]] std::vector<messages::accepted_change>
--- a/nutmegusher/node/control_logs.cpp
+++ b/nutmegusher/node/control_logs.cpp
@@ -152,6 +152,19 @@
     co_return loop->join(request).SerializeAsString();
 }
 
+template <bool Forward>
+asio::awaitable<std::optional<std::string>>
+answer_admit(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::admit_request request;
+    if (!request.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    const auto reply = co_await loop->admit(std::move(request), Forward);
+    co_return reply.SerializeAsString();
+}
+
 struct route
 {
     std::string_view path;
@@ -167,6 +180,8 @@
     route{"/control/claim", answer_claim<true>, largest_request},
     route{"/control/find-claim", answer_find_claim, largest_request},
     route{"/control/join", answer_join, largest_request},
+    route{"/control/admit", answer_admit<true>, largest_request},
+    route{"/control/lead/admit", answer_admit<false>, largest_request},
     route{"/control/lead/propose", answer_change<false>, largest_request},
     route{"/control/lead/claim", answer_claim<false>, largest_request},
     route{"/control/lead/read", answer_read, largest_request},
@@ -251,6 +266,11 @@
     co_return co_await on_loop(*loop_, loop_->confirm_configuration());
 }
 
+revision control_logs::at() const
+{
+    return loop_->feed().at();
+}
+
 messages::configuration control_logs::present() const
 {
     return loop_->feed().present();
--- a/nutmegusher/node/control_logs.hpp
+++ b/nutmegusher/node/control_logs.hpp
@@ -46,6 +46,15 @@
     // The control hosts of the very first start; the first one named founds
     // the cluster once all the others have answered. Later without meaning.
     std::vector<named_address> initial;
+    // Peer listeners of some control hosts. Where `initial` is empty and
+    // `bootstrap` is set, these are the founders; later a host that is no voter
+    // asks them, and whoever else it knows, to be made one.
+    std::vector<asio::ip::tcp::endpoint> seeds;
+    // The very first start: a cluster may be founded.
+    bool bootstrap = false;
+    // How many voters the leaders keep by themselves; 0: operators replace
+    // hosts.
+    std::size_t voters = 0;
     // Fixed for ever by the founder.
     std::uint32_t claim_groups = 4;
     replica_timing timing;
@@ -107,6 +116,7 @@
     [[nodiscard]] asio::awaitable<bool> confirm_configuration();
 
     // What this host has applied; linearizable only after a confirmation.
+    [[nodiscard]] revision at() const;
     [[nodiscard]] messages::configuration present() const;
     [[nodiscard]] messages::configuration_delta since(revision from) const;
     // Oldest first, the newest `limit` ones.
--- a/nutmegusher/node/control_loop.cpp
+++ b/nutmegusher/node/control_loop.cpp
@@ -144,12 +144,14 @@
 void control_loop::start()
 {
     asio::co_spawn(context_, run_ticks(), asio::detached);
-    const bool founder = !settings_.initial.empty() &&
-                         settings_.initial.front().host == settings_.self;
-    if (identity_.cluster() == 0 && founder)
+    if (identity_.cluster() == 0 && founds())
     {
         asio::co_spawn(context_, found_cluster(), asio::detached);
     }
+    if (settings_.voters > 0)
+    {
+        asio::co_spawn(context_, ask_for_admission(), asio::detached);
+    }
 }
 
 void control_loop::stop()
@@ -181,6 +183,7 @@
                 static_cast<void>(hand_over_groups());
             }
             spread_leaders();
+            tend_members();
             publish_status();
         }
         tick_timer_.expires_after(tick_interval);
--- a/nutmegusher/node/control_loop.hpp
+++ b/nutmegusher/node/control_loop.hpp
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -87,6 +88,10 @@
     messages::replace_reply
     replace_step(const messages::replace_request& request);
 
+    // control_growth.cpp
+    asio::awaitable<messages::admit_reply>
+    admit(messages::admit_request request, bool forward);
+
     // control_leaders.cpp
     asio::awaitable<void> hand_over(duration limit);
 
@@ -165,6 +170,14 @@
     asio::awaitable<void> pause(duration length);
 
     // control_members.cpp
+    // One of the first voters; its name where it was told.
+    struct founder
+    {
+        std::optional<host_id> host;
+        asio::ip::tcp::endpoint address;
+    };
+
+    [[nodiscard]] std::vector<founder> founders() const;
     asio::awaitable<void> found_cluster();
     asio::awaitable<std::optional<messages::replica_set>> meet_founders();
     asio::awaitable<bool> have_all_join(const messages::replica_set& members);
@@ -177,6 +190,19 @@
     [[nodiscard]] leaf::result<void>
     create_files(std::uint32_t group, const messages::replica_set& founding);
 
+    [[nodiscard]] bool is_seed(const asio::ip::tcp::endpoint& host) const;
+    [[nodiscard]] bool founds() const;
+
+    // control_growth.cpp
+    [[nodiscard]] bool is_settled_voter();
+    [[nodiscard]] messages::replica_member own_member() const;
+    asio::awaitable<void> ask_for_admission();
+    asio::awaitable<void> ask_all_for_admission();
+    void tend_members();
+    void tend_group(std::uint32_t number, replica& core, time_point now);
+    [[nodiscard]] std::vector<member_view>
+    view_members(std::uint32_t number, const replica& core, time_point now);
+
     // control_leaders.cpp
     void spread_leaders();
     [[nodiscard]] bool hand_over_groups();
@@ -199,6 +225,15 @@
     bool members_changed_ = false;
     bool handing_over_ = false;
     bool stopped_ = false;
+    // Hosts that asked to be voters.
+    struct admission_question
+    {
+        messages::replica_member member;
+        time_point asked_at;
+    };
+    std::map<std::uint64_t, admission_question> asking_;
+    // When each other member was last heard, by group; while this host leads.
+    std::map<std::uint32_t, std::map<replica_id, time_point>> heard_;
     time_point next_spread_{};
     time_point leader_known_at_{};
     mutable std::mutex status_mutex_;
--- a/nutmegusher/node/control_members.cpp
+++ b/nutmegusher/node/control_members.cpp
@@ -1,6 +1,7 @@
 // Who belongs to the cluster: founding, joining, replacing.
 #include "nutmegusher/node/control_loop.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace nutmegusher::node::internal
@@ -36,6 +37,42 @@
 
 } // namespace
 
+bool control_loop::is_seed(const asio::ip::tcp::endpoint& host) const
+{
+    return std::find(settings_.seeds.begin(), settings_.seeds.end(), host) !=
+           settings_.seeds.end();
+}
+
+// The first of the hosts named in `initial`, or the seed with the lowest
+// address: all seeds agree on it, in whatever order they are named.
+bool control_loop::founds() const
+{
+    if (!settings_.initial.empty())
+    {
+        return settings_.initial.front().host == settings_.self;
+    }
+    return settings_.bootstrap && !settings_.seeds.empty() &&
+           *std::min_element(settings_.seeds.begin(), settings_.seeds.end()) ==
+               settings_.address;
+}
+
+std::vector<control_loop::founder> control_loop::founders() const
+{
+    std::vector<founder> all;
+    for (const auto& host : settings_.initial)
+    {
+        all.push_back({host.host, host.address});
+    }
+    if (all.empty())
+    {
+        for (const auto& seed : settings_.seeds)
+        {
+            all.push_back({std::nullopt, seed});
+        }
+    }
+    return all;
+}
+
 // The first start. Every other host must answer that it belongs to no cluster
 // before any of them is asked to join, and joining is for ever: so an emptied
 // folder can neither found a second cluster beside a running one nor come back
@@ -71,23 +108,24 @@
 {
     const std::uint64_t own = identity_.identity();
     messages::replica_set members;
-    for (const auto& host : settings_.initial)
+    for (const auto& host : founders())
     {
         auto& member = *members.add_members();
-        member.set_host(host.host.str());
+        member.set_host(settings_.self.str());
         member.set_address(to_text(host.address));
         member.set_voter(true);
         member.set_identity(own);
-        if (host.host == settings_.self)
+        if (host.address == settings_.address)
         {
             continue;
         }
         const messages::join_request question;
         const auto reply = co_await ask_to_join(host.address, question);
-        if (!reply || reply->host() != host.host.str())
+        if (!reply || (host.host && reply->host() != host.host->str()))
         {
             co_return std::nullopt;
         }
+        member.set_host(reply->host());
         if (reply->cluster() != 0 && reply->cluster() != own)
         {
             co_return messages::replica_set();
@@ -105,9 +143,9 @@
     request.set_cluster(own);
     request.set_groups(settings_.claim_groups + 1);
     *request.mutable_founding() = members;
-    for (const auto& host : settings_.initial)
+    for (const auto& host : founders())
     {
-        if (host.host == settings_.self)
+        if (host.address == settings_.address)
         {
             continue;
         }
--- a/nutmegusher/node/control_part.cpp
+++ b/nutmegusher/node/control_part.cpp
@@ -40,6 +40,10 @@
     made.address = from.listen.peers;
     made.initial = from.control->initial;
     made.claim_groups = from.control->claim_groups;
+    made.seeds = from.control_hosts;
+    made.bootstrap = from.control->bootstrap;
+    const auto losses = from.control->tolerated_losses;
+    made.voters = losses == 0 ? 0 : 2 * losses + 1;
     return made;
 }
 
@@ -116,6 +120,7 @@
     [[nodiscard]] json::value history() const;
     [[nodiscard]] json::value rollout() const;
     asio::awaitable<std::pair<unsigned, json::value>> replace(std::string body);
+    asio::awaitable<std::optional<messages::configuration>> read();
 
     worker& first;
     asio::io_context context{1};
@@ -128,9 +133,23 @@
 control_source control_part::state::make_source()
 {
     control_source source;
+    source.present = [this]
+    {
+        return logs->at();
+    };
+    // Daemons have no use for the operator's own bytes.
     source.changes_since = [this](revision from)
     {
-        return logs->since(from);
+        auto delta = logs->since(from);
+        if (delta.has_routes())
+        {
+            delta.mutable_routes()->clear_source();
+        }
+        if (delta.has_full() && delta.full().has_routes())
+        {
+            delta.mutable_full()->mutable_routes()->clear_source();
+        }
+        return delta;
     };
     source.confirm = [this]
     {
@@ -205,6 +224,17 @@
         {"lagging", std::move(lagging)}};
 }
 
+asio::awaitable<std::optional<messages::configuration>>
+control_part::state::read()
+{
+    const bool confirmed = co_await logs->confirm_configuration();
+    if (!confirmed)
+    {
+        co_return std::nullopt;
+    }
+    co_return logs->present();
+}
+
 asio::awaitable<std::pair<unsigned, json::value>>
 control_part::state::replace(std::string body)
 {
@@ -302,6 +332,14 @@
 control_answers control_part::answers()
 {
     control_answers made;
+    made.propose = [this](messages::change change)
+    {
+        return state_->logs->propose_change(std::move(change));
+    };
+    made.read = [this]
+    {
+        return state_->read();
+    };
     made.state = [this]
     {
         return state_->describe();
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -35,11 +35,12 @@
 // Waiting calls expire and stalls are noticed at this grain; well below the
 // shortest target of a class (tens of milliseconds).
 constexpr duration tick_interval = std::chrono::milliseconds(2);
+// The same while nothing runs or waits: 50 wake-ups a second in place of 500.
+constexpr duration idle_tick_interval = std::chrono::milliseconds(20);
 constexpr duration upstream_check_interval = std::chrono::milliseconds(500);
 // A graceful shutdown: first the others hear of it, then what is in flight
 // ends, then what is still open is closed.
 constexpr duration leave_notice = std::chrono::milliseconds(500);
-constexpr duration drain_limit = std::chrono::seconds(60);
 constexpr duration drain_step = std::chrono::milliseconds(20);
 constexpr duration idle_grace = std::chrono::milliseconds(300);
 constexpr std::size_t announcement_bytes = 4096;
@@ -86,8 +87,12 @@
 
 struct daemon::state
 {
-    state(const settings& from, incarnation run)
+    state(
+        const settings& from,
+        incarnation run,
+        std::unique_ptr<extension> extra)
         : shared(from, run)
+        , added(std::move(extra))
     {
         for (std::size_t i = 0; i < from.host.threads; ++i)
         {
@@ -116,6 +121,11 @@
     leaf::result<void> open_worker(std::size_t index);
     operator_sources make_sources();
 
+    void attach_extension();
+    asio::awaitable<void>
+    serve_caller(worker& here, caller_exchange& exchange);
+    asio::awaitable<void>
+    serve_operators(worker& here, caller_exchange& exchange);
     asio::awaitable<void>
     serve_peer(worker& here, std::shared_ptr<wire::server_stream> stream);
     asio::awaitable<void>
@@ -126,12 +136,14 @@
     asio::awaitable<void> run_ticks();
     asio::awaitable<void> watch_upstream();
     asio::awaitable<void> wait_for_signal();
+    asio::awaitable<void> keep_accepting();
     asio::awaitable<void> shut_down();
     asio::awaitable<void> wait_until_served();
     asio::awaitable<bool> stop_workers();
     [[nodiscard]] asio::awaitable<std::size_t> in_flight();
 
     controllers shared;
+    std::unique_ptr<extension> added;
     std::vector<std::unique_ptr<worker>> workers;
     std::vector<listeners> listening;
     std::unique_ptr<sync_client> sync;
@@ -140,6 +152,7 @@
     operator_sources sources;
     std::optional<asio::signal_set> signals;
     bool shutting_down = false;
+    time_point stop_begun;
 };
 
 leaf::result<void> daemon::state::open()
@@ -148,11 +161,12 @@
     {
         BOOST_LEAF_ASSIGN(control, control_part::start(first()));
     }
+    sources = make_sources();
+    attach_extension();
     for (std::size_t i = 0; i < workers.size(); ++i)
     {
         BOOST_LEAF_CHECK(open_worker(i));
     }
-    sources = make_sources();
     http_server_options options;
     BOOST_LEAF_ASSIGN(
         operators,
@@ -161,7 +175,7 @@
             shared.configured.listen.operators,
             [this](caller_exchange& exchange)
             {
-                return serve_operator(first(), sources, exchange);
+                return serve_operators(first(), exchange);
             },
             options));
     return {};
@@ -180,10 +194,9 @@
             http_server::listen(
                 here.context,
                 *listen.callers,
-                [&here](caller_exchange& exchange)
+                [this, &here](caller_exchange& exchange)
                 {
-                    return serve_request(
-                        here, exchange, request_origin::caller);
+                    return serve_caller(here, exchange);
                 },
                 options));
     }
@@ -214,6 +227,47 @@
     return {};
 }
 
+void daemon::state::attach_extension()
+{
+    if (!added)
+    {
+        return;
+    }
+    const auto announce = [this](const announcement& said)
+    {
+        apply(shared.upstream.announce(said, host_clock().now()), said.service);
+    };
+    added->attach({shared, announce, sources.control});
+}
+
+asio::awaitable<void>
+daemon::state::serve_caller(worker& here, caller_exchange& exchange)
+{
+    if (added)
+    {
+        const bool served = co_await added->serve_caller(here, exchange);
+        if (served)
+        {
+            co_return;
+        }
+    }
+    co_await serve_request(here, exchange, request_origin::caller);
+}
+
+asio::awaitable<void>
+daemon::state::serve_operators(worker& here, caller_exchange& exchange)
+{
+    if (added)
+    {
+        const bool served = co_await added->serve_operator(here, exchange);
+        if (served)
+        {
+            co_return;
+        }
+    }
+    co_await serve_operator(here, sources, exchange);
+}
+
 operator_sources daemon::state::make_sources()
 {
     operator_sources made;
@@ -248,12 +302,28 @@
         }
         co_return;
     }
+    if (added)
+    {
+        const bool served = co_await added->serve_peer(here, stream);
+        if (served)
+        {
+            co_return;
+        }
+    }
     co_await serve_peer_call(here, std::move(stream));
 }
 
 asio::awaitable<void>
 daemon::state::serve_own_upstream(worker& here, caller_exchange& exchange)
 {
+    if (added)
+    {
+        const bool served = co_await added->serve_upstream(here, exchange);
+        if (served)
+        {
+            co_return;
+        }
+    }
     if (exchange.head().path == announce_path)
     {
         co_await take_announcement(exchange);
@@ -330,7 +400,11 @@
     while (true)
     {
         shared.admission.tick();
-        timer.expires_after(tick_interval);
+        const auto now = shared.admission.state();
+        const bool busy = now.short_lane.in_flight + now.short_lane.waiting +
+                              now.bulk_lane.in_flight + now.bulk_lane.waiting >
+                          0;
+        timer.expires_after(busy ? tick_interval : idle_tick_interval);
         co_await timer.async_wait(as_tuple_awaitable);
     }
 }
@@ -377,7 +451,7 @@
 asio::awaitable<void> daemon::state::wait_until_served()
 {
     asio::steady_timer timer(first().context);
-    const auto until = host_clock().now() + drain_limit;
+    const auto until = stop_begun + shared.configured.shutdown.limit;
     while (co_await in_flight() > 0 && host_clock().now() < until)
     {
         timer.expires_after(drain_step);
@@ -411,6 +485,33 @@
     co_return clean;
 }
 
+// Callers that have not yet heard of the stop find a listener; their
+// connections close after the answer.
+asio::awaitable<void> daemon::state::keep_accepting()
+{
+    const auto accept_for = shared.configured.shutdown.accept_for;
+    if (accept_for <= duration::zero())
+    {
+        co_return;
+    }
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        auto* const callers = listening[i].callers.get();
+        if (callers != nullptr)
+        {
+            asio::post(
+                workers[i]->context,
+                [callers]
+                {
+                    callers->close_after_answers();
+                });
+        }
+    }
+    asio::steady_timer timer(first().context);
+    timer.expires_after(accept_for);
+    co_await timer.async_wait(as_tuple_awaitable);
+}
+
 asio::awaitable<void> daemon::state::shut_down()
 {
     if (std::exchange(shutting_down, true))
@@ -418,9 +519,15 @@
         co_return;
     }
     log_event(event::process_stopping, {});
+    stop_begun = host_clock().now();
     shared.stopping = true;
     shared.upstream.leave();
+    if (added)
+    {
+        added->leave();
+    }
     sync->sync_now();
+    co_await keep_accepting();
     for (std::size_t i = 0; i < workers.size(); ++i)
     {
         auto* const callers = listening[i].callers.get();
@@ -458,10 +565,11 @@
     }
 }
 
-leaf::result<std::unique_ptr<daemon>> daemon::start(const settings& from)
+leaf::result<std::unique_ptr<daemon>>
+daemon::start(const settings& from, std::unique_ptr<extension> added)
 {
     const incarnation run(wall_milliseconds());
-    auto made = std::make_unique<state>(from, run);
+    auto made = std::make_unique<state>(from, run, std::move(added));
     BOOST_LEAF_CHECK(made->open());
     return std::unique_ptr<daemon>(new daemon(std::move(made)));
 }
@@ -477,7 +585,10 @@
 {
     auto& first = state_->first().context;
     asio::co_spawn(first, state_->sync->run(), asio::detached);
-    asio::co_spawn(first, state_->run_ticks(), asio::detached);
+    if (!state_->added)
+    {
+        asio::co_spawn(first, state_->run_ticks(), asio::detached);
+    }
     asio::co_spawn(first, state_->watch_upstream(), asio::detached);
     asio::co_spawn(first, state_->wait_for_signal(), asio::detached);
     log_event(
--- a/nutmegusher/node/daemon.hpp
+++ b/nutmegusher/node/daemon.hpp
@@ -6,6 +6,7 @@
 #define NUTMEGUSHER_NODE_DAEMON_HPP
 
 #include "nutmegusher/base/base.hpp"
+#include "nutmegusher/node/extension.hpp"
 #include "nutmegusher/node/settings.hpp"
 
 #include <memory>
@@ -19,8 +20,9 @@
     // Opens all listeners; nothing is started where one can't be opened.
     // Errors: `listen_error`, `wire::listen_failure`, and of a control host's
     // storage.
-    [[nodiscard]] static leaf::result<std::unique_ptr<daemon>>
-    start(const settings& from);
+    // `added` takes requests before the process's own path does; null: nothing.
+    [[nodiscard]] static leaf::result<std::unique_ptr<daemon>> start(
+        const settings& from, std::unique_ptr<extension> added = nullptr);
 
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
--- /dev/null
+++ b/nutmegusher/node/extension.hpp
@@ -0,0 +1,66 @@
+// What is added to a process beside the path of its classes: another path for
+// requests, other names and formats on its listeners.
+#ifndef NUTMEGUSHER_NODE_EXTENSION_HPP
+#define NUTMEGUSHER_NODE_EXTENSION_HPP
+
+#include "nutmegusher/node/http_server.hpp"
+#include "nutmegusher/node/operator_api.hpp"
+#include "nutmegusher/node/own_upstream.hpp"
+#include "nutmegusher/node/worker.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace nutmegusher::node
+{
+
+// What an extension may use of its process.
+struct extension_context
+{
+    controllers& shared;
+    // Announces the upstream on this host to all other daemons.
+    std::function<void(const announcement&)> announce;
+    // The replicated logs; empty functions where the process is no control
+    // host.
+    const control_answers& control;
+};
+
+// Its functions run on the worker that is given; each answers `false` where
+// the request is none of its own, and then nothing of it was read.
+class extension
+{
+public:
+    extension() = default;
+    extension(const extension&) = delete;
+    extension& operator=(const extension&) = delete;
+    virtual ~extension() = default;
+
+    // Called once, before any listener is opened.
+    virtual void attach(const extension_context& context) = 0;
+
+    // A request on the listener for members and clerks.
+    virtual asio::awaitable<bool>
+    serve_caller(worker& here, caller_exchange& exchange) = 0;
+
+    // A request of the upstream on this host.
+    virtual asio::awaitable<bool>
+    serve_upstream(worker& here, caller_exchange& exchange) = 0;
+
+    // A request on the operators' listener.
+    virtual asio::awaitable<bool>
+    serve_operator(worker& here, caller_exchange& exchange) = 0;
+
+    // A stream of another daemon.
+    virtual asio::awaitable<bool>
+    serve_peer(worker& here, std::shared_ptr<wire::server_stream> stream) = 0;
+
+    // A graceful shutdown has begun.
+    virtual void leave() = 0;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -137,6 +137,12 @@
         return head_;
     }
 
+    [[nodiscard]] tcp::endpoint caller() const override
+    {
+        boost::system::error_code ignored;
+        return stream_.socket().remote_endpoint(ignored);
+    }
+
     asio::awaitable<outcome<std::size_t, caller_failure>>
     read_some(std::span<std::byte> into) override
     {
@@ -523,6 +529,11 @@
     return state_->acceptor.local_endpoint(ignored);
 }
 
+void http_server::close_after_answers()
+{
+    state_->stopping = true;
+}
+
 void http_server::stop_accepting()
 {
     state_->stopping = true;
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -43,6 +43,9 @@
 
     [[nodiscard]] virtual const wire::request_head& head() const = 0;
 
+    // Where the caller connected from.
+    [[nodiscard]] virtual asio::ip::tcp::endpoint caller() const = 0;
+
     // The next bytes of the request's body; 0 at its clean end.
     virtual asio::awaitable<outcome<std::size_t, caller_failure>>
     read_some(std::span<std::byte> into) = 0;
@@ -101,6 +104,9 @@
 
     [[nodiscard]] asio::ip::tcp::endpoint local_endpoint() const;
 
+    // Each connection closes after its next answer; new ones are accepted.
+    void close_after_answers();
+
     // Accepts no new connection; each open one closes after its next answer.
     void stop_accepting();
 
--- a/nutmegusher/node/operator_api.hpp
+++ b/nutmegusher/node/operator_api.hpp
@@ -9,7 +9,9 @@
 #include <boost/json/value.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace nutmegusher::node
 {
@@ -17,6 +19,13 @@
 // A control host's own answers; empty functions on a plain daemon.
 struct control_answers
 {
+    // Judged by a majority; `change_unavailable` where that isn't known.
+    std::function<asio::awaitable<messages::change_result>(messages::change)>
+        propose;
+    // What is in force, confirmed by a majority; nothing where none answers.
+    std::function<asio::awaitable<std::optional<messages::configuration>>()>
+        read;
+
     std::function<boost::json::value()> state;
     std::function<boost::json::value()> history;
     std::function<boost::json::value()> rollout;
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -41,6 +41,12 @@
         "addresses",
         "",
         "ip:port of the control hosts' peer listeners, comma separated"},
+    known_setting{
+        "control_hosts",
+        "peer_port",
+        "",
+        "holds instead of the port of each address, where control hosts are "
+        "known by another listener's"},
     known_setting{
         "control",
         "data_folder",
@@ -52,7 +58,19 @@
         "",
         "host=ip:port of the control hosts of the very first start"},
     known_setting{
-        "control", "claim_groups", "4", "replicated logs of claims, 1 to 64"},
+        "control", "claim_groups", "4", "replicated logs of claims, 0 to 64"},
+    known_setting{
+        "control",
+        "bootstrap",
+        "no",
+        "yes: with no 'initial', the control hosts under [control_hosts] "
+        "found the cluster; only at the very first start"},
+    known_setting{
+        "control",
+        "tolerated_losses",
+        "0",
+        "losses at a time that the voters bear, 0 to 7; the control hosts keep "
+        "twice as many voters and one by themselves, 0: an operator does"},
     known_setting{"control", "role", "voter", "voter or relay"},
     known_setting{"log", "format", "json", "json or text"},
     known_setting{
@@ -74,6 +92,27 @@
         "claimed_body_bytes",
         "1048576",
         "largest request of a class that may not be repeated, bytes"},
+    known_setting{
+        "listen",
+        "dialect",
+        "own",
+        "own or platform: whose names and formats the listeners speak"},
+    known_setting{
+        "upstream",
+        "service",
+        "",
+        "service of the upstream on this host, as routes name it"},
+    known_setting{
+        "shutdown",
+        "accept_ms",
+        "0",
+        "new connections are accepted for so long after the stop has begun"},
+    known_setting{
+        "shutdown",
+        "killed_after_ms",
+        "66000",
+        "when the supervisor kills the process after the stop has begun; what "
+        "is in flight an eleventh of it before is cut"},
     known_setting{
         "measurement",
         "naive",
@@ -83,10 +122,15 @@
 
 constexpr std::uint32_t most_threads = 64;
 constexpr std::uint32_t most_claim_groups = 64;
+constexpr std::uint32_t most_tolerated_losses = 7;
 constexpr std::uint32_t most_lines = 100000;
 constexpr std::uint32_t most_connections = 1000000;
 constexpr std::uint32_t least_header_bytes = 1024;
 constexpr std::uint32_t most_header_bytes = 1048576;
+constexpr std::uint32_t most_shutdown_ms = 3600000;
+constexpr std::uint32_t default_killed_after_ms = 66000;
+constexpr std::uint32_t least_killed_after_ms = 1000;
+constexpr std::uint32_t most_port = 65535;
 constexpr std::uint32_t most_body_bytes = 16777216;
 
 std::string_view problem_text(settings_problem problem)
@@ -153,14 +197,24 @@
     BOOST_LEAF_AUTO(folder, in.required("control", "data_folder"));
     control.data_folder = folder;
     BOOST_LEAF_ASSIGN(
-        control.initial, in.named_addresses("control", "initial"));
+        control.bootstrap,
+        in.choice("control", "bootstrap", "yes", "no", false));
+    BOOST_LEAF_ASSIGN(
+        control.tolerated_losses,
+        in.count("control", "tolerated_losses", 0, 0, most_tolerated_losses));
+    // Hosts that find their cluster by themselves need no names of founders.
+    if (control.tolerated_losses == 0 || in.text("control", "initial"))
+    {
+        BOOST_LEAF_ASSIGN(
+            control.initial, in.named_addresses("control", "initial"));
+    }
     BOOST_LEAF_ASSIGN(
         control.claim_groups,
         in.count(
             "control",
             "claim_groups",
             control.claim_groups,
-            1,
+            0,
             most_claim_groups));
     BOOST_LEAF_ASSIGN(
         control.voter, in.choice("control", "role", "voter", "relay", true));
@@ -201,6 +255,25 @@
     return limits;
 }
 
+leaf::result<shutdown_settings> read_shutdown(const reader& in)
+{
+    shutdown_settings shutdown;
+    BOOST_LEAF_AUTO(
+        accept, in.count("shutdown", "accept_ms", 0, 0, most_shutdown_ms));
+    BOOST_LEAF_AUTO(
+        killed_after,
+        in.count(
+            "shutdown",
+            "killed_after_ms",
+            default_killed_after_ms,
+            least_killed_after_ms,
+            most_shutdown_ms));
+    shutdown.accept_for = std::chrono::milliseconds(accept);
+    // The rest is for closing what is left.
+    shutdown.limit = std::chrono::milliseconds(killed_after) * 10 / 11;
+    return shutdown;
+}
+
 leaf::result<settings> read_all(const reader& in)
 {
     settings all;
@@ -209,6 +282,15 @@
     BOOST_LEAF_ASSIGN(all.listen, read_listen(in));
     BOOST_LEAF_ASSIGN(
         all.control_hosts, in.addresses("control_hosts", "addresses"));
+    BOOST_LEAF_AUTO(
+        peer_port, in.count("control_hosts", "peer_port", 0, 1, most_port));
+    if (peer_port != 0)
+    {
+        for (auto& address : all.control_hosts)
+        {
+            address.port(static_cast<std::uint16_t>(peer_port));
+        }
+    }
     if (in.has("control"))
     {
         BOOST_LEAF_ASSIGN(all.control, read_control(in));
@@ -224,6 +306,12 @@
             1,
             most_lines));
     BOOST_LEAF_ASSIGN(all.limits, read_limits(in));
+    BOOST_LEAF_ASSIGN(all.shutdown, read_shutdown(in));
+    BOOST_LEAF_AUTO(
+        own, in.choice("listen", "dialect", "own", "platform", true));
+    all.dialect = own ? "own" : "platform";
+    all.upstream.service =
+        service_name(in.text("upstream", "service").value_or(""));
     BOOST_LEAF_ASSIGN(
         all.measurement.naive,
         in.choice("measurement", "naive", "yes", "no", false));
--- a/nutmegusher/node/settings.hpp
+++ b/nutmegusher/node/settings.hpp
@@ -86,6 +86,12 @@
     std::filesystem::path data_folder;
     std::vector<named_address> initial;
     std::uint32_t claim_groups = 4;
+    // With an empty `initial`: the control hosts under [control_hosts] found
+    // the cluster.
+    bool bootstrap = false;
+    // Losses at a time that the voters bear, twice as many and one; 0: no
+    // voter is added or removed without an operator.
+    std::uint32_t tolerated_losses = 0;
     bool voter = true;
 };
 
@@ -114,6 +120,24 @@
     bool naive = false;
 };
 
+// The upstream on this host.
+struct upstream_settings
+{
+    // What its sub-calls say where they come from; also what members and
+    // clerks on this host call as.
+    service_name service;
+};
+
+// How the process ends.
+struct shutdown_settings
+{
+    // New connections are still accepted for so long, as callers hear of the
+    // stop only then.
+    duration accept_for{0};
+    // What is in flight afterwards is cut.
+    duration limit = std::chrono::seconds(60);
+};
+
 struct settings
 {
     host_settings host;
@@ -122,6 +146,10 @@
     std::optional<control_section> control;
     log_settings log;
     limit_settings limits;
+    upstream_settings upstream;
+    shutdown_settings shutdown;
+    // Whose names and formats callers, upstreams and operators use.
+    std::string dialect = "own";
     measurement_settings measurement;
 };
 
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -68,11 +68,6 @@
     co_await stream.write_head(std::move(head), true);
 }
 
-bool is_empty(const messages::configuration_delta& delta)
-{
-    return !delta.has_full() && delta.changes().empty();
-}
-
 lease_options make_lease_options(const control_source& source)
 {
     lease_options options;
@@ -199,9 +194,8 @@
 
 bool sync_server::has_news(const messages::sync_request& request) const
 {
-    const auto delta =
-        source_.changes_since(revision(request.configuration_revision()));
-    if (!is_empty(delta) || source_.without_leader())
+    const revision known(request.configuration_revision());
+    if (source_.present() > known || source_.without_leader())
     {
         return true;
     }
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -27,6 +27,7 @@
 // What the sync needs of the replicated logs; each is safe from every thread.
 struct control_source
 {
+    std::function<revision()> present;
     std::function<messages::configuration_delta(revision)> changes_since;
     // Waits until what this host runs is known to be the latest that a
     // majority has accepted. False: no majority answers.
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -8,6 +8,8 @@
 
 #include <sys/socket.h>
 
+#include <array>
+#include <charconv>
 #include <vector>
 
 namespace nutmegusher::node
@@ -31,6 +33,12 @@
 // still open unless the server has stopped.
 constexpr duration fresh_for = std::chrono::milliseconds(500);
 constexpr duration idle_for = std::chrono::seconds(4);
+// Kept back from the time that an upstream says it keeps a connection: the
+// request must arrive before the upstream closes.
+constexpr duration idle_margin = std::chrono::seconds(1);
+// Answers to earlier requests that may stand before the awaited one; an
+// upstream that sends more is out of step for good.
+constexpr int most_skipped_answers = 2;
 constexpr std::size_t most_idle = 256;
 constexpr std::uint32_t answer_header_bytes = 65536;
 
@@ -77,8 +85,28 @@
     std::unique_ptr<beast::tcp_stream> stream;
     tcp::endpoint address;
     time_point since;
+    duration kept_for{idle_for};
 };
 
+// "timeout=10, max=5" in seconds; what isn't told is `idle_for`.
+duration kept_open_for(std::string_view keep_alive)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto at = keep_alive.find(key);
+    std::uint32_t seconds = 0;
+    const auto digits = at == std::string_view::npos
+                            ? std::string_view()
+                            : keep_alive.substr(at + key.size());
+    const auto [rest, code] = std::from_chars(
+        digits.data(), digits.data() + digits.size(), seconds);
+    if (code != std::errc() || rest == digits.data())
+    {
+        return idle_for;
+    }
+    return std::max<duration>(
+        std::chrono::seconds(seconds) - idle_margin, duration::zero());
+}
+
 } // namespace
 
 namespace internal
@@ -101,6 +129,7 @@
             idle.pop_back();
             const bool usable = last.address == address &&
                                 now - last.since <= most_age &&
+                                now - last.since < last.kept_for &&
                                 still_open(last.stream->socket());
             if (usable)
             {
@@ -111,13 +140,16 @@
     }
 
     void
-    put(std::unique_ptr<beast::tcp_stream> stream, const tcp::endpoint& address)
+    put(std::unique_ptr<beast::tcp_stream> stream,
+        const tcp::endpoint& address,
+        duration kept_for)
     {
         if (idle.size() >= most_idle)
         {
             idle.erase(idle.begin());
         }
-        idle.push_back({std::move(stream), address, host_clock().now()});
+        idle.push_back(
+            {std::move(stream), address, host_clock().now(), kept_for});
     }
 
     asio::io_context& context;
@@ -132,7 +164,14 @@
     beast::flat_buffer buffer;
     http::request<http::buffer_body> request;
     std::optional<http::request_serializer<http::buffer_body>> serializer;
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    // The body that is sent while the answer is read.
+    std::string body;
+    std::string echoed_field;
+    std::string echoed_value;
+    duration kept_for{idle_for};
+    // Nothing of another request stood before the answer.
+    bool in_step = true;
     bool request_done = false;
     bool cancelled = false;
 
@@ -193,13 +232,87 @@
 
 } // namespace
 
+namespace
+{
+
+using call_state = std::shared_ptr<internal::upstream_call_state>;
+
+// Sends head and body behind the caller's back. A failure shows when the
+// answer is read: one that has begun to come counts, whatever became of the
+// body.
+void start_write(const call_state& call)
+{
+    auto& body = call->request.body();
+    body.data = call->body.empty() ? nullptr : call->body.data();
+    body.size = call->body.size();
+    body.more = false;
+    http::async_write(
+        *call->stream,
+        *call->serializer,
+        [call](boost::system::error_code failed, std::size_t)
+        {
+            call->request_done = !failed;
+        });
+}
+
+bool belongs_to_another(const internal::upstream_call_state& call)
+{
+    const auto found = call.parser->get().find(call.echoed_field);
+    return !call.echoed_field.empty() && found != call.parser->get().end() &&
+           found->value() != call.echoed_value;
+}
+
+// Reads the rest of an answer that nobody waits for.
+asio::awaitable<boost::system::error_code>
+skip_body(internal::upstream_call_state& call)
+{
+    std::array<char, 4096> piece;
+    while (!call.parser->is_done())
+    {
+        auto& body = call.parser->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        auto [failed, size] = co_await http::async_read_some(
+            *call.stream, call.buffer, *call.parser, as_tuple_awaitable);
+        if (failed && failed != http::error::need_buffer)
+        {
+            co_return failed;
+        }
+    }
+    co_return boost::system::error_code();
+}
+
+asio::awaitable<boost::system::error_code>
+read_one_head(internal::upstream_call_state& call)
+{
+    call.parser.emplace();
+    call.parser->header_limit(answer_header_bytes);
+    call.parser->body_limit(boost::none);
+    if (call.request.method() == http::verb::head)
+    {
+        call.parser->skip(true);
+    }
+    auto [failed, size] = co_await http::async_read_header(
+        *call.stream, call.buffer, *call.parser, as_tuple_awaitable);
+    co_return failed;
+}
+
+} // namespace
+
 upstream_call::upstream_call(
-    std::unique_ptr<internal::upstream_call_state> state)
+    std::shared_ptr<internal::upstream_call_state> state)
     : state_(std::move(state))
 {
 }
 
-upstream_call::~upstream_call() = default;
+upstream_call::~upstream_call()
+{
+    // The write may go on; its end must find a closed connection.
+    if (state_->stream)
+    {
+        state_->stream->close();
+    }
+}
 
 asio::awaitable<outcome<void, upstream_failure>>
 upstream_call::write_some(std::span<const std::byte> bytes, bool end)
@@ -216,21 +329,33 @@
 upstream_call::read_head()
 {
     auto& call = *state_;
-    call.parser.header_limit(answer_header_bytes);
-    call.parser.body_limit(boost::none);
-    if (call.request.method() == http::verb::head)
+    auto failed = co_await read_one_head(call);
+    for (int skipped = 0; !failed && belongs_to_another(call); ++skipped)
     {
-        call.parser.skip(true);
+        call.in_step = false;
+        failed = co_await skip_body(call);
+        if (skipped == most_skipped_answers)
+        {
+            co_return upstream_failure::malformed;
+        }
+        if (!failed)
+        {
+            failed = co_await read_one_head(call);
+        }
     }
-    auto [failed, size] = co_await http::async_read_header(
-        *call.stream, call.buffer, call.parser, as_tuple_awaitable);
     if (failed)
     {
         co_return call.failure_of(failed);
     }
+    const auto& answer = call.parser->get();
+    if (!call.echoed_field.empty() && answer.count(call.echoed_field) == 0)
+    {
+        co_return upstream_failure::malformed;
+    }
+    call.kept_for = kept_open_for(answer[http::field::keep_alive]);
     wire::response_head head;
-    head.status = call.parser.get().result_int();
-    for (const auto& field : call.parser.get())
+    head.status = answer.result_int();
+    for (const auto& field : answer)
     {
         std::string name(field.name_string());
         for (char& c : name)
@@ -248,7 +373,7 @@
 
 std::optional<std::uint64_t> upstream_call::content_length() const
 {
-    const auto length = state_->parser.content_length();
+    const auto length = state_->parser->content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
@@ -256,13 +381,13 @@
 upstream_call::read_some(std::span<std::byte> into)
 {
     auto& call = *state_;
-    auto& body = call.parser.get().body();
-    while (!call.parser.is_done())
+    auto& body = call.parser->get().body();
+    while (!call.parser->is_done())
     {
         body.data = into.data();
         body.size = into.size();
         auto [failed, size] = co_await http::async_read_some(
-            *call.stream, call.buffer, call.parser, as_tuple_awaitable);
+            *call.stream, call.buffer, *call.parser, as_tuple_awaitable);
         if (failed && failed != http::error::need_buffer)
         {
             co_return call.failure_of(failed);
@@ -272,11 +397,11 @@
             co_return got;
         }
     }
-    if (call.stream && call.request_done && call.parser.keep_alive() &&
-        call.buffer.size() == 0)
+    if (call.stream && call.request_done && call.in_step &&
+        call.parser->keep_alive() && call.buffer.size() == 0)
     {
         call.stream->expires_never();
-        call.pool->put(std::move(call.stream), call.address);
+        call.pool->put(std::move(call.stream), call.address, call.kept_for);
     }
     co_return std::size_t{0};
 }
@@ -305,7 +430,7 @@
 asio::awaitable<outcome<std::unique_ptr<upstream_call>, upstream_failure>>
 upstream_pool::send(tcp::endpoint address, const upstream_request& request)
 {
-    auto call = std::make_unique<internal::upstream_call_state>();
+    const auto call = std::make_shared<internal::upstream_call_state>();
     call->pool = state_;
     call->address = address;
     call->stream = state_->take(
@@ -325,14 +450,27 @@
     }
     call->stream->expires_after(request.time_left);
     fill_request(call->request, request);
+    if (!request.echoed_field.empty())
+    {
+        call->echoed_field = request.echoed_field;
+        call->echoed_value =
+            wire::find_header(request.head.fields, request.echoed_field)
+                .value_or("");
+    }
     call->serializer.emplace(call->request);
+    if (!request.streamed)
+    {
+        call->body = request.body;
+        start_write(call);
+        co_return std::make_unique<upstream_call>(call);
+    }
     const auto body = std::as_bytes(std::span(request.body));
-    const auto failed = co_await write_body(*call, body, !request.streamed);
+    const auto failed = co_await write_body(*call, body, false);
     if (failed)
     {
         co_return call->failure_of(failed);
     }
-    co_return std::make_unique<upstream_call>(std::move(call));
+    co_return std::make_unique<upstream_call>(call);
 }
 
 } // namespace nutmegusher::node
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -43,7 +43,7 @@
 {
 public:
     explicit upstream_call(
-        std::unique_ptr<internal::upstream_call_state> state);
+        std::shared_ptr<internal::upstream_call_state> state);
     upstream_call(const upstream_call&) = delete;
     upstream_call& operator=(const upstream_call&) = delete;
     ~upstream_call();
@@ -68,7 +68,7 @@
     void cancel();
 
 private:
-    std::unique_ptr<internal::upstream_call_state> state_;
+    std::shared_ptr<internal::upstream_call_state> state_;
 };
 
 // How a call is sent.
@@ -81,6 +81,10 @@
     // Set for calls that may not be repeated: only a connection used a moment
     // ago, or a new one, so that a stale one can't make the outcome unknown.
     bool needs_fresh_connection = false;
+    // The request's field that the upstream repeats in its answer, lower case;
+    // empty: it repeats none. An answer with another value belongs to an
+    // earlier request and is skipped; one without the field is malformed.
+    std::string_view echoed_field;
     // For the whole call, from now.
     duration time_left{};
 };
@@ -93,8 +97,10 @@
     upstream_pool& operator=(const upstream_pool&) = delete;
     ~upstream_pool();
 
-    // Sends head and body (or its first part). `not_connected` is the only
-    // failure after which the call certainly didn't run.
+    // Connects and starts to send head and body (or sends the first part of a
+    // streamed one). An unstreamed body is sent while the answer is read: an
+    // upstream may answer before it has read the body. `not_connected` is the
+    // only failure after which the call certainly didn't run.
     asio::awaitable<outcome<std::unique_ptr<upstream_call>, upstream_failure>>
     send(asio::ip::tcp::endpoint address, const upstream_request& request);
 
--- /dev/null
+++ b/nutmegusher/node/waiting_calls.hpp
@@ -0,0 +1,56 @@
+// Calls that are suspended until an admission decides on them.
+#ifndef NUTMEGUSHER_NODE_WAITING_CALLS_HPP
+#define NUTMEGUSHER_NODE_WAITING_CALLS_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/policy/policy.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <variant>
+
+namespace nutmegusher::node
+{
+
+namespace asio = boost::asio;
+
+// The caller went away while its call waited.
+struct gone
+{
+};
+
+using gate_verdict = std::variant<admitted, refused, gone>;
+
+// Belongs to one admission and is used under its lock, but for `wait`.
+class waiting_calls
+{
+public:
+    struct waiter;
+
+    // The call waits from now on; the executor is that of its coroutine.
+    [[nodiscard]] std::shared_ptr<waiter>
+    add(ticket_id ticket, const asio::any_io_executor& executor);
+
+    // Suspends until there is a verdict; nothing at `until`, and then it may
+    // be called again. On the waiter's executor, without the lock.
+    [[nodiscard]] static asio::awaitable<std::optional<gate_verdict>>
+    wait(std::shared_ptr<waiter> mine, time_point until = time_point::max());
+
+    // Resumes the calls that were decided on.
+    void deliver(std::span<const settlement> settled);
+
+    // Resumes a call with `gone`; false where it doesn't wait here.
+    bool withdraw(ticket_id ticket);
+
+private:
+    std::unordered_map<ticket_id, std::shared_ptr<waiter>> waiting_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/policy/policy.hpp
+++ b/nutmegusher/policy/policy.hpp
@@ -17,9 +17,11 @@
 #include "nutmegusher/policy/call.hpp"
 #include "nutmegusher/policy/concurrency_limit.hpp"
 #include "nutmegusher/policy/entry_gate.hpp"
+#include "nutmegusher/policy/retry_allowance.hpp"
 #include "nutmegusher/policy/retry_budget.hpp"
 #include "nutmegusher/policy/retry_policy.hpp"
 #include "nutmegusher/policy/return_time.hpp"
 #include "nutmegusher/policy/router.hpp"
+#include "nutmegusher/policy/slot_queue.hpp"
 
 #endif
--- /dev/null
+++ b/nutmegusher/policy/retry_allowance.hpp
@@ -0,0 +1,63 @@
+// How often calls of one service may be sent a second time by this daemon.
+//
+//     allowance.on_call();                  // a call is sent the first time
+//     if (allowance.take()) send_again();   // one that may have run already
+//
+// Pattern of load: an upstream loses answers or fails, and every daemon sends
+// its calls again; each repeat makes its sub-calls again, at every level
+// below. Calls here name no request that they are a part of, so no tokens can
+// travel with them; instead each daemon keeps to a share of its own calls.
+// What all daemons together repeat is then that share of all calls, whatever
+// their number, plus one reserve each.
+#ifndef NUTMEGUSHER_POLICY_RETRY_ALLOWANCE_HPP
+#define NUTMEGUSHER_POLICY_RETRY_ALLOWANCE_HPP
+
+#include <algorithm>
+
+namespace nutmegusher
+{
+
+class retry_allowance
+{
+public:
+    // A quarter of what operators allow a service (a fifth of its calls): the
+    // services above it repeat too, and a chain is four levels deep.
+    static constexpr double default_ratio = 0.05;
+
+    // What a quiet time saves up.
+    static constexpr double reserve = 2;
+
+    explicit retry_allowance(double ratio = default_ratio)
+        : ratio_(ratio)
+    {
+    }
+
+    void on_call()
+    {
+        balance_ = std::min(balance_ + ratio_, reserve);
+    }
+
+    // True: one repeat may be sent, and is counted.
+    bool take()
+    {
+        if (balance_ < 1)
+        {
+            return false;
+        }
+        balance_ -= 1;
+        return true;
+    }
+
+    [[nodiscard]] double balance() const
+    {
+        return balance_;
+    }
+
+private:
+    double ratio_;
+    double balance_ = 0;
+};
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -0,0 +1,285 @@
+#include "nutmegusher/policy/slot_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+// Eight answers: follows an upstream that turns slow within a fraction of a
+// second at tens of calls a second.
+constexpr double hold_weight = 1.0 / 8;
+// Before the first answer nothing is known: a call isn't refused for its time.
+constexpr double unknown_hold = 0.0;
+// Classes whose times are kept; a deployment has tens.
+constexpr std::size_t most_classes = 4096;
+// Above this share of its slots an upstream asks callers to look elsewhere
+// first: what comes in bunches fills the rest.
+constexpr double busy_share = 0.9;
+constexpr std::uint16_t all_permille = 1000;
+
+double seconds_of(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+slot_queue::slot_queue(std::uint64_t seed)
+    : engine_(seed)
+{
+}
+
+std::uint8_t slot_queue::precedence_of(const call_facts& call)
+{
+    return call.sub_call ? 0 : static_cast<std::uint8_t>(call.rank + 1);
+}
+
+double slot_queue::hold_of(std::uint64_t work_class) const
+{
+    const auto found = holds_.find(work_class);
+    return found == holds_.end() ? unknown_hold : found->second;
+}
+
+double slot_queue::slots_per_second() const
+{
+    return mean_hold_ <= 0 ? 0 : static_cast<double>(slots_) / mean_hold_;
+}
+
+// Until a slot is free for the one that has `ahead` others before it.
+duration slot_queue::expected_wait(std::size_t ahead) const
+{
+    if (slots_ == 0 || mean_hold_ <= 0)
+    {
+        return duration::zero();
+    }
+    const auto places = static_cast<double>(ahead + 1);
+    return from_seconds(places * mean_hold_ / static_cast<double>(slots_));
+}
+
+std::size_t slot_queue::ahead_of(std::uint8_t precedence) const
+{
+    const place behind_all{precedence, arrivals_ + 1};
+    const auto end = waiting_.lower_bound(behind_all);
+    return static_cast<std::size_t>(std::distance(waiting_.begin(), end));
+}
+
+bool slot_queue::is_hopeless(
+    const call_facts& call, duration wait, time_point now) const
+{
+    const auto hold = from_seconds(hold_of(call.work_class));
+    return now + wait + hold >= call.deadline;
+}
+
+refused slot_queue::refuse(
+    refusal_reason reason, const call_facts& call, time_point now)
+{
+    if (reason == refusal_reason::leaving)
+    {
+        return {reason, duration::zero()};
+    }
+    const auto room = std::max(slots_per_second(), 1.0);
+    const auto wait = returns_[precedence_of(call)].next(room, now);
+    return {reason, spread(wait, engine_)};
+}
+
+std::span<const settlement>
+slot_queue::set_slots(std::size_t slots, time_point now)
+{
+    settled_.clear();
+    slots_ = slots;
+    admit_waiting(now);
+    return settled_;
+}
+
+arrival slot_queue::arrive(const call_facts& call, time_point now)
+{
+    settled_.clear();
+    if (leaving_ || slots_ == 0)
+    {
+        return {refuse(refusal_reason::leaving, call, now), settled_};
+    }
+    if (running_.size() < slots_)
+    {
+        if (is_hopeless(call, duration::zero(), now))
+        {
+            return {refuse(refusal_reason::deadline, call, now), settled_};
+        }
+        start(call, now);
+        return {admitted(), settled_};
+    }
+    const auto precedence = precedence_of(call);
+    const auto wait = expected_wait(ahead_of(precedence));
+    if (is_hopeless(call, wait, now))
+    {
+        return {refuse(refusal_reason::overload, call, now), settled_};
+    }
+    const place at{precedence, ++arrivals_};
+    waiting_.emplace(at, call);
+    places_.emplace(call.ticket, at);
+    return {queued(), settled_};
+}
+
+void slot_queue::start(const call_facts& call, time_point now)
+{
+    running_.emplace(call.ticket, running_call{call.work_class, now});
+}
+
+std::span<const settlement>
+slot_queue::finish(ticket_id ticket, call_result result, time_point now)
+{
+    settled_.clear();
+    const auto found = running_.find(ticket);
+    if (found == running_.end())
+    {
+        return settled_;
+    }
+    const auto held = now - found->second.since;
+    if (result == call_result::ok || result == call_result::timed_out)
+    {
+        learn(found->second.work_class, held);
+    }
+    running_.erase(found);
+    admit_waiting(now);
+    return settled_;
+}
+
+void slot_queue::learn(std::uint64_t work_class, duration held)
+{
+    const double seconds = seconds_of(held);
+    const auto move = [seconds](double& mean)
+    {
+        mean = mean <= 0 ? seconds : mean + (seconds - mean) * hold_weight;
+    };
+    move(mean_hold_);
+    if (holds_.size() < most_classes || holds_.contains(work_class))
+    {
+        move(holds_[work_class]);
+    }
+}
+
+void slot_queue::admit_waiting(time_point now)
+{
+    while (!waiting_.empty() && running_.size() < slots_)
+    {
+        const auto first = waiting_.begin();
+        const auto call = first->second;
+        places_.erase(call.ticket);
+        waiting_.erase(first);
+        if (is_hopeless(call, duration::zero(), now))
+        {
+            settled_.push_back(
+                {call.ticket, refuse(refusal_reason::overload, call, now)});
+            continue;
+        }
+        start(call, now);
+        settled_.push_back({call.ticket, admitted()});
+    }
+}
+
+std::span<const settlement>
+slot_queue::cancel(ticket_id ticket, time_point now)
+{
+    settled_.clear();
+    const auto found = places_.find(ticket);
+    if (found != places_.end())
+    {
+        waiting_.erase(found->second);
+        places_.erase(found);
+        return settled_;
+    }
+    return finish(ticket, call_result::cancelled, now);
+}
+
+std::span<const settlement> slot_queue::tick(time_point now)
+{
+    settled_.clear();
+    std::size_t ahead = 0;
+    for (auto at = waiting_.begin(); at != waiting_.end();)
+    {
+        const auto call = at->second;
+        if (!is_hopeless(call, expected_wait(ahead), now))
+        {
+            ++ahead;
+            ++at;
+            continue;
+        }
+        places_.erase(call.ticket);
+        at = waiting_.erase(at);
+        settled_.push_back(
+            {call.ticket, refuse(refusal_reason::overload, call, now)});
+    }
+    return settled_;
+}
+
+std::optional<time_point> slot_queue::next_event() const
+{
+    if (waiting_.empty())
+    {
+        return std::nullopt;
+    }
+    auto earliest = time_point::max();
+    for (const auto& [at, call] : waiting_)
+    {
+        const auto hold = from_seconds(hold_of(call.work_class));
+        earliest = std::min(earliest, call.deadline - hold);
+    }
+    return earliest;
+}
+
+std::span<const settlement>
+slot_queue::set_leaving(bool leaving, time_point now)
+{
+    settled_.clear();
+    leaving_ = leaving;
+    if (!leaving)
+    {
+        admit_waiting(now);
+        return settled_;
+    }
+    for (const auto& [at, call] : waiting_)
+    {
+        settled_.push_back(
+            {call.ticket, refuse(refusal_reason::leaving, call, now)});
+    }
+    waiting_.clear();
+    places_.clear();
+    return settled_;
+}
+
+admission_level slot_queue::level(time_point now) const
+{
+    admission_level all;
+    const auto slots = static_cast<double>(slots_);
+    const auto taken = static_cast<double>(running_.size());
+    if (!waiting_.empty() || slots_ == 0)
+    {
+        all.short_lane = {0, all_permille};
+    }
+    else if (taken >= slots * busy_share)
+    {
+        const double over = (taken - slots * busy_share) /
+                            std::max(slots * (1 - busy_share), 1.0);
+        const auto permille = std::min(over, 1.0) * all_permille;
+        all.short_lane = {0, static_cast<std::uint16_t>(permille)};
+    }
+    all.bulk_lane = all.short_lane;
+    static_cast<void>(now);
+    return all;
+}
+
+slot_queue_state slot_queue::state() const
+{
+    return {slots_, running_.size(), waiting_.size(), leaving_};
+}
+
+} // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -0,0 +1,133 @@
+// Admission at an upstream that says how many calls it works on at once.
+//
+//     slot_queue queue(seed);
+//     queue.set_slots(44, now);
+//     arrival at = queue.arrive(facts, now);
+//     for (const settlement& each : queue.finish(ticket, result, now))
+//         resume_or_answer(each);
+//     wake_at(queue.next_event());   // then call `tick(now)`
+//
+// Pattern of load: more calls than slots. An upstream that is given more than
+// it has slots queues them in the order in which they come, and refuses what
+// doesn't fit whatever it is worth. Here calls wait before the upstream, where
+// the better one can still go first and the hopeless one can still be refused
+// with the proof that it didn't run.
+//
+// - Sub-calls go first: they are parts of requests that have been let in, and
+//   a refused one throws away all the work above it.
+// - Then by rank, and in a rank the one that came first.
+// - A call is refused at once where it couldn't finish before its deadline,
+//   going by how long calls of its class have held a slot lately, and a
+//   waiting one as soon as that becomes true.
+#ifndef NUTMEGUSHER_POLICY_SLOT_QUEUE_HPP
+#define NUTMEGUSHER_POLICY_SLOT_QUEUE_HPP
+
+#include "nutmegusher/base/random.hpp"
+#include "nutmegusher/policy/admission_controller.hpp"
+#include "nutmegusher/policy/admission_level.hpp"
+#include "nutmegusher/policy/call.hpp"
+#include "nutmegusher/policy/return_time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher
+{
+
+// For the state dump.
+struct slot_queue_state
+{
+    std::size_t slots = 0;
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    bool leaving = false;
+};
+
+// The spans that the functions return are valid until the next call.
+class slot_queue
+{
+public:
+    // `seed` spreads the times to come back: another one for each upstream.
+    explicit slot_queue(std::uint64_t seed);
+
+    // How many calls the upstream works on at once; 0: none is let in.
+    std::span<const settlement> set_slots(std::size_t slots, time_point now);
+
+    // Decides on a new call. Requires: its ticket is neither waiting nor
+    // running here.
+    arrival arrive(const call_facts& call, time_point now);
+
+    // An admitted call ended. Unknown tickets change nothing.
+    std::span<const settlement>
+    finish(ticket_id ticket, call_result result, time_point now);
+
+    // The caller of a waiting call went away; it gets no settlement.
+    std::span<const settlement> cancel(ticket_id ticket, time_point now);
+
+    // Time has passed: refuses what can no longer finish in time.
+    std::span<const settlement> tick(time_point now);
+
+    // When `tick` has something to do next.
+    [[nodiscard]] std::optional<time_point> next_event() const;
+
+    // From now on all new calls and all waiting ones are refused with
+    // `leaving`; running ones go on. False: takes work again.
+    std::span<const settlement> set_leaving(bool leaving, time_point now);
+
+    // What callers had better send elsewhere.
+    [[nodiscard]] admission_level level(time_point now) const;
+
+    [[nodiscard]] slot_queue_state state() const;
+
+private:
+    // Sub-calls before requests, then the rank, then the arrival.
+    struct place
+    {
+        std::uint8_t precedence = 0;
+        std::uint64_t number = 0;
+
+        friend auto operator<=>(const place&, const place&) = default;
+    };
+
+    struct running_call
+    {
+        std::uint64_t work_class = 0;
+        time_point since;
+    };
+
+    [[nodiscard]] static std::uint8_t precedence_of(const call_facts& call);
+    [[nodiscard]] double hold_of(std::uint64_t work_class) const;
+    [[nodiscard]] double slots_per_second() const;
+    [[nodiscard]] duration expected_wait(std::size_t ahead) const;
+    [[nodiscard]] std::size_t ahead_of(std::uint8_t precedence) const;
+    [[nodiscard]] bool
+    is_hopeless(const call_facts& call, duration wait, time_point now) const;
+    [[nodiscard]] refused
+    refuse(refusal_reason reason, const call_facts& call, time_point now);
+    void start(const call_facts& call, time_point now);
+    void admit_waiting(time_point now);
+    void learn(std::uint64_t work_class, duration held);
+
+    std::size_t slots_ = 0;
+    bool leaving_ = false;
+    std::uint64_t arrivals_ = 0;
+    std::map<place, call_facts> waiting_;
+    std::unordered_map<ticket_id, place> places_;
+    std::unordered_map<ticket_id, running_call> running_;
+    // Moving means of the time that calls hold a slot, seconds.
+    std::unordered_map<std::uint64_t, double> holds_;
+    double mean_hold_ = 0;
+    std::map<std::uint8_t, return_schedule> returns_;
+    random_engine engine_;
+    std::vector<settlement> settled_;
+};
+
+} // namespace nutmegusher
+
+#endif
--- /dev/null
+++ b/nutmegusher/routed/entry.cpp
@@ -0,0 +1,475 @@
+#include "nutmegusher/routed/entry.hpp"
+
+#include "nutmegusher/routed/peer_exchange.hpp"
+#include "nutmegusher/routed/upstream_side.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace nutmegusher::routed
+{
+
+namespace
+{
+
+using node::call_reason;
+using node::refusal;
+
+constexpr std::size_t piece_bytes = 16384;
+// Without a document nothing can be routed; one comes within a round trip to a
+// control host.
+constexpr duration come_back_with_routes = std::chrono::milliseconds(500);
+// A service that no upstream is known of: one may report at any moment.
+constexpr duration come_back_without_upstream = std::chrono::milliseconds(500);
+// A first call waits this long for the upstreams of its service to become
+// known; a sync with a control host takes a round trip.
+constexpr duration first_upstreams_limit = std::chrono::milliseconds(500);
+constexpr duration first_upstreams_step = std::chrono::milliseconds(2);
+// Daemons that may turn one call away, unsent, before its caller hears of it:
+// a queue behind one of them is no reason to refuse, behind three it is.
+constexpr std::size_t most_refusals = 3;
+
+bool is_passed_on(std::string_view name, const request_dialect& names)
+{
+    return name != "host" && name != "connection" &&
+           name != "transfer-encoding" && name != "keep-alive" &&
+           name != "expect" && name != "upgrade" && name != "te" &&
+           name != "trailer" && name != "content-length" &&
+           name != "proxy-connection" && name != names.request_id &&
+           name != names.time_left && name != names.expected_upstream &&
+           name != names.caller_service && !name.starts_with("nutmeg-");
+}
+
+// One request, from its head to its answer.
+class routed_entry
+{
+public:
+    routed_entry(
+        node::worker& here,
+        routed_state& state,
+        node::caller_exchange& exchange)
+        : here_(here)
+        , state_(state)
+        , exchange_(exchange)
+        , arrived_(host_clock().now())
+        , cancelled_(std::make_shared<node::cancellation>())
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        if (const auto wrong = route_request())
+        {
+            co_await refuse(*wrong);
+            co_return;
+        }
+        if (!co_await read_body())
+        {
+            co_return; // the caller has gone, or was told what is wrong
+        }
+        watch_caller();
+        co_await wait_for_upstreams();
+        co_await send_until_answered();
+    }
+
+private:
+    [[nodiscard]] std::string_view field(std::string_view name) const
+    {
+        return wire::find_header(exchange_.head().fields, name).value_or("");
+    }
+
+    std::optional<refusal> route_request()
+    {
+        view_ = state_.process.configuration.current();
+        if (view_->routes().version() == 0)
+        {
+            return refusal{
+                call_reason::starting,
+                call_outcome::not_run,
+                come_back_with_routes};
+        }
+        const auto& head = exchange_.head();
+        route_ = view_->routes().find(field("host"), head.path);
+        if (route_ == nullptr)
+        {
+            return refusal{call_reason::no_such_route};
+        }
+        return read_terms();
+    }
+
+    std::optional<refusal> read_terms()
+    {
+        const auto& names = state_.names;
+        auto& terms = call_.terms;
+        terms.id = field(names.request_id);
+        if (!node::is_token(terms.id))
+        {
+            return refusal{call_reason::bad_header};
+        }
+        const auto given = field(names.time_left);
+        const auto left = node::parse_milliseconds(given);
+        if (!given.empty() && !left)
+        {
+            return refusal{call_reason::bad_header};
+        }
+        terms.host = field("host");
+        terms.caller_service = state_.process.configured.upstream.service;
+        terms.rank = route_->rank;
+        terms.repeatable = route_->repeatable;
+        terms.bulk = route_->bulk;
+        terms.target = route_->target;
+        terms.work_class = route_->hash;
+        terms.deadline =
+            arrived_ + std::min(left.value_or(route_->deadline), route_->deadline);
+        fill_head();
+        return std::nullopt;
+    }
+
+    void fill_head()
+    {
+        const auto& head = exchange_.head();
+        call_.head.method = head.method;
+        call_.head.path = head.path;
+        for (const auto& item : head.fields)
+        {
+            if (is_passed_on(item.name, state_.names))
+            {
+                call_.head.fields.push_back(item);
+            }
+        }
+    }
+
+    asio::awaitable<bool> read_body()
+    {
+        const auto limit = view_->routes().limits().body_bytes();
+        std::array<std::byte, piece_bytes> piece;
+        while (true)
+        {
+            const auto got = co_await exchange_.read_some(piece);
+            if (!got)
+            {
+                if (got.error() == node::caller_failure::malformed)
+                {
+                    const refusal refused{call_reason::bad_request};
+                    co_await refuse(refused);
+                }
+                co_return false;
+            }
+            if (*got == 0)
+            {
+                co_return true;
+            }
+            if (limit > 0 && call_.body.size() + *got > limit)
+            {
+                const refusal refused{call_reason::too_large};
+                co_await refuse(refused);
+                co_return false;
+            }
+            call_.body.append(
+                reinterpret_cast<const char*>(piece.data()), *got);
+        }
+    }
+
+    void watch_caller()
+    {
+        std::weak_ptr<node::cancellation> weak = cancelled_;
+        exchange_.on_disconnect(
+            [weak]
+            {
+                const auto flag = weak.lock();
+                if (!flag)
+                {
+                    return;
+                }
+                flag->requested = true;
+                if (flag->stop)
+                {
+                    flag->stop();
+                }
+            });
+    }
+
+    asio::awaitable<void> wait_for_upstreams()
+    {
+        service_ = route_->choose(here_.random).service;
+        auto& routes = state_.process.routes;
+        if (routes.known(service_))
+        {
+            co_return;
+        }
+        if (routes.want(service_))
+        {
+            state_.process.sync_soon();
+        }
+        const auto until =
+            std::min(arrived_ + first_upstreams_limit, call_.terms.deadline);
+        asio::steady_timer pause(here_.context);
+        while (!routes.known(service_) && host_clock().now() < until)
+        {
+            pause.expires_after(first_upstreams_step);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+
+    asio::awaitable<void> send_until_answered()
+    {
+        state_.repeats.on_call(service_);
+        while (!cancelled_->requested)
+        {
+            if (call_.terms.time_left() <= duration::zero())
+            {
+                co_await give_up(too_late());
+                co_return;
+            }
+            auto to = state_.process.routes.start(
+                service_, facts(), tried_, here_.random);
+            if (!to)
+            {
+                co_await give_up(last_.value_or(nowhere()));
+                co_return;
+            }
+            if (co_await is_settled_by(*std::move(to)))
+            {
+                co_return;
+            }
+        }
+    }
+
+    // True: the request has its final answer, or nobody waits for one.
+    asio::awaitable<bool> is_settled_by(node::route to)
+    {
+        tried_.push_back(to.handle);
+        const auto started = host_clock().now();
+        peer_feedback feedback;
+        auto result = co_await send_to(to, feedback);
+        const auto how = to_end(result, feedback);
+        state_.process.routes.end(
+            service_,
+            to.handle,
+            call_.terms.bulk,
+            how,
+            host_clock().now() - started);
+        if (feedback.levels)
+        {
+            state_.process.routes.on_levels(
+                service_, to.handle, *feedback.levels, call_.terms.bulk);
+        }
+        if (cancelled_->requested)
+        {
+            co_return true;
+        }
+        if (result)
+        {
+            co_await pass_on(*std::move(result));
+            co_return true;
+        }
+        note(result.error());
+        if (may_send_again(result.error()))
+        {
+            co_return false;
+        }
+        co_await give_up(final_refusal());
+        co_return true;
+    }
+
+    asio::awaitable<routed_result>
+    send_to(const node::route& to, peer_feedback& feedback)
+    {
+        const bool is_here = to.host == state_.process.configured.host.id;
+        if (!is_here)
+        {
+            co_return co_await call_peer(
+                here_, to.address, call_, cancelled_, feedback);
+        }
+        auto result =
+            co_await run_on_upstream(here_, state_, call_, cancelled_);
+        feedback.levels = answer_levels{state_.slots.level(), {}};
+        co_return result;
+    }
+
+    static node::try_end
+    to_end(const routed_result& result, const peer_feedback& feedback)
+    {
+        if (result)
+        {
+            return node::try_end::answer;
+        }
+        if (feedback.silent)
+        {
+            return node::try_end::silence;
+        }
+        if (feedback.broken)
+        {
+            return node::try_end::failure;
+        }
+        switch (result.error().told.reason)
+        {
+        case call_reason::leaving:
+            return node::try_end::leaving;
+        case call_reason::no_upstream:
+        case call_reason::connection_lost:
+        case call_reason::answer_broken:
+            return node::try_end::failure;
+        case call_reason::deadline:
+            return result.error().sent ? node::try_end::silence
+                                       : node::try_end::neutral;
+        default:
+            return node::try_end::neutral;
+        }
+    }
+
+    void note(const failed_call& failed)
+    {
+        sent_ += failed.sent ? 1 : 0;
+        const bool ran = failed.told.result != call_outcome::not_run;
+        may_have_run_ = may_have_run_ || ran;
+        const bool turned_away = failed.told.reason == call_reason::overload;
+        refusals_ += turned_away ? 1 : 0;
+        // What has run isn't forgotten for a later refusal.
+        if (!last_ || ran || !may_have_run_)
+        {
+            last_ = failed.told;
+        }
+    }
+
+    [[nodiscard]] bool may_send_again(const failed_call& failed)
+    {
+        const bool ran = failed.told.result != call_outcome::not_run;
+        if (ran && !call_.terms.repeatable)
+        {
+            return false;
+        }
+        if (sent_ >= route_->max_tries || refusals_ >= most_refusals ||
+            failed.told.reason == call_reason::deadline)
+        {
+            return false;
+        }
+        return !failed.sent || state_.repeats.take(service_);
+    }
+
+    [[nodiscard]] refusal too_late() const
+    {
+        return {
+            call_reason::deadline,
+            may_have_run_ ? call_outcome::unknown : call_outcome::not_run};
+    }
+
+    [[nodiscard]] static refusal nowhere()
+    {
+        return {
+            call_reason::no_upstream,
+            call_outcome::not_run,
+            come_back_without_upstream};
+    }
+
+    [[nodiscard]] refusal final_refusal() const
+    {
+        auto told = *last_;
+        if (may_have_run_)
+        {
+            told.result = call_outcome::unknown;
+        }
+        return told;
+    }
+
+    [[nodiscard]] call_facts facts() const
+    {
+        call_facts facts;
+        facts.rank = call_.terms.rank;
+        facts.work_class = call_.terms.work_class;
+        facts.request = stable_hash(call_.terms.id);
+        facts.deadline = call_.terms.deadline;
+        facts.target = call_.terms.target;
+        facts.bulk = call_.terms.bulk;
+        facts.sub_call = call_.terms.sub_call;
+        facts.repeatable = call_.terms.repeatable;
+        return facts;
+    }
+
+    asio::awaitable<void> give_up(refusal told)
+    {
+        log_event(
+            event::request_refused,
+            {{"request", call_.terms.id},
+             {"route", route_->name},
+             {"service", service_.str()},
+             {"reason", node::to_string(told.reason)},
+             {"outcome", node::to_string(told.result)},
+             {"tries", static_cast<std::uint64_t>(tried_.size())},
+             {"version", view_->routes().version()}});
+        co_await refuse(told);
+    }
+
+    asio::awaitable<void> refuse(refusal told)
+    {
+        auto head = state_.names.refuse(told);
+        if (!call_.terms.id.empty())
+        {
+            head.fields.push_back({state_.names.request_id, call_.terms.id});
+        }
+        co_await exchange_.answer(std::move(head), "");
+    }
+
+    asio::awaitable<void> pass_on(routed_answer answer)
+    {
+        if (!answer.rest)
+        {
+            co_await exchange_.answer(std::move(answer.head), answer.body);
+            co_return;
+        }
+        bool open = co_await exchange_.begin_answer(
+            std::move(answer.head), answer.length);
+        const auto begin = std::as_bytes(std::span(answer.body));
+        open = open && co_await exchange_.write_some(begin);
+        std::array<std::byte, piece_bytes> piece;
+        while (open)
+        {
+            const auto got = co_await answer.rest->read_some(piece);
+            if (!got)
+            {
+                log_event(
+                    event::answer_broken,
+                    {{"request", call_.terms.id}, {"route", route_->name}});
+                co_return;
+            }
+            if (*got == 0)
+            {
+                co_await exchange_.end_answer();
+                co_return;
+            }
+            open = co_await exchange_.write_some(std::span(piece).first(*got));
+        }
+    }
+
+    node::worker& here_;
+    routed_state& state_;
+    node::caller_exchange& exchange_;
+    const time_point arrived_;
+    cancel_flag cancelled_;
+    // Keeps `route_` alive.
+    std::shared_ptr<const node::configuration_view> view_;
+    const request_route* route_ = nullptr;
+    service_name service_;
+    routed_call call_;
+    std::vector<upstream_handle> tried_;
+    std::uint32_t sent_ = 0;
+    std::size_t refusals_ = 0;
+    bool may_have_run_ = false;
+    std::optional<refusal> last_;
+};
+
+} // namespace
+
+asio::awaitable<void> serve_routed_request(
+    node::worker& here, routed_state& state, node::caller_exchange& exchange)
+{
+    routed_entry entry(here, state, exchange);
+    co_await entry.run();
+}
+
+} // namespace nutmegusher::routed
--- /dev/null
+++ b/nutmegusher/routed/extension.cpp
@@ -0,0 +1,166 @@
+#include "nutmegusher/routed/extension.hpp"
+
+#include "nutmegusher/routed/entry.hpp"
+#include "nutmegusher/routed/peer_exchange.hpp"
+
+#include <utility>
+
+namespace nutmegusher::routed
+{
+
+namespace
+{
+
+// Names a document by its numbers and content, so that each sending of it is
+// the same change.
+std::string change_id_of(const messages::route_document& document)
+{
+    const auto bytes = document.SerializeAsString();
+    return "routes-" + std::to_string(document.version()) + "-" +
+           std::to_string(stable_hash(bytes)) + "-" +
+           std::to_string(stable_hash(bytes, document.version()));
+}
+
+class routed_extension final : public node::extension
+{
+public:
+    explicit routed_extension(std::unique_ptr<interface_adapter> adapter)
+        : adapter_(std::move(adapter))
+    {
+    }
+
+    void attach(const node::extension_context& context) override
+    {
+        service_ = std::make_unique<routed_service>(context);
+        state_ = std::make_unique<routed_state>(
+            context.shared,
+            adapter_->dialect(),
+            [this, announce = context.announce]
+            {
+                announce_local(announce);
+            });
+        service_->state = state_.get();
+    }
+
+    asio::awaitable<bool> serve_caller(
+        node::worker& here, node::caller_exchange& exchange) override
+    {
+        co_await serve_routed_request(here, *state_, exchange);
+        co_return true;
+    }
+
+    asio::awaitable<bool>
+    serve_upstream(node::worker&, node::caller_exchange& exchange) override
+    {
+        return adapter_->serve_upstream(*service_, exchange);
+    }
+
+    asio::awaitable<bool>
+    serve_operator(node::worker&, node::caller_exchange& exchange) override
+    {
+        return adapter_->serve_operator(*service_, exchange);
+    }
+
+    asio::awaitable<bool> serve_peer(
+        node::worker& here,
+        std::shared_ptr<wire::server_stream> stream) override
+    {
+        if (!is_routed_call(stream->head()))
+        {
+            co_return false;
+        }
+        co_await serve_routed_call(here, *state_, std::move(stream));
+        co_return true;
+    }
+
+    void leave() override
+    {
+        state_->slots.set_leaving(true);
+    }
+
+private:
+    // Callers hear whether the upstream takes work; the slots follow it.
+    void
+    announce_local(const std::function<void(const node::announcement&)>& tell)
+    {
+        const auto now = state_->local.current();
+        if (!now)
+        {
+            return;
+        }
+        const bool takes = state_->local.takes_calls();
+        state_->slots.set_slots(now->slots);
+        node::announcement said;
+        said.service = now->service;
+        said.address = now->address;
+        said.state = takes          ? messages::upstream_serving
+                     : now->leaving ? messages::upstream_leaving
+                                    : messages::upstream_starting;
+        tell(said);
+    }
+
+    std::unique_ptr<interface_adapter> adapter_;
+    std::unique_ptr<routed_service> service_;
+    std::unique_ptr<routed_state> state_;
+};
+
+} // namespace
+
+routed_service::routed_service(const node::extension_context& context)
+    : context_(context)
+{
+}
+
+void routed_service::report(const upstream_report& said)
+{
+    static_cast<void>(state->local.report(said));
+    // Also without a change: the announcement lives by being repeated.
+    state->upstream_changed();
+}
+
+void routed_service::withdraw(const std::string& id)
+{
+    if (state->local.withdraw(id))
+    {
+        state->upstream_changed();
+    }
+}
+
+bool routed_service::is_ready() const
+{
+    const auto& shared = context_.shared;
+    return !shared.stopping &&
+           shared.configuration.current()->routes().version() > 0;
+}
+
+bool routed_service::is_control_host() const
+{
+    return static_cast<bool>(context_.control.propose);
+}
+
+asio::awaitable<messages::change_result>
+routed_service::install(messages::route_document document)
+{
+    messages::change change;
+    change.set_change_id(change_id_of(document));
+    *change.mutable_install_routes() = std::move(document);
+    return context_.control.propose(std::move(change));
+}
+
+asio::awaitable<std::optional<messages::route_document>> routed_service::read()
+{
+    const auto present = co_await context_.control.read();
+    if (!present)
+    {
+        co_return std::nullopt;
+    }
+    co_return present->routes();
+}
+
+std::unique_ptr<node::extension>
+make_routed_extension(std::unique_ptr<interface_adapter> adapter)
+{
+    return std::make_unique<routed_extension>(std::move(adapter));
+}
+
+} // namespace nutmegusher::routed
--- /dev/null
+++ b/nutmegusher/routed/routed_call.hpp
@@ -0,0 +1,102 @@
+// One routed request between the daemon where it enters and the one beside
+// its upstream.
+#ifndef NUTMEGUSHER_ROUTED_ROUTED_CALL_HPP
+#define NUTMEGUSHER_ROUTED_ROUTED_CALL_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/node/call.hpp"
+#include "nutmegusher/node/peer_call.hpp"
+#include "nutmegusher/wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace nutmegusher::routed
+{
+
+namespace asio = boost::asio;
+
+// What the daemon beside the upstream must know of a request.
+struct call_terms
+{
+    // The caller's attempt, as it named it.
+    std::string id;
+    // The host name that it asked for.
+    std::string host;
+    // The service on the host where it began.
+    service_name caller_service;
+    std::uint8_t rank = 0;
+    bool repeatable = false;
+    bool bulk = false;
+    // An upstream made it.
+    bool sub_call = false;
+    duration target{0};
+    time_point deadline;
+    // `stable_hash` of the route's name.
+    std::uint64_t work_class = 0;
+
+    [[nodiscard]] duration time_left() const
+    {
+        return deadline - host_clock().now();
+    }
+};
+
+struct routed_call
+{
+    call_terms terms;
+    // Method, path and the fields that are passed on.
+    wire::request_head head;
+    std::string body;
+};
+
+// How a call failed.
+struct failed_call
+{
+    // Reason, what is known of its execution, when to come back.
+    node::refusal told;
+    // It reached the upstream, and may count as one of its tries.
+    bool sent = false;
+};
+
+// The rest of an answer that is too long to be kept whole.
+class answer_rest
+{
+public:
+    answer_rest() = default;
+    answer_rest(const answer_rest&) = delete;
+    answer_rest& operator=(const answer_rest&) = delete;
+    virtual ~answer_rest() = default;
+
+    // At least one byte, or 0 at the clean end; nothing where it broke off.
+    virtual asio::awaitable<std::optional<std::size_t>>
+    read_some(std::span<std::byte> into) = 0;
+};
+
+// An answer of an upstream: whole, or its beginning and the rest.
+struct routed_answer
+{
+    wire::response_head head;
+    std::string body;
+    std::unique_ptr<answer_rest> rest;
+    std::optional<std::uint64_t> length;
+};
+
+// Answers up to this size are passed on only when they are whole, so that a
+// broken one can still be fetched elsewhere. Thirty times the mean answer of
+// the users' largest class.
+inline constexpr std::size_t kept_answer_bytes = 256 * 1024;
+
+using routed_result = outcome<routed_answer, failed_call>;
+
+// Set when the caller has gone.
+using cancel_flag = std::shared_ptr<node::cancellation>;
+
+} // namespace nutmegusher::routed
+
+#endif
--- /dev/null
+++ b/nutmegusher/routed/slot_gate.cpp
@@ -0,0 +1,109 @@
+#include "nutmegusher/routed/slot_gate.hpp"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <memory>
+
+namespace nutmegusher::routed
+{
+
+namespace
+{
+
+// A waiting call looks again no sooner than this: its timer may fire a little
+// before the queue finds it hopeless.
+constexpr duration shortest_wait = std::chrono::milliseconds(2);
+
+} // namespace
+
+slot_gate::slot_gate(std::uint64_t seed)
+    : queue_(seed)
+{
+}
+
+ticket_id slot_gate::next_ticket()
+{
+    const std::scoped_lock lock(mutex_);
+    return ticket_id(++last_ticket_);
+}
+
+asio::awaitable<node::gate_verdict> slot_gate::enter(call_facts call)
+{
+    auto executor = co_await asio::this_coro::executor;
+    std::shared_ptr<node::waiting_calls::waiter> mine;
+    time_point until;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto at = queue_.arrive(call, host_clock().now());
+        waiting_.deliver(at.others);
+        if (const auto* no = std::get_if<refused>(&at.verdict))
+        {
+            co_return *no;
+        }
+        if (std::holds_alternative<admitted>(at.verdict))
+        {
+            co_return admitted();
+        }
+        mine = waiting_.add(call.ticket, executor);
+        until = next_event();
+    }
+    auto verdict = co_await node::waiting_calls::wait(mine, until);
+    while (!verdict)
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            waiting_.deliver(queue_.tick(host_clock().now()));
+            until = next_event();
+        }
+        verdict = co_await node::waiting_calls::wait(mine, until);
+    }
+    co_return *verdict;
+}
+
+time_point slot_gate::next_event() const
+{
+    const auto soonest = host_clock().now() + shortest_wait;
+    return std::max(queue_.next_event().value_or(soonest), soonest);
+}
+
+void slot_gate::finish(ticket_id ticket, call_result result)
+{
+    const std::scoped_lock lock(mutex_);
+    waiting_.deliver(queue_.finish(ticket, result, host_clock().now()));
+}
+
+void slot_gate::cancel(ticket_id ticket)
+{
+    const std::scoped_lock lock(mutex_);
+    if (waiting_.withdraw(ticket))
+    {
+        waiting_.deliver(queue_.cancel(ticket, host_clock().now()));
+    }
+}
+
+void slot_gate::set_slots(std::size_t slots)
+{
+    const std::scoped_lock lock(mutex_);
+    waiting_.deliver(queue_.set_slots(slots, host_clock().now()));
+}
+
+void slot_gate::set_leaving(bool leaving)
+{
+    const std::scoped_lock lock(mutex_);
+    waiting_.deliver(queue_.set_leaving(leaving, host_clock().now()));
+}
+
+admission_level slot_gate::level() const
+{
+    const std::scoped_lock lock(mutex_);
+    return queue_.level(host_clock().now());
+}
+
+slot_queue_state slot_gate::state() const
+{
+    const std::scoped_lock lock(mutex_);
+    return queue_.state();
+}
+
+} // namespace nutmegusher::routed
--- /dev/null
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -0,0 +1,55 @@
+// Calls suspend here until the upstream on this host has a slot for them.
+#ifndef NUTMEGUSHER_ROUTED_SLOT_GATE_HPP
+#define NUTMEGUSHER_ROUTED_SLOT_GATE_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/node/waiting_calls.hpp"
+#include "nutmegusher/policy/policy.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <mutex>
+
+namespace nutmegusher::routed
+{
+
+namespace asio = boost::asio;
+
+// A `slot_queue` for all worker threads.
+class slot_gate
+{
+public:
+    explicit slot_gate(std::uint64_t seed);
+
+    // A ticket that no other call has.
+    ticket_id next_ticket();
+
+    // Suspends until the call is let in or refused; resumes on the executor
+    // that it was called on.
+    asio::awaitable<node::gate_verdict> enter(call_facts call);
+
+    // Requires: `enter` gave `admitted`.
+    void finish(ticket_id ticket, call_result result);
+
+    // The caller of a waiting call went away; its `enter` gives `gone`.
+    void cancel(ticket_id ticket);
+
+    void set_slots(std::size_t slots);
+    void set_leaving(bool leaving);
+
+    [[nodiscard]] admission_level level() const;
+    [[nodiscard]] slot_queue_state state() const;
+
+private:
+    [[nodiscard]] time_point next_event() const;
+
+    mutable std::mutex mutex_;
+    slot_queue queue_;
+    std::uint64_t last_ticket_ = 0;
+    node::waiting_calls waiting_;
+};
+
+} // namespace nutmegusher::routed
+
+#endif
--- /dev/null
+++ b/nutmegusher/routed/upstream_side.cpp
@@ -0,0 +1,394 @@
+#include "nutmegusher/routed/upstream_side.hpp"
+
+#include "nutmegusher/node/upstream_client.hpp"
+
+#include <array>
+#include <utility>
+
+namespace nutmegusher::routed
+{
+
+namespace
+{
+
+using node::call_reason;
+
+
+constexpr std::size_t piece_bytes = 16384;
+constexpr unsigned status_other_upstream = 421;
+constexpr unsigned status_error = 400;
+// An upstream that can't be connected to has ended or is starting; another one
+// of its service takes the call.
+constexpr duration come_back_elsewhere = std::chrono::milliseconds(50);
+// Without an upstream on this host or with one that leaves.
+constexpr duration come_back_later = std::chrono::milliseconds(250);
+
+failed_call not_run(call_reason reason, duration come_back)
+{
+    return {{reason, call_outcome::not_run, come_back}, false};
+}
+
+failed_call refused_by_upstream(duration come_back)
+{
+    return {
+        {call_reason::upstream_refused, call_outcome::not_run, come_back},
+        true};
+}
+
+failed_call unknown(call_reason reason)
+{
+    return {{reason, call_outcome::unknown, duration::zero()}, true};
+}
+
+failed_call to_failed(node::upstream_failure failure)
+{
+    switch (failure)
+    {
+    case node::upstream_failure::not_connected:
+        return not_run(call_reason::no_upstream, come_back_elsewhere);
+    case node::upstream_failure::timed_out:
+        return unknown(call_reason::deadline);
+    case node::upstream_failure::cancelled:
+        return unknown(call_reason::cancelled);
+    case node::upstream_failure::broken:
+        return unknown(call_reason::connection_lost);
+    case node::upstream_failure::malformed:
+        break;
+    }
+    return unknown(call_reason::answer_broken);
+}
+
+// Holds a slot and gives it back when the upstream has no more of the call.
+class held_slot
+{
+public:
+    held_slot(slot_gate& gate, ticket_id ticket)
+        : gate_(gate)
+        , ticket_(ticket)
+    {
+    }
+
+    held_slot(const held_slot&) = delete;
+    held_slot& operator=(const held_slot&) = delete;
+
+    ~held_slot()
+    {
+        release();
+    }
+
+    void set_result(call_result result)
+    {
+        result_ = result;
+    }
+
+    void release()
+    {
+        if (!std::exchange(released_, true))
+        {
+            gate_.finish(ticket_, result_);
+        }
+    }
+
+private:
+    slot_gate& gate_;
+    ticket_id ticket_;
+    call_result result_ = call_result::failed;
+    bool released_ = false;
+};
+
+// The rest of a long answer; holds connection and slot.
+class upstream_rest final : public answer_rest
+{
+public:
+    upstream_rest(
+        std::unique_ptr<node::upstream_call> call,
+        std::unique_ptr<held_slot> slot)
+        : call_(std::move(call))
+        , slot_(std::move(slot))
+    {
+    }
+
+    asio::awaitable<std::optional<std::size_t>>
+    read_some(std::span<std::byte> into) override
+    {
+        const auto got = co_await call_->read_some(into);
+        if (!got)
+        {
+            co_return std::nullopt;
+        }
+        if (*got == 0)
+        {
+            slot_->set_result(call_result::ok);
+            slot_->release();
+        }
+        co_return *got;
+    }
+
+private:
+    std::unique_ptr<node::upstream_call> call_;
+    std::unique_ptr<held_slot> slot_;
+};
+
+call_facts facts_of(const call_terms& terms, ticket_id ticket)
+{
+    call_facts facts;
+    facts.ticket = ticket;
+    facts.rank = terms.rank;
+    facts.work_class = terms.work_class;
+    facts.request = stable_hash(terms.id);
+    facts.deadline = terms.deadline;
+    facts.target = terms.target;
+    facts.bulk = terms.bulk;
+    facts.sub_call = terms.sub_call;
+    facts.repeatable = terms.repeatable;
+    return facts;
+}
+
+call_reason to_reason(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::overload:
+    case refusal_reason::fair_share:
+        return call_reason::overload;
+    case refusal_reason::deadline:
+        return call_reason::deadline;
+    case refusal_reason::leaving:
+        break;
+    }
+    return call_reason::leaving;
+}
+
+// One call, from the wait for a slot to the end of the answer.
+class upstream_run
+{
+public:
+    upstream_run(
+        node::worker& here,
+        routed_state& state,
+        const routed_call& call,
+        cancel_flag cancelled)
+        : here_(here)
+        , state_(state)
+        , call_(call)
+        , cancelled_(std::move(cancelled))
+    {
+    }
+
+    asio::awaitable<routed_result> run()
+    {
+        if (!state_.local.takes_calls())
+        {
+            co_return not_run(call_reason::leaving, come_back_later);
+        }
+        const auto ticket = state_.slots.next_ticket();
+        const auto refused_call = co_await wait_for_slot(ticket);
+        if (refused_call)
+        {
+            co_return *refused_call;
+        }
+        slot_ = std::make_unique<held_slot>(state_.slots, ticket);
+        if (cancelled_->requested)
+        {
+            slot_->set_result(call_result::never_started);
+            co_return not_run(call_reason::cancelled, duration::zero());
+        }
+        co_return co_await exchange();
+    }
+
+private:
+    asio::awaitable<std::optional<failed_call>> wait_for_slot(ticket_id ticket)
+    {
+        auto& slots = state_.slots;
+        cancelled_->stop = [&slots, ticket]
+        {
+            slots.cancel(ticket);
+        };
+        const auto facts = facts_of(call_.terms, ticket);
+        const auto verdict = co_await slots.enter(facts);
+        cancelled_->stop = nullptr;
+        if (const auto* no = std::get_if<refused>(&verdict))
+        {
+            co_return not_run(to_reason(no->reason), no->come_back_after);
+        }
+        if (std::holds_alternative<node::gone>(verdict))
+        {
+            co_return not_run(call_reason::cancelled, duration::zero());
+        }
+        co_return std::nullopt;
+    }
+
+    // The upstream may have begun to leave while the call waited.
+    asio::awaitable<routed_result> exchange()
+    {
+        const auto to = state_.local.current();
+        slot_->set_result(call_result::never_started);
+        if (!to || !state_.local.takes_calls())
+        {
+            co_return not_run(call_reason::leaving, come_back_later);
+        }
+        if (call_.terms.time_left() <= duration::zero())
+        {
+            co_return not_run(call_reason::deadline, duration::zero());
+        }
+        const auto request = make_request(*to);
+        auto sent = co_await here_.upstreams.send(to->address, request);
+        if (!sent)
+        {
+            if (sent.error() == node::upstream_failure::not_connected)
+            {
+                state_.note_unreachable(to->id);
+            }
+            co_return to_failed(sent.error());
+        }
+        slot_->set_result(call_result::failed);
+        upstream_ = *std::move(sent);
+        if (cancelled_->requested)
+        {
+            co_return unknown(call_reason::cancelled);
+        }
+        auto* const upstream = upstream_.get();
+        cancelled_->stop = [upstream]
+        {
+            upstream->cancel();
+        };
+        auto result = co_await read_answer();
+        cancelled_->stop = nullptr;
+        co_return result;
+    }
+
+    [[nodiscard]] node::upstream_request
+    make_request(const upstream_report& to) const
+    {
+        const auto& names = state_.names;
+        node::upstream_request request;
+        request.head = call_.head;
+        const auto add = [&request](const std::string& name, std::string value)
+        {
+            request.head.fields.push_back({name, std::move(value)});
+        };
+        add("host", call_.terms.host);
+        add(names.request_id, call_.terms.id);
+        add(names.time_left, node::to_milliseconds(call_.terms.time_left()));
+        add(names.expected_upstream, to.id);
+        add(names.caller_service, call_.terms.caller_service.str());
+        request.body = call_.body;
+        request.needs_fresh_connection = !call_.terms.repeatable;
+        request.echoed_field = names.request_id;
+        request.time_left = call_.terms.time_left();
+        return request;
+    }
+
+    asio::awaitable<routed_result> read_answer()
+    {
+        auto head = co_await upstream_->read_head();
+        if (!head)
+        {
+            note_failure(head.error());
+            co_return to_failed(head.error());
+        }
+        const bool says_not_run =
+            wire::find_header(head->fields, state_.names.not_run).has_value();
+        if (says_not_run || head->status == status_other_upstream)
+        {
+            slot_->set_result(call_result::shed_by_upstream);
+            co_await skip_rest();
+            co_return refused_by_upstream(come_back_elsewhere);
+        }
+        if (!is_acceptable(*head))
+        {
+            co_return unknown(call_reason::answer_broken);
+        }
+        co_return co_await read_body(*std::move(head));
+    }
+
+    // A success must bring the upstream's signature and its own encoding.
+    [[nodiscard]] bool is_acceptable(const wire::response_head& head) const
+    {
+        if (head.status >= status_error)
+        {
+            return true;
+        }
+        const auto& signature = state_.names.signature;
+        const bool is_signed =
+            signature.empty() || wire::find_header(head.fields, signature);
+        return is_signed && !wire::find_header(head.fields, "content-encoding");
+    }
+
+    void note_failure(node::upstream_failure failure)
+    {
+        if (failure == node::upstream_failure::timed_out)
+        {
+            slot_->set_result(call_result::timed_out);
+        }
+        else if (failure == node::upstream_failure::cancelled)
+        {
+            slot_->set_result(call_result::cancelled);
+        }
+    }
+
+    // So that the connection can be used again.
+    asio::awaitable<void> skip_rest()
+    {
+        std::array<std::byte, piece_bytes> piece;
+        auto got = co_await upstream_->read_some(piece);
+        while (got && *got > 0)
+        {
+            got = co_await upstream_->read_some(piece);
+        }
+    }
+
+    asio::awaitable<routed_result> read_body(wire::response_head head)
+    {
+        routed_answer answer;
+        answer.head = std::move(head);
+        answer.length = upstream_->content_length();
+        std::array<std::byte, piece_bytes> piece;
+        while (answer.body.size() <= kept_answer_bytes)
+        {
+            const auto got = co_await upstream_->read_some(piece);
+            if (!got)
+            {
+                note_failure(got.error());
+                auto failed = to_failed(got.error());
+                if (failed.told.reason == call_reason::connection_lost)
+                {
+                    failed.told.reason = call_reason::answer_broken;
+                }
+                co_return failed;
+            }
+            if (*got == 0)
+            {
+                slot_->set_result(call_result::ok);
+                co_return answer;
+            }
+            answer.body.append(
+                reinterpret_cast<const char*>(piece.data()), *got);
+        }
+        answer.rest = std::make_unique<upstream_rest>(
+            std::move(upstream_), std::move(slot_));
+        co_return answer;
+    }
+
+    node::worker& here_;
+    routed_state& state_;
+    const routed_call& call_;
+    cancel_flag cancelled_;
+    // Declared before the call: the slot is free when the connection is.
+    std::unique_ptr<held_slot> slot_;
+    std::unique_ptr<node::upstream_call> upstream_;
+};
+
+} // namespace
+
+asio::awaitable<routed_result> run_on_upstream(
+    node::worker& here,
+    routed_state& state,
+    const routed_call& call,
+    cancel_flag cancelled)
+{
+    upstream_run run(here, state, call, std::move(cancelled));
+    co_return co_await run.run();
+}
+
+} // namespace nutmegusher::routed
