Start daemons' first syncs sooner; keep repeats of sub-calls below those of requests

A daemon that starts with all the others found no control host ready and waited 0.5 to 2 s; its first pause is now 0.25 s and doubles as before. Repeats: 0.1 of the requests, 0.03 of the sub-calls, so that a chain of four stays below the operators' fifth.

--- a/nutmegusher/membership/sync_schedule.hpp
+++ b/nutmegusher/membership/sync_schedule.hpp
@@ -27,13 +27,16 @@
 {
     // After a failure the next control host is tried within this time, spread
     // evenly: the daemons of a lost one don't arrive at the others at once.
-    duration failover_spread = std::chrono::milliseconds(500);
+    duration failover_spread = std::chrono::milliseconds(250);
     // A control host that failed is left alone so long; doubles with each
     // failure up to the bound, and half of it is spread. The bound keeps a
     // change that is accepted right after control came back within its 4 s;
     // 16,000 daemons that try this often make 465 tries a second at each of 23
     // control hosts.
-    duration first_backoff = std::chrono::seconds(1);
+    // The first one is short: a daemon that starts serves nobody before its
+    // first sync, and hosts that start together aren't ready in the same
+    // moment.
+    duration first_backoff = std::chrono::milliseconds(250);
     duration max_backoff = std::chrono::seconds(2);
     // When a nearer control host may be used again, daemons go back to it over
     // this time. 890 daemons of one control host make 15 returns a second.
--- a/nutmegusher/policy/retry_allowance.hpp
+++ b/nutmegusher/policy/retry_allowance.hpp
@@ -20,14 +20,19 @@
 class retry_allowance
 {
 public:
-    // A quarter of what operators allow a service (a fifth of its calls): the
-    // services above it repeat too, and a chain is four levels deep.
-    static constexpr double default_ratio = 0.05;
+    // Of the requests of members and clerks: half of what operators allow a
+    // service (a fifth of its calls), as each repeat makes its sub-calls again.
+    static constexpr double ratio_of_requests = 0.1;
+
+    // Of sub-calls. With the ratio above it keeps each of the four services of
+    // the users' chains below a fifth, whatever fails at once: 0.10, 0.14, 0.15
+    // and 0.18 of the calls from the first to the last.
+    static constexpr double ratio_of_sub_calls = 0.03;
 
     // What a quiet time saves up.
     static constexpr double reserve = 2;
 
-    explicit retry_allowance(double ratio = default_ratio)
+    explicit retry_allowance(double ratio)
         : ratio_(ratio)
     {
     }
@@ -55,7 +60,8 @@
 
 private:
     double ratio_;
-    double balance_ = 0;
+    // A daemon that has just started may repeat one call.
+    double balance_ = 1;
 };
 
 } // namespace nutmegusher
--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -16,10 +16,6 @@
 constexpr double unknown_hold = 0.0;
 // Classes whose times are kept; a deployment has tens.
 constexpr std::size_t most_classes = 4096;
-// Above this share of its slots an upstream asks callers to look elsewhere
-// first: what comes in bunches fills the rest.
-constexpr double busy_share = 0.9;
-constexpr std::uint16_t all_permille = 1000;
 
 double seconds_of(duration time)
 {
@@ -266,27 +262,6 @@
     return settled_;
 }
 
-admission_level slot_queue::level(time_point now) const
-{
-    admission_level all;
-    const auto slots = static_cast<double>(slots_);
-    const auto taken = static_cast<double>(running_.size());
-    if (!waiting_.empty() || slots_ == 0)
-    {
-        all.short_lane = {0, all_permille};
-    }
-    else if (taken >= slots * busy_share)
-    {
-        const double over = (taken - slots * busy_share) /
-                            std::max(slots * (1 - busy_share), 1.0);
-        const auto permille = std::min(over, 1.0) * all_permille;
-        all.short_lane = {0, static_cast<std::uint16_t>(permille)};
-    }
-    all.bulk_lane = all.short_lane;
-    static_cast<void>(now);
-    return all;
-}
-
 slot_queue_state slot_queue::state() const
 {
     return {
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -25,7 +25,6 @@
 
 #include "nutmegusher/base/random.hpp"
 #include "nutmegusher/policy/admission_controller.hpp"
-#include "nutmegusher/policy/admission_level.hpp"
 #include "nutmegusher/policy/call.hpp"
 #include "nutmegusher/policy/return_time.hpp"
 #include "nutmegusher/policy/shed_control.hpp"
@@ -87,9 +86,6 @@
     // `leaving`; running ones go on. False: takes work again.
     std::span<const settlement> set_leaving(bool leaving, time_point now);
 
-    // What callers had better send elsewhere.
-    [[nodiscard]] admission_level level(time_point now) const;
-
     // What entries had better not let in: see `shed_control`.
     [[nodiscard]] double shed_level() const
     {
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -249,7 +249,7 @@
 
     asio::awaitable<void> send_until_answered()
     {
-        state_.repeats.on_call(service_);
+        state_.repeats.on_call(service_, call_.terms.sub_call);
         while (!cancelled_->requested)
         {
             if (call_.terms.time_left() <= duration::zero())
@@ -390,7 +390,8 @@
         {
             return false;
         }
-        return !failed.sent || state_.repeats.take(service_);
+        return !failed.sent ||
+               state_.repeats.take(service_, call_.terms.sub_call);
     }
 
     [[nodiscard]] refusal too_late() const
--- a/nutmegusher/routed/request_dialect.hpp
+++ b/nutmegusher/routed/request_dialect.hpp
@@ -26,8 +26,6 @@
     std::string not_run = "nutmeg-not-run";
     // On answers: proves that the upstream gave it; empty: it gives no proof.
     std::string signature;
-    // On answers: calls running, calls waiting, slots.
-    std::string load = "nutmeg-upstream-load";
 
     // The head of the answer to a request that is given up on.
     std::function<wire::response_head(const node::refusal&)> refuse =
--- a/nutmegusher/routed/routed_state.cpp
+++ b/nutmegusher/routed/routed_state.cpp
@@ -5,16 +5,25 @@
 namespace nutmegusher::routed
 {
 
-void repeat_allowances::on_call(const service_name& service)
+retry_allowance&
+repeat_allowances::find(const service_name& service, bool is_sub_call)
+{
+    const double ratio = is_sub_call ? retry_allowance::ratio_of_sub_calls
+                                     : retry_allowance::ratio_of_requests;
+    auto& all = is_sub_call ? of_sub_calls_ : of_requests_;
+    return all.try_emplace(service, ratio).first->second;
+}
+
+void repeat_allowances::on_call(const service_name& service, bool is_sub_call)
 {
     const std::scoped_lock lock(mutex_);
-    by_service_[service].on_call();
+    find(service, is_sub_call).on_call();
 }
 
-bool repeat_allowances::take(const service_name& service)
+bool repeat_allowances::take(const service_name& service, bool is_sub_call)
 {
     const std::scoped_lock lock(mutex_);
-    return by_service_[service].take();
+    return find(service, is_sub_call).take();
 }
 
 void way_ahead::hear(std::uint64_t route, std::span<const shed_level> levels)
--- a/nutmegusher/routed/routed_state.hpp
+++ b/nutmegusher/routed/routed_state.hpp
@@ -25,12 +25,18 @@
 class repeat_allowances
 {
 public:
-    void on_call(const service_name& service);
-    bool take(const service_name& service);
+    void on_call(const service_name& service, bool is_sub_call);
+    bool take(const service_name& service, bool is_sub_call);
 
 private:
+    using allowances = std::unordered_map<service_name, retry_allowance>;
+
+    [[nodiscard]] retry_allowance&
+    find(const service_name& service, bool is_sub_call);
+
     std::mutex mutex_;
-    std::unordered_map<service_name, retry_allowance> by_service_;
+    allowances of_requests_;
+    allowances of_sub_calls_;
 };
 
 // What answers tell of the services on the way, and what this host's own
--- a/nutmegusher/routed/slot_gate.cpp
+++ b/nutmegusher/routed/slot_gate.cpp
@@ -119,18 +119,6 @@
     waiting_.deliver(queue_.set_leaving(leaving, host_clock().now()));
 }
 
-double slot_gate::shed_level() const
-{
-    const std::scoped_lock lock(mutex_);
-    return queue_.shed_level();
-}
-
-admission_level slot_gate::level() const
-{
-    const std::scoped_lock lock(mutex_);
-    return queue_.level(host_clock().now());
-}
-
 slot_queue_state slot_gate::state() const
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/routed/slot_gate.hpp
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -38,8 +38,6 @@
     void set_slots(std::size_t slots);
     void set_leaving(bool leaving);
 
-    [[nodiscard]] double shed_level() const;
-    [[nodiscard]] admission_level level() const;
     [[nodiscard]] slot_queue_state state() const;
 
 private:
