Let two near upstreams compete with two of all

Two draws of all upstreams are both far most of the time, and where no word on the load is recent the distance didn't count.

--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -49,10 +49,12 @@
 // two and a half times as slow gets calls once the others are nine tenths full;
 // at 0.7 it stood idle while callers were turned away.
 constexpr double crowd_weight = 2.5;
-// Another data centre of the region: the way there and back, and a share that
-// keeps light loads near.
+// Another data centre of the region: the way there and back, and a share of the
+// time that keeps calls near until six tenths of the near slots are taken. At a
+// tenth of the time, nine times as many bytes crossed data centres on a calm
+// day.
 constexpr double far_seconds = 0.002;
-constexpr double far_share = 0.1;
+constexpr double far_share = 0.6;
 
 // Zero of nothing; the higher of two.
 double upper_median(std::vector<double>& values)
@@ -189,7 +191,22 @@
     {
         return usable(each, tried, now) && healthy(each, call.bulk, now);
     };
-    if (const pick chosen = best_of_two(call.bulk, now, engine, is_healthy))
+    const auto is_near = [&](const entry& each)
+    {
+        return each.where.distance == network_distance::same_data_center &&
+               is_healthy(each);
+    };
+    // Two of the near ones compete with two of all: two of all alone are both
+    // far in most draws.
+    const pick near = best_of_two(call.bulk, now, engine, is_near);
+    const pick chosen = best_of_two(call.bulk, now, engine, is_healthy);
+    if (near && chosen)
+    {
+        const bool is_nearer = cost(entries_[*near], call.bulk, now) <=
+                               cost(entries_[*chosen], call.bulk, now);
+        return is_nearer ? near : chosen;
+    }
+    if (chosen)
     {
         return chosen;
     }
@@ -269,10 +286,14 @@
     const double queue = std::max(taken - 1.0, 0.0) * queue_weight;
     const double filled = std::min(taken, 1.0);
     const double crowd = filled * filled * filled * crowd_weight;
-    const double way = each.where.distance == network_distance::same_data_center
-                           ? 0.0
-                           : far_seconds + hold * far_share;
-    return hold * (1.0 + crowd + queue) + way;
+    return hold * (1.0 + crowd + queue) + way(each, hold);
+}
+
+// What the distance adds to the expected time, in seconds.
+double router::way(const entry& each, double hold) const
+{
+    const bool near = each.where.distance == network_distance::same_data_center;
+    return options_.near_first || near ? 0.0 : far_seconds + hold * far_share;
 }
 
 double router::cost(const entry& each, bool bulk, time_point now) const
@@ -281,7 +302,8 @@
     {
         return *told;
     }
-    const double cost = each.health.cost(bulk);
+    const double cost =
+        each.health.cost(bulk) + way(each, each.health.latency(bulk));
     if (now >= each.warm_at)
     {
         return cost;
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -199,6 +199,7 @@
         bool bulk, time_point now, random_engine& engine, const Accept& accept);
     [[nodiscard]] double
     cost(const entry& each, bool bulk, time_point now) const;
+    [[nodiscard]] double way(const entry& each, double hold) const;
     [[nodiscard]] std::optional<double>
     told_cost(const entry& each, time_point now) const;
     [[nodiscard]] pick choose_by_time(
