--- a/nutmegusher/policy/retry_allowance.hpp
+++ b/nutmegusher/policy/retry_allowance.hpp
@@ -25,8 +25,9 @@
     static constexpr double ratio_of_requests = 0.1;
 
     // Of sub-calls. With the ratio above it keeps each of the four services of
-    // the users' chains below a fifth, whatever fails at once: 0.10, 0.14, 0.15
-    // and 0.18 of the calls from the first to the last.
+    // the users' chains below a fifth, whatever fails at once: 0.10, 0.12, 0.15
+    // and 0.18 of the calls from the first to the last, worked out at the
+    // Association's rates and without the reserves.
     static constexpr double ratio_of_sub_calls = 0.03;
 
     // What a quiet time saves up.
