Let the load of a test last until its steps are done

Their loads ended by themselves after 6 s and 3 s; steps that take longer together leave nothing to wait for. Verdicts depended on time.

Ruled out for these runs: calls that stop after a control host's end.

running_load goes on after its length until it is asked for its records; the one test that needs its arrivals to have ended says so. None asks for less. Not proved: that the failed runs themselves were slow for this reason; they left no times.

--- a/testing/at_most_once_test.cpp
+++ b/testing/at_most_once_test.cpp
@@ -75,7 +75,7 @@
 
 TEST_F(at_most_once, the_same_key_twice_at_the_same_moment)
 {
-    std::vector<std::future<std::vector<load_record>>> racing;
+    std::vector<running_load> racing;
     for (std::size_t i = 0; i < here->daemon_count(); ++i)
     {
         auto options = load({offered_payout(rate)}, 2);
--- a/testing/leaving_test.cpp
+++ b/testing/leaving_test.cpp
@@ -118,6 +118,7 @@
     options.daemons = {here->daemon_callers(1)};
     options.max_tries = 1;
     auto running = run_beside(options);
+    running.end_after_length();
     std::this_thread::sleep_for(milliseconds(300));
     here->daemon(1).signal(SIGTERM);
     expect_all_completed(running.get());
--- a/testing/load_client.cpp
+++ b/testing/load_client.cpp
@@ -42,17 +42,18 @@
 plan_arrivals(const load_options& options, random_engine& random)
 {
     std::vector<arrival> arrivals;
+    const duration length = std::max(options.length, options.longest);
     for (std::size_t i = 0; i < options.classes.size(); ++i)
     {
         duration at{};
-        while (at < options.length)
+        while (at < length)
         {
             const double gap =
                 options.poisson ? -std::log(1.0 - uniform_unit(random)) : 1.0;
             const double rate = rate_at(options.classes[i], at);
             at += std::chrono::duration_cast<duration>(
                 std::chrono::duration<double>(gap / rate));
-            if (at < options.length)
+            if (at < length)
             {
                 arrivals.push_back({at, i});
             }
@@ -175,6 +176,7 @@
         started_ = host_clock().now();
         asio::co_spawn(context_, generate(arrivals), asio::detached);
         context_.run();
+        records_.resize(offered_);
         return std::move(records_);
     }
 
@@ -191,12 +193,22 @@
         {
             timer.expires_at(started_ + arrivals[i].at);
             co_await timer.async_wait(asio::use_awaitable);
+            if (is_over(arrivals[i].at))
+            {
+                co_return;
+            }
+            ++offered_;
             prepare(i, arrivals[i]);
             asio::co_spawn(
                 context_, call(i, arrivals[i].class_index), asio::detached);
         }
     }
 
+    [[nodiscard]] bool is_over(duration at) const
+    {
+        return at >= options_.length && options_.stop.stop_requested();
+    }
+
     void prepare(std::size_t index, const arrival& planned)
     {
         const auto& offered = options_.classes[planned.class_index];
@@ -249,6 +261,8 @@
     std::size_t next_daemon_ = 0;
     time_point started_{};
     std::vector<load_record> records_;
+    // Of the records, those whose requests have arrived.
+    std::size_t offered_ = 0;
 };
 
 } // namespace
--- a/testing/load_client.hpp
+++ b/testing/load_client.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <stop_token>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,11 @@
     std::vector<std::string> daemons;
     std::vector<offered_class> classes;
     std::chrono::milliseconds length{1000};
+    // Longer than `length`: the load goes on until `stop` is requested or this
+    // has passed, so that what a test does beside it has load however slowly
+    // it gets on.
+    std::chrono::milliseconds longest{0};
+    std::stop_token stop;
     bool poisson = true;
     client_retries retries = client_retries::none;
     std::uint32_t max_tries = 1;
--- a/testing/proof_fixture.hpp
+++ b/testing/proof_fixture.hpp
@@ -6,8 +6,6 @@
 
 #include <gtest/gtest.h>
 
-#include <future>
-
 namespace nutmegusher::test_support
 {
 
@@ -55,15 +53,9 @@
         return options;
     }
 
-    [[nodiscard]] static std::future<std::vector<load_record>>
-    run_beside(const load_options& options)
+    [[nodiscard]] static running_load run_beside(const load_options& options)
     {
-        return std::async(
-            std::launch::async,
-            [options]
-            {
-                return run_load(options);
-            });
+        return running_load(options);
     }
 
     // Until the service's upstreams have started `count` more calls.
--- a/testing/testing.hpp
+++ b/testing/testing.hpp
@@ -19,6 +19,7 @@
 #include "testing/patterned_body.hpp"
 #include "testing/process.hpp"
 #include "testing/relay.hpp"
+#include "testing/running_load.hpp"
 #include "testing/stand_in_upstream.hpp"
 #include "testing/upstream_behavior.hpp"
 
