Tell callers of an upstream that fails part of its calls

A request needs four of its calls.

- error_meter: the daemon beside the upstream counts its errors, without those that failed calls of its own explain, by the callers' data centre; the share travels with each answer.
- error_memory, router: a share of errors counts as waiting time; a caller that avoids an upstream checks it with one call a second at most.
- An error of such an upstream is asked for once more elsewhere, within the allowance of repeats; where nothing better comes the first answer is given.

--- a/nutmegusher/policy/policy.hpp
+++ b/nutmegusher/policy/policy.hpp
@@ -18,6 +18,7 @@
 #include "nutmegusher/policy/caller_census.hpp"
 #include "nutmegusher/policy/concurrency_limit.hpp"
 #include "nutmegusher/policy/entry_gate.hpp"
+#include "nutmegusher/policy/error_meter.hpp"
 #include "nutmegusher/policy/retry_allowance.hpp"
 #include "nutmegusher/policy/retry_budget.hpp"
 #include "nutmegusher/policy/retry_policy.hpp"
--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -298,12 +298,13 @@
 
 double router::cost(const entry& each, bool bulk, time_point now) const
 {
+    const double failing = each.errors.cost(sent_, now);
     if (const auto told = told_cost(each, now))
     {
-        return *told;
+        return *told + failing;
     }
     const double cost =
-        each.health.cost(bulk) + way(each, each.health.latency(bulk));
+        each.health.cost(bulk) + failing + way(each, each.health.latency(bulk));
     if (now >= each.warm_at)
     {
         return cost;
@@ -359,8 +360,11 @@
 {
     if (const pick found = find(to))
     {
-        entries_[*found].health.on_start(bulk, now);
-        ++entries_[*found].sent_since;
+        ++sent_;
+        entry& one = entries_[*found];
+        one.health.on_start(bulk, now);
+        one.errors.on_start(sent_, now);
+        ++one.sent_since;
     }
 }
 
@@ -540,6 +544,7 @@
         one.load = load;
         one.load_at = now;
         one.sent_since = 0;
+        one.errors.on_word(load.errors, sent_, now);
     }
 }
 
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -31,6 +31,7 @@
 #include "nutmegusher/base/random.hpp"
 #include "nutmegusher/policy/admission_level.hpp"
 #include "nutmegusher/policy/call.hpp"
+#include "nutmegusher/policy/error_memory.hpp"
 #include "nutmegusher/policy/upstream_health.hpp"
 
 #include <array>
@@ -79,6 +80,8 @@
     std::size_t slots = 0;
     // How long a call of its kind holds a slot there.
     duration hold{0};
+    // Of its answers lately, the share that are its own errors: `error_meter`.
+    double errors = 0;
 };
 
 struct router_options
@@ -171,6 +174,7 @@
         upstream_handle handle;
         candidate where;
         internal::upstream_health health;
+        internal::error_memory errors;
         // It said that it leaves; membership hasn't told yet.
         time_point leaves_until;
         // Until then it gets less work: see `ramp`.
@@ -225,6 +229,8 @@
     // Over all upstreams' moving means, by lane.
     std::array<double, 2> mean_latency_{};
     std::uint64_t last_handle_ = 0;
+    // Calls sent to all upstreams.
+    std::uint64_t sent_ = 0;
 };
 
 // What lies ahead of calls of an answered call's class: the stricter of the
--- a/nutmegusher/policy/router_by_time_test.cpp
+++ b/nutmegusher/policy/router_by_time_test.cpp
@@ -79,5 +79,53 @@
     EXPECT_GT(counts[0], 600);
 }
 
+// One upstream of three fails half of its calls at once, and has the shortest
+// queue for it; calls come at 500 a second.
+class one_fails : public by_time
+{
+protected:
+    // Calls that went to the failing one within the time.
+    int play(duration length)
+    {
+        int failing = 0;
+        for (const auto until = now + length; now < until; now += 2ms)
+        {
+            const auto chosen = *route.choose({}, {}, now, engine);
+            route.on_start(chosen, false, now);
+            const bool fails = chosen.value() == 1;
+            failing += fails ? 1 : 0;
+            route.on_load(chosen, fails ? quick : sound, now);
+            route.on_answer(chosen, false, fails ? 2ms : 18ms, now);
+        }
+        return failing;
+    }
+
+    upstream_load quick{1, 0, 31, 2ms, 0.5};
+    upstream_load sound{10, 0, 31, 18ms, 0.0};
+};
+
+TEST_F(one_fails, it_gets_a_call_a_second_to_be_checked)
+{
+    play(1s);
+    EXPECT_LE(play(10s), 20);
+}
+
+TEST_F(one_fails, it_gets_calls_again_when_it_has_recovered)
+{
+    play(1s);
+    quick.errors = 0;
+    play(2s);
+    EXPECT_GT(play(1s), 100);
+}
+
+TEST_F(one_fails, all_are_used_where_all_fail)
+{
+    sound.errors = 0.5;
+    sound.hold = quick.hold;
+    sound.running = quick.running;
+    play(1s);
+    EXPECT_GT(play(1s), 100);
+}
+
 } // namespace
 } // namespace nutmegusher
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -38,6 +38,11 @@
 // a queue behind one of them is no reason to refuse, behind three it is.
 constexpr std::size_t most_refusals = 3;
 
+constexpr unsigned status_server_error = 500;
+// Twenty times what the users' classes fail by themselves, and low enough to
+// hold where an upstream fails a tenth of its calls.
+constexpr double least_errors_to_ask_elsewhere = 0.08;
+
 bool is_passed_on(std::string_view name, const request_dialect& names)
 {
     return name != "host" && name != "connection" &&
@@ -129,7 +134,9 @@
             return refusal{call_reason::bad_header};
         }
         terms.host = field("host");
-        terms.caller_service = state_.process.configured.upstream.service;
+        const auto& configured = state_.process.configured;
+        terms.caller_service = configured.upstream.service;
+        terms.caller_data_center = configured.host.data_center;
         terms.rank = route_->rank;
         terms.repeatable = route_->repeatable;
         terms.bulk = route_->bulk;
@@ -293,11 +300,18 @@
         {
             co_return true;
         }
-        if (result)
+        if (result && !is_better_asked_elsewhere(*result, feedback))
         {
             co_await pass_on(*std::move(result));
             co_return true;
         }
+        if (result)
+        {
+            ++sent_;
+            may_have_run_ = true;
+            error_answer_ = *std::move(result);
+            co_return false;
+        }
         note(result.error());
         if (may_send_again(result.error()))
         {
@@ -435,6 +449,11 @@
 
     asio::awaitable<void> give_up(refusal told)
     {
+        if (error_answer_)
+        {
+            co_await pass_on(*std::move(error_answer_));
+            co_return;
+        }
         log_event(
             event::request_refused,
             {{"request", call_.terms.id},
@@ -447,8 +466,37 @@
         co_await refuse(told);
     }
 
+    // An error of an upstream that fails much more than calls do by themselves.
+    // Of one that fails seldom the error is taken to be the call's own: asked
+    // elsewhere it would fail there too.
+    [[nodiscard]] bool is_better_asked_elsewhere(
+        const routed_answer& answer, const peer_feedback& feedback)
+    {
+        const bool is_failing =
+            feedback.word &&
+            feedback.word->load.errors >= least_errors_to_ask_elsewhere;
+        if (answer.head.status != status_server_error || !is_failing ||
+            answer.rest || !call_.terms.repeatable ||
+            sent_ + 1 >= route_->max_tries)
+        {
+            return false;
+        }
+        return state_.process.routes.takes_elsewhere(
+                   service_, facts(), tried_) &&
+               state_.repeats.take(service_, call_.terms.sub_call);
+    }
+
+    void note_end(bool failed)
+    {
+        if (failed && call_.terms.sub_call)
+        {
+            state_.errors.on_failed_call();
+        }
+    }
+
     asio::awaitable<void> refuse(refusal told)
     {
+        note_end(true);
         auto head = state_.names.refuse(told);
         if (!call_.terms.id.empty())
         {
@@ -459,6 +507,7 @@
 
     asio::awaitable<void> pass_on(routed_answer answer)
     {
+        note_end(answer.head.status >= status_server_error);
         if (!answer.rest)
         {
             co_await exchange_.answer(std::move(answer.head), answer.body);
@@ -503,6 +552,9 @@
     std::size_t refusals_ = 0;
     bool may_have_run_ = false;
     std::optional<refusal> last_;
+    // An upstream's error after which the call was made elsewhere; the answer
+    // where nothing better comes.
+    std::optional<routed_answer> error_answer_;
 };
 
 } // namespace
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -30,13 +31,14 @@
 constexpr std::string_view host_field = "nutmeg-host";
 constexpr std::string_view id_field = "nutmeg-call";
 constexpr std::string_view caller_field = "nutmeg-caller";
+constexpr std::string_view from_field = "nutmeg-from";
 constexpr std::string_view status_field = "nutmeg-status";
 constexpr std::string_view sent_field = "nutmeg-sent";
 constexpr std::string_view load_field = "nutmeg-load";
 constexpr std::string_view shed_field = "nutmeg-shed";
 constexpr std::string_view sub_call_field = "nutmeg-sub-call";
 constexpr std::string_view own_prefix = "nutmeg-";
-// Levels travel in thousandths.
+// Levels and shares travel in thousandths.
 constexpr double level_scale = 1000;
 
 constexpr unsigned repeatable_bit = 1;
@@ -81,6 +83,8 @@
     terms.host = wire::find_header(head.fields, host_field).value_or("");
     terms.caller_service =
         service_name(wire::find_header(head.fields, caller_field).value_or(""));
+    terms.caller_data_center = data_center_name(
+        wire::find_header(head.fields, from_field).value_or(""));
     terms.rank = static_cast<std::uint8_t>(rank);
     terms.repeatable = (flags & repeatable_bit) != 0;
     terms.bulk = (flags & bulk_bit) != 0;
@@ -90,14 +94,16 @@
     return terms;
 }
 
-// "running waiting slots hold-in-microseconds", for example "31 4 31 22000".
+// "running waiting slots hold-in-microseconds errors", the last in thousandths,
+// for example "31 4 31 22000 0".
 std::string format_load(const upstream_load& load)
 {
     using std::chrono::microseconds;
     const auto hold = std::chrono::duration_cast<microseconds>(load.hold);
     return std::to_string(load.running) + ' ' + std::to_string(load.waiting) +
            ' ' + std::to_string(load.slots) + ' ' +
-           std::to_string(hold.count());
+           std::to_string(hold.count()) + ' ' +
+           std::to_string(std::lround(load.errors * level_scale));
 }
 
 std::optional<upstream_load> parse_load(std::string_view text)
@@ -105,10 +111,12 @@
     std::istringstream in{std::string(text)};
     upstream_load load;
     std::uint64_t hold = 0;
-    if (!(in >> load.running >> load.waiting >> load.slots >> hold))
+    std::uint64_t errors = 0;
+    if (!(in >> load.running >> load.waiting >> load.slots >> hold >> errors))
     {
         return std::nullopt;
     }
+    load.errors = static_cast<double>(errors) / level_scale;
     load.hold = std::chrono::microseconds(hold);
     return load;
 }
@@ -158,6 +166,7 @@
     add(id_field, call.terms.id);
     add(host_field, call.terms.host);
     add(caller_field, call.terms.caller_service.str());
+    add(from_field, call.terms.caller_data_center.str());
     return head;
 }
 
@@ -482,7 +491,12 @@
 {
     upstream_word word;
     const auto present = state.slots.state();
-    word.load = {present.running, present.waiting, present.slots, present.hold};
+    word.load = {
+        present.running,
+        present.waiting,
+        present.slots,
+        present.hold,
+        state.errors.share(terms.caller_data_center)};
     for (const auto& called : state.ahead.called())
     {
         const auto below =
--- a/nutmegusher/routed/routed_call.hpp
+++ b/nutmegusher/routed/routed_call.hpp
@@ -29,8 +29,9 @@
     std::string id;
     // The host name that it asked for.
     std::string host;
-    // The service on the host where it began.
+    // The service on the host where it began, and the host's data centre.
     service_name caller_service;
+    data_center_name caller_data_center;
     std::uint8_t rank = 0;
     bool repeatable = false;
     bool bulk = false;
--- a/nutmegusher/routed/routed_state.cpp
+++ b/nutmegusher/routed/routed_state.cpp
@@ -91,6 +91,24 @@
     return found != told_.end() && found->second;
 }
 
+void own_errors::on_answer(const data_center_name& from, bool error)
+{
+    const std::scoped_lock lock(mutex_);
+    meter_.on_answer(from, error, host_clock().now());
+}
+
+void own_errors::on_failed_call()
+{
+    const std::scoped_lock lock(mutex_);
+    meter_.on_failed_call(host_clock().now());
+}
+
+double own_errors::share(const data_center_name& from) const
+{
+    const std::scoped_lock lock(mutex_);
+    return meter_.share(from, host_clock().now());
+}
+
 routed_state::routed_state(
     node::controllers& process,
     request_dialect names,
--- a/nutmegusher/routed/routed_state.hpp
+++ b/nutmegusher/routed/routed_state.hpp
@@ -89,6 +89,22 @@
     std::unordered_map<std::uint64_t, bool> told_;
 };
 
+// The errors of the upstream on this host: see `error_meter`.
+class own_errors
+{
+public:
+    // It answered a call that came from the data centre.
+    void on_answer(const data_center_name& from, bool error);
+    // A call that it made itself failed.
+    void on_failed_call();
+
+    [[nodiscard]] double share(const data_center_name& from) const;
+
+private:
+    mutable std::mutex mutex_;
+    error_meter meter_;
+};
+
 struct routed_state
 {
     routed_state(
@@ -103,6 +119,7 @@
     repeat_allowances repeats;
     way_ahead ahead;
     sub_call_routes sub_calls;
+    own_errors errors;
     // Tells the rest of the process that `local` has changed.
     const std::function<void()> upstream_changed;
 
--- a/nutmegusher/routed/upstream_side.cpp
+++ b/nutmegusher/routed/upstream_side.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t piece_bytes = 16384;
 constexpr unsigned status_other_upstream = 421;
 constexpr unsigned status_error = 400;
+constexpr unsigned status_server_error = 500;
+constexpr unsigned status_time_limit = 504;
 // An upstream that can't be connected to has ended or is starting; another one
 // of its service takes the call.
 constexpr duration come_back_elsewhere = std::chrono::milliseconds(50);
@@ -300,9 +302,17 @@
         {
             co_return unknown(call_reason::answer_broken);
         }
+        state_.errors.on_answer(
+            call_.terms.caller_data_center, is_error(head->status));
         co_return co_await read_body(*std::move(head));
     }
 
+    // One at the time limit says more of the call than of the upstream.
+    static bool is_error(unsigned status)
+    {
+        return status >= status_server_error && status != status_time_limit;
+    }
+
     // A success must bring the upstream's signature and its own encoding.
     [[nodiscard]] bool is_acceptable(const wire::response_head& head) const
     {
