Test that errors of a failing upstream are asked for elsewhere

Over sockets, with two upstreams of which one answers all with errors: at most 12 of 60 requests fail. Calls that may not be repeated run once; where both fail the answer is passed on.

--- a/nutmegusher/routed/routed_path_test.cpp
+++ b/nutmegusher/routed/routed_path_test.cpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -205,25 +206,41 @@
         add_route(document, "/views/", true);
         add_route(document, "/pay/", false);
         entry->shared.configuration.accept(delta);
+        announce(*beside, *upstream);
+        entry->start();
+        beside->start();
+    }
+
+    // A second upstream of the service, with a daemon of its own.
+    void start_another(scripted_upstream::script script)
+    {
+        other_upstream = std::make_unique<scripted_upstream>(std::move(script));
+        other = std::make_unique<routed_node>("other");
+        announce(*other, *other_upstream);
+        other->start();
+    }
+
+    // The daemon's upstream serves, and the entry knows it.
+    void announce(routed_node& node, const scripted_upstream& serves)
+    {
+        upstream_report said;
+        said.id = "i-1";
+        said.service = service_name("balances");
+        said.address = serves.address();
+        said.slots = 4;
+        said.sequence = 1;
+        node.state.local.report(said);
+        node.state.slots.set_slots(4);
         messages::upstream_record record;
-        record.set_host("beside");
+        record.set_host(node.shared.configured.host.id.str());
         record.set_data_center("dc");
         record.set_region("region");
         record.set_state(messages::upstream_serving);
         std::ostringstream address;
-        address << beside->peers->local_endpoint();
+        address << node.peers->local_endpoint();
         record.set_address(address.str());
-        entry->shared.routes.update(service_name("balances"), {&record, 1});
-        upstream_report said;
-        said.id = "i-1";
-        said.service = service_name("balances");
-        said.address = upstream->address();
-        said.slots = 4;
-        said.sequence = 1;
-        beside->state.local.report(said);
-        beside->state.slots.set_slots(4);
-        entry->start();
-        beside->start();
+        records.push_back(record);
+        entry->shared.routes.update(service_name("balances"), records);
     }
 
     static void add_route(
@@ -269,11 +286,34 @@
         return answer;
     }
 
+    std::vector<messages::upstream_record> records;
     std::unique_ptr<scripted_upstream> upstream;
+    std::unique_ptr<scripted_upstream> other_upstream;
     std::unique_ptr<routed_node> entry;
     std::unique_ptr<routed_node> beside;
+    std::unique_ptr<routed_node> other;
 };
 
+// Answers with `status`; counts what each request id made it run.
+scripted_upstream::script answering(
+    http::status status, std::mutex& mutex, std::map<std::string, int>& runs)
+{
+    return [status, &mutex, &runs](tcp::socket& socket)
+    {
+        beast::flat_buffer buffer;
+        while (const auto request = read_request(socket, buffer))
+        {
+            {
+                const std::scoped_lock lock(mutex);
+                ++runs[id_of(*request)];
+            }
+            auto answer = answer_to(id_of(*request), "own words");
+            answer.result(status);
+            http::write(socket, answer);
+        }
+    };
+}
+
 TEST_F(routed_path, passes_request_and_answer_on_unchanged)
 {
     std::mutex mutex;
@@ -415,6 +455,60 @@
     EXPECT_EQ(answer.body(), "too long");
 }
 
+// One of two upstreams fails all of its calls at once. Of 60 requests half
+// would fail; the first few tell that it is the upstream's fault.
+TEST_F(routed_path, errors_of_a_failing_upstream_are_asked_for_elsewhere)
+{
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    const auto failing =
+        answering(http::status::internal_server_error, mutex, runs);
+    start(failing);
+    start_another(answering(http::status::ok, mutex, runs));
+    int failed = 0;
+    for (int i = 0; i < 60; ++i)
+    {
+        const auto answer = ask("/views/1", "id-" + std::to_string(i));
+        failed += answer.result_int() == 500U ? 1 : 0;
+    }
+    EXPECT_LE(failed, 12);
+}
+
+TEST_F(routed_path, an_error_of_a_call_that_may_not_repeat_is_final)
+{
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    const auto failing =
+        answering(http::status::internal_server_error, mutex, runs);
+    start(failing);
+    start_another(answering(http::status::ok, mutex, runs));
+    for (int i = 0; i < 60; ++i)
+    {
+        static_cast<void>(ask("/pay/1", "id-" + std::to_string(i), "amount 7"));
+    }
+    const std::scoped_lock lock(mutex);
+    for (const auto& [id, count] : runs)
+    {
+        EXPECT_EQ(count, 1) << id;
+    }
+}
+
+TEST_F(routed_path, an_error_is_passed_on_where_nothing_better_comes)
+{
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    const auto failing =
+        answering(http::status::internal_server_error, mutex, runs);
+    start(failing);
+    start_another(failing);
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto answer = ask("/views/1", "id-" + std::to_string(i));
+        EXPECT_EQ(answer.result_int(), 500U);
+        EXPECT_EQ(answer.body(), "own words");
+    }
+}
+
 TEST_F(routed_path, without_a_route_nothing_is_sent)
 {
     start([](tcp::socket&) {});
