Write events to standard output

The users' engineers read the processes' standard output; events went to standard error. The line's form, numbers and budgets are as before.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -267,7 +267,7 @@
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
         LOG4CXX_STR("%d{ISO8601} %m%n"));
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::BasicConfigurator::configure(appender);
     logging.logger = log4cxx::Logger::getLogger("nutmegusher");
     logging.format = format;
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -93,7 +93,7 @@
 // Lines of one event a second before the rest is only counted.
 inline constexpr std::uint32_t default_event_rate_limit = 20;
 
-// Sends all events to standard error in `format`; call once, before threads.
+// Sends all events to standard output in `format`; call once, before threads.
 void start_logging(
     log_format format,
     std::string_view process,
