Give the tests of a failing upstream a fixture of their own

Three tests wrote the same two upstreams, and their counters were locals that the upstreams' threads outlived. The checks are as before, the third with 60 requests in place of 20.

--- a/nutmegusher/routed/routed_path_test.cpp
+++ b/nutmegusher/routed/routed_path_test.cpp
@@ -294,26 +294,6 @@
     std::unique_ptr<routed_node> other;
 };
 
-// Answers with `status`; counts what each request id made it run.
-scripted_upstream::script answering(
-    http::status status, std::mutex& mutex, std::map<std::string, int>& runs)
-{
-    return [status, &mutex, &runs](tcp::socket& socket)
-    {
-        beast::flat_buffer buffer;
-        while (const auto request = read_request(socket, buffer))
-        {
-            {
-                const std::scoped_lock lock(mutex);
-                ++runs[id_of(*request)];
-            }
-            auto answer = answer_to(id_of(*request), "own words");
-            answer.result(status);
-            http::write(socket, answer);
-        }
-    };
-}
-
 TEST_F(routed_path, passes_request_and_answer_on_unchanged)
 {
     std::mutex mutex;
@@ -455,60 +435,6 @@
     EXPECT_EQ(answer.body(), "too long");
 }
 
-// One of two upstreams fails all of its calls at once. Of 60 requests half
-// would fail; the first few tell that it is the upstream's fault.
-TEST_F(routed_path, errors_of_a_failing_upstream_are_asked_for_elsewhere)
-{
-    std::mutex mutex;
-    std::map<std::string, int> runs;
-    const auto failing =
-        answering(http::status::internal_server_error, mutex, runs);
-    start(failing);
-    start_another(answering(http::status::ok, mutex, runs));
-    int failed = 0;
-    for (int i = 0; i < 60; ++i)
-    {
-        const auto answer = ask("/views/1", "id-" + std::to_string(i));
-        failed += answer.result_int() == 500U ? 1 : 0;
-    }
-    EXPECT_LE(failed, 12);
-}
-
-TEST_F(routed_path, an_error_of_a_call_that_may_not_repeat_is_final)
-{
-    std::mutex mutex;
-    std::map<std::string, int> runs;
-    const auto failing =
-        answering(http::status::internal_server_error, mutex, runs);
-    start(failing);
-    start_another(answering(http::status::ok, mutex, runs));
-    for (int i = 0; i < 60; ++i)
-    {
-        static_cast<void>(ask("/pay/1", "id-" + std::to_string(i), "amount 7"));
-    }
-    const std::scoped_lock lock(mutex);
-    for (const auto& [id, count] : runs)
-    {
-        EXPECT_EQ(count, 1) << id;
-    }
-}
-
-TEST_F(routed_path, an_error_is_passed_on_where_nothing_better_comes)
-{
-    std::mutex mutex;
-    std::map<std::string, int> runs;
-    const auto failing =
-        answering(http::status::internal_server_error, mutex, runs);
-    start(failing);
-    start_another(failing);
-    for (int i = 0; i < 20; ++i)
-    {
-        const auto answer = ask("/views/1", "id-" + std::to_string(i));
-        EXPECT_EQ(answer.result_int(), 500U);
-        EXPECT_EQ(answer.body(), "own words");
-    }
-}
-
 TEST_F(routed_path, without_a_route_nothing_is_sent)
 {
     start([](tcp::socket&) {});
@@ -534,5 +460,87 @@
     EXPECT_EQ(runs, 1);
 }
 
+// One of two upstreams answers all of its calls with an error, at once.
+class failing_upstream : public routed_path
+{
+protected:
+    // The other one answers with `status`.
+    void start_both(http::status status)
+    {
+        start(answering(http::status::internal_server_error));
+        start_another(answering(status));
+    }
+
+    scripted_upstream::script answering(http::status status)
+    {
+        return [this, status](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            while (const auto request = read_request(socket, buffer))
+            {
+                note_run(id_of(*request));
+                auto answer = answer_to(id_of(*request), "own words");
+                answer.result(status);
+                http::write(socket, answer);
+            }
+        };
+    }
+
+    void note_run(const std::string& id)
+    {
+        const std::scoped_lock lock(mutex_);
+        ++runs_[id];
+    }
+
+    [[nodiscard]] int runs_of(const std::string& id)
+    {
+        const std::scoped_lock lock(mutex_);
+        return runs_[id];
+    }
+
+    // More than the few by which the upstream's fault is known.
+    static constexpr int requests = 60;
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, int> runs_;
+};
+
+// Where nobody tells of the errors all of the requests fail: the upstream that
+// fails at once looks like the least loaded.
+TEST_F(failing_upstream, its_errors_are_asked_for_elsewhere)
+{
+    start_both(http::status::ok);
+    int failed = 0;
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto answer = ask("/views/1", "id-" + std::to_string(i));
+        failed += answer.result_int() == 500U ? 1 : 0;
+    }
+    EXPECT_LE(failed, 12);
+}
+
+TEST_F(failing_upstream, an_error_of_a_call_that_may_not_repeat_is_final)
+{
+    start_both(http::status::ok);
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto id = "id-" + std::to_string(i);
+        static_cast<void>(ask("/pay/1", id, "amount 7"));
+        EXPECT_EQ(runs_of(id), 1) << id;
+    }
+}
+
+TEST_F(failing_upstream, an_error_is_passed_on_where_nothing_better_comes)
+{
+    start_both(http::status::internal_server_error);
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto answer = ask("/views/1", "id-" + std::to_string(i));
+        EXPECT_EQ(answer.result_int(), 500U);
+        EXPECT_EQ(answer.body(), "own words");
+    }
+}
+
 } // namespace
 } // namespace nutmegusher::routed
