Leave slots free that slow an upstream down

Cause: the upstreams of the users' deep services work more slowly when nearly all slots are taken, and under overload all always were. Ruled out: that the deep service simply has too little room. Change: useful_slots compares, class by class, the time that calls hold one of the last slots with the time in the slots before them. Upstreams that make calls of their own are left out.

--- a/nutmegusher/policy/policy.hpp
+++ b/nutmegusher/policy/policy.hpp
@@ -6,6 +6,8 @@
 // several threads holds a lock around it.
 //
 // - `admission_controller`: one per upstream, in the daemon beside it.
+// - `slot_queue`, `useful_slots`: the same for an upstream that says how many
+//   calls it works on at once.
 // - `router`: one per called service, in the daemon that calls it.
 // - `entry_gate`: one per daemon, where members' and clerks' requests enter.
 // - `retry_budget`, `decide_retry`, `split_tokens`: at each hop that calls.
@@ -27,5 +29,6 @@
 #include "nutmegusher/policy/shed_board.hpp"
 #include "nutmegusher/policy/shed_control.hpp"
 #include "nutmegusher/policy/slot_queue.hpp"
+#include "nutmegusher/policy/useful_slots.hpp"
 
 #endif
--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -16,6 +16,9 @@
 constexpr double unknown_hold = 0.0;
 // Classes whose times are kept; a deployment has tens.
 constexpr std::size_t most_classes = 4096;
+// An upstream that has made calls of its own is taken to make more for this
+// long: the pauses of an idle service are shorter.
+constexpr duration sub_call_memory = std::chrono::seconds(30);
 
 double seconds_of(duration time)
 {
@@ -48,18 +51,18 @@
 
 double slot_queue::slots_per_second() const
 {
-    return mean_hold_ <= 0 ? 0 : static_cast<double>(slots_) / mean_hold_;
+    return mean_hold_ <= 0 ? 0 : static_cast<double>(limit_) / mean_hold_;
 }
 
 // Until a slot is free for the one that has `ahead` others before it.
 duration slot_queue::expected_wait(std::size_t ahead) const
 {
-    if (slots_ == 0 || mean_hold_ <= 0)
+    if (limit_ == 0 || mean_hold_ <= 0)
     {
         return duration::zero();
     }
     const auto places = static_cast<double>(ahead + 1);
-    return from_seconds(places * mean_hold_ / static_cast<double>(slots_));
+    return from_seconds(places * mean_hold_ / static_cast<double>(limit_));
 }
 
 std::size_t slot_queue::ahead_of(const place& one) const
@@ -92,6 +95,8 @@
 {
     settled_.clear();
     slots_ = slots;
+    useful_.set_slots(slots);
+    update_limit(now);
     admit_waiting(now);
     return settled_;
 }
@@ -101,11 +106,11 @@
     settled_.clear();
     shed_.on_arrival(from_seconds(hold_of(call.work_class)), now);
     update_shed(now);
-    if (leaving_ || slots_ == 0)
+    if (leaving_ || limit_ == 0)
     {
         return {refuse(refusal_reason::leaving, call, now), settled_};
     }
-    if (running_.size() < slots_)
+    if (running_.size() < limit_)
     {
         if (is_hopeless(call, duration::zero(), now))
         {
@@ -129,12 +134,28 @@
 void slot_queue::update_shed(time_point now)
 {
     const auto waiting = static_cast<double>(waiting_.size());
-    shed_.update(slots_, from_seconds(mean_hold_ * waiting), now);
+    shed_.update(limit_, from_seconds(mean_hold_ * waiting), now);
+}
+
+void slot_queue::note_sub_call(time_point now)
+{
+    sub_call_at_ = now;
+}
+
+bool slot_queue::calls_others(time_point now) const
+{
+    return sub_call_at_ && now - *sub_call_at_ <= sub_call_memory;
+}
+
+void slot_queue::update_limit(time_point now)
+{
+    limit_ = calls_others(now) ? slots_ : useful_.limit(now);
 }
 
 void slot_queue::start(const call_facts& call, time_point now)
 {
-    running_.emplace(call.ticket, running_call{call.work_class, now});
+    const auto from = useful_.on_start(running_.size() + 1);
+    running_.emplace(call.ticket, running_call{call.work_class, now, from});
 }
 
 std::span<const settlement>
@@ -151,7 +172,12 @@
     {
         learn(found->second.work_class, held);
     }
+    if (result == call_result::ok && !calls_others(now))
+    {
+        useful_.on_end(found->second.work_class, found->second.from, held, now);
+    }
     running_.erase(found);
+    update_limit(now);
     admit_waiting(now);
     update_shed(now);
     return settled_;
@@ -173,7 +199,7 @@
 
 void slot_queue::admit_waiting(time_point now)
 {
-    while (!waiting_.empty() && running_.size() < slots_)
+    while (!waiting_.empty() && running_.size() < limit_)
     {
         const auto first = waiting_.begin();
         const auto call = first->second;
@@ -262,7 +288,7 @@
 slot_queue_state slot_queue::state() const
 {
     return {
-        slots_,
+        limit_,
         running_.size(),
         waiting_.size(),
         leaving_,
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -29,6 +29,7 @@
 #include "nutmegusher/policy/call.hpp"
 #include "nutmegusher/policy/return_time.hpp"
 #include "nutmegusher/policy/shed_control.hpp"
+#include "nutmegusher/policy/useful_slots.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -45,6 +46,7 @@
 // For the state dump.
 struct slot_queue_state
 {
+    // How many of them are used: `useful_slots`.
     std::size_t slots = 0;
     std::size_t running = 0;
     std::size_t waiting = 0;
@@ -83,6 +85,10 @@
     // When `tick` has something to do next.
     [[nodiscard]] std::optional<time_point> next_event() const;
 
+    // The upstream made a call of its own: what calls take there then says
+    // little of its slots, and all of them are used.
+    void note_sub_call(time_point now);
+
     // From now on all new calls and all waiting ones are refused with
     // `leaving`; running ones go on. False: takes work again.
     std::span<const settlement> set_leaving(bool leaving, time_point now);
@@ -110,6 +116,7 @@
     {
         std::uint64_t work_class = 0;
         time_point since;
+        useful_slots::start from;
     };
 
     [[nodiscard]] place place_of(const call_facts& call) const;
@@ -125,8 +132,14 @@
     void admit_waiting(time_point now);
     void learn(std::uint64_t work_class, duration held);
     void update_shed(time_point now);
+    [[nodiscard]] bool calls_others(time_point now) const;
+    void update_limit(time_point now);
 
+    // As the upstream says, and as many as are used.
     std::size_t slots_ = 0;
+    std::size_t limit_ = 0;
+    useful_slots useful_;
+    std::optional<time_point> sub_call_at_;
     bool leaving_ = false;
     std::uint64_t arrivals_ = 0;
     std::map<place, call_facts> waiting_;
--- a/nutmegusher/policy/slot_queue_test.cpp
+++ b/nutmegusher/policy/slot_queue_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace nutmegusher
 {
 namespace
@@ -156,5 +158,63 @@
     EXPECT_EQ(queue.state().running, 2U);
 }
 
+// An upstream with 16 slots that takes twice as long when all are taken, and
+// always has calls waiting.
+class full_upstream : public slots
+{
+protected:
+    full_upstream()
+    {
+        queue.set_slots(16, now);
+    }
+
+    void play(duration time)
+    {
+        const auto until = now + time;
+        while (now < until)
+        {
+            while (queue.state().waiting < 4)
+            {
+                const auto facts = call(1, 1s, 60s);
+                if (arrive(facts) == decision(admitted()))
+                {
+                    start(facts.ticket);
+                }
+            }
+            now = ends.begin()->first;
+            const auto ended = ends.begin()->second;
+            ends.erase(ends.begin());
+            const auto let_in =
+                admitted_in(queue.finish(ended, call_result::ok, now));
+            for (const auto ticket : let_in)
+            {
+                start(ticket);
+            }
+        }
+    }
+
+    void start(ticket_id ticket)
+    {
+        const auto work = ends.size() + 1 >= 16 ? 40ms : 20ms;
+        ends.emplace(now + work, ticket);
+    }
+
+    std::multimap<time_point, ticket_id> ends;
+};
+
+TEST_F(full_upstream, keeps_a_slot_free_that_slows_down_the_others)
+{
+    play(5s);
+    EXPECT_EQ(queue.state().slots, 15U);
+    EXPECT_EQ(queue.state().running, 15U);
+}
+
+TEST_F(full_upstream, that_makes_calls_of_its_own_uses_all_slots)
+{
+    queue.note_sub_call(now);
+    play(5s);
+    EXPECT_EQ(queue.state().slots, 16U);
+}
+
 } // namespace
 } // namespace nutmegusher
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -343,6 +343,7 @@
         if (word.is_sub_call)
         {
             state_.ahead.hear_below(service_, word.shed);
+            state_.slots.note_sub_call();
         }
         state_.sub_calls.learn(route_->hash, word.is_sub_call);
     }
--- a/nutmegusher/routed/slot_gate.hpp
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -36,6 +36,7 @@
     void cancel(ticket_id ticket);
 
     void set_slots(std::size_t slots);
+    void note_sub_call();
     void set_leaving(bool leaving);
 
     [[nodiscard]] slot_queue_state state() const;
