Fill upstreams near capacity evenly, whatever their speed

The cost of the last slots was counted in the upstream's own time, so that two fast upstreams stood at 0.95 and told levels while the slow one had a third of its slots free. Ruled out: too little room (demand over all three was 0.8), a level that falls too slowly (it stayed for 25 s). Change: the last slots cost mean times of the service's calls, growing like a queue's; upstreams that are all full differ by their queues alone. router_balance_test replays 12 callers and three upstreams at 0.88 of what they can do.

--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -44,11 +44,16 @@
 // Waiting for a slot counts twice: the word is a little old, and others have
 // sent calls there meanwhile.
 constexpr double queue_weight = 2.0;
-// What the last slots cost more than the first: upstreams slow down when they
-// are nearly full, and others send calls there at the same time. An upstream
-// two and a half times as slow gets calls once the others are nine tenths full;
-// at 0.7 it stood idle while callers were turned away.
-constexpr double crowd_weight = 2.5;
+// What the last slots cost more than the first, in mean times of the service's
+// calls: there others send calls at the same time, and a call that finds none
+// free waits. In times of the upstream itself a fast one was kept full while a
+// slow one had a third of its slots free: at 0.88 of what three could do, one
+// of them half as fast, 41 in 100 calls waited, and 27 this way.
+constexpr double crowd_weight = 0.5;
+// No more is added beyond this share: upstreams that are all full differ by
+// their queues alone.
+constexpr double most_crowded = 0.95;
+constexpr double mean_hold_weight = 1.0 / 64;
 // Another data centre of the region: the way there and back, and a share of the
 // time that keeps calls near until six tenths of the near slots are taken. At a
 // tenth of the time, nine times as many bytes crossed data centres on a calm
@@ -284,9 +289,14 @@
         std::chrono::duration<double>(each.load.hold).count(),
         least_hold_seconds);
     const double queue = std::max(taken - 1.0, 0.0) * queue_weight;
-    const double filled = std::min(taken, 1.0);
-    const double crowd = filled * filled * filled * crowd_weight;
-    return hold * (1.0 + crowd + queue) + way(each, hold);
+    return hold * (1.0 + queue) + crowd(taken) * mean_hold_ + way(each, hold);
+}
+
+// What it costs to take one of the last slots, in mean times of a call.
+double router::crowd(double taken)
+{
+    const double filled = std::min(taken, most_crowded);
+    return crowd_weight * filled * filled * filled / (1.0 - filled);
 }
 
 // What the distance adds to the expected time, in seconds.
@@ -544,6 +554,10 @@
         one.load = load;
         one.load_at = now;
         one.sent_since = 0;
+        const double hold = std::chrono::duration<double>(load.hold).count();
+        mean_hold_ = mean_hold_ <= 0
+                         ? hold
+                         : mean_hold_ + (hold - mean_hold_) * mean_hold_weight;
         one.errors.on_word(load.errors, sent_, now);
     }
 }
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -203,6 +203,7 @@
         bool bulk, time_point now, random_engine& engine, const Accept& accept);
     [[nodiscard]] double
     cost(const entry& each, bool bulk, time_point now) const;
+    [[nodiscard]] static double crowd(double taken);
     [[nodiscard]] double way(const entry& each, double hold) const;
     [[nodiscard]] std::optional<double>
     told_cost(const entry& each, time_point now) const;
@@ -229,6 +230,8 @@
     // Over all upstreams' moving means, by lane.
     std::array<double, 2> mean_latency_{};
     std::uint64_t last_handle_ = 0;
+    // How long calls hold a slot, over all upstreams' words; seconds.
+    double mean_hold_ = 0;
     // Calls sent to all upstreams.
     std::uint64_t sent_ = 0;
 };
