Serve metrics on an address of their own; count routed requests

Platform's on-call engineers have logs and metrics alone, and routed requests were counted nowhere. Completed, refused by reason and outcome, tries and times are counted by route at the entry; names beyond 128 in a shard are counted together. Tests: counts by route over sockets, 100,000 names in bounded text. By hand: a daemon's /metrics after one refused request, 404 for its other paths there. Cost not measured by itself.

--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -155,6 +155,7 @@
     std::unique_ptr<sync_client> sync;
     std::unique_ptr<control_part> control;
     std::unique_ptr<http_server> operators;
+    std::unique_ptr<http_server> collectors;
     operator_sources sources;
     std::optional<asio::signal_set> signals;
     bool shutting_down = false;
@@ -184,6 +185,20 @@
                 return serve_operators(first(), exchange);
             },
             options));
+    const auto& metrics = shared.configured.listen.metrics;
+    if (metrics)
+    {
+        BOOST_LEAF_ASSIGN(
+            collectors,
+            http_server::listen(
+                first().context,
+                *metrics,
+                [this](caller_exchange& exchange)
+                {
+                    return serve_metrics(first(), exchange);
+                },
+                options));
+    }
     return {};
 }
 
--- a/nutmegusher/node/metrics.cpp
+++ b/nutmegusher/node/metrics.cpp
@@ -20,6 +20,10 @@
 constexpr unsigned latency_bins = 73;
 constexpr double least_latency_ms = 0.05;
 constexpr double most_latency_ms = 60000.0;
+// Classes of one shard and side that are counted by name; the rest are counted
+// together. A class takes 700 bytes, and its name may change with each change
+// of the configuration.
+constexpr std::size_t most_classes = 128;
 constexpr std::array quantiles{0.5, 0.9, 0.99, 0.999};
 
 using latency_axis = bh::axis::regular<double, bh::axis::transform::log>;
@@ -132,6 +136,14 @@
 {
     mutable std::mutex mutex;
     std::map<class_key, class_counts> classes;
+
+    class_counts& counts_of(const class_name& of, call_side side)
+    {
+        const bool is_known = classes.contains({of, side});
+        const bool has_room = classes.size() < most_classes;
+        static const class_name all_others("other");
+        return classes[{is_known || has_room ? of : all_others, side}];
+    }
 };
 
 metrics::metrics()
@@ -155,7 +167,7 @@
     using milliseconds = std::chrono::duration<double, std::milli>;
     auto& shard = shard_of(of);
     const std::scoped_lock lock(shard.mutex);
-    auto& counts = shard.classes[{of, side}];
+    auto& counts = shard.counts_of(of, side);
     ++counts.completed;
     counts.tries += tries;
     counts.latency(milliseconds(latency).count());
@@ -170,7 +182,7 @@
 {
     auto& shard = shard_of(of);
     const std::scoped_lock lock(shard.mutex);
-    auto& counts = shard.classes[{of, side}];
+    auto& counts = shard.counts_of(of, side);
     counts.tries += tries;
     ++counts.refused[{reason, result}];
 }
--- a/nutmegusher/node/metrics_test.cpp
+++ b/nutmegusher/node/metrics_test.cpp
@@ -7,6 +7,21 @@
 namespace
 {
 
+TEST(metrics, names_without_end_are_counted_together)
+{
+    metrics counts;
+    constexpr int names = 100'000;
+    for (int i = 0; i < names; ++i)
+    {
+        const class_name each("route-" + std::to_string(i));
+        counts.completed(
+            call_side::entry, each, std::chrono::milliseconds(1), 1);
+    }
+    const auto text = counts.exposition();
+    EXPECT_LT(text.size(), 2'000'000U);
+    EXPECT_NE(text.find("class=\"other\""), std::string::npos);
+}
+
 TEST(metrics, offered_is_completed_and_refused)
 {
     metrics measured;
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -248,8 +248,31 @@
     co_return error_answer(404, "no-such-resource");
 }
 
+bool is_metrics_request(const wire::request_head& head)
+{
+    return head.method == "GET" && head.path == "/metrics";
+}
+
+asio::awaitable<void> answer_metrics(worker& here, caller_exchange& exchange)
+{
+    const auto text = here.shared.measured.exposition();
+    wire::response_head plain{
+        200, {{"content-type", "text/plain; version=0.0.4"}}};
+    co_await exchange.answer(std::move(plain), text);
+}
+
 } // namespace
 
+asio::awaitable<void> serve_metrics(worker& here, caller_exchange& exchange)
+{
+    if (is_metrics_request(exchange.head()))
+    {
+        co_await answer_metrics(here, exchange);
+        co_return;
+    }
+    co_await exchange.answer({404, {}}, "");
+}
+
 asio::awaitable<void> serve_operator(
     worker& here, const operator_sources& sources, caller_exchange& exchange)
 {
@@ -259,12 +282,9 @@
     {
         co_return;
     }
-    if (head.method == "GET" && head.path == "/metrics")
+    if (is_metrics_request(head))
     {
-        const auto text = here.shared.measured.exposition();
-        wire::response_head plain{
-            200, {{"content-type", "text/plain; version=0.0.4"}}};
-        co_await exchange.answer(std::move(plain), text);
+        co_await answer_metrics(here, exchange);
         co_return;
     }
     auto answer = error_answer(405, "method-not-allowed");
--- a/nutmegusher/node/operator_api.hpp
+++ b/nutmegusher/node/operator_api.hpp
@@ -42,6 +42,9 @@
     control_answers control;
 };
 
+// Serves one request of whoever collects metrics; all others get 404.
+asio::awaitable<void> serve_metrics(worker& here, caller_exchange& exchange);
+
 // Serves one request of an operator. Runs on the worker `here`.
 asio::awaitable<void> serve_operator(
     worker& here, const operator_sources& sources, caller_exchange& exchange);
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -36,6 +36,8 @@
         "ip:port for the upstream on this host: announcements and sub-calls"},
     known_setting{"listen", "peers", "", "ip:port for daemons"},
     known_setting{"listen", "operators", "", "ip:port for operators"},
+    known_setting{
+        "listen", "metrics", "", "ip:port that serves /metrics alone"},
     known_setting{
         "control_hosts",
         "addresses",
@@ -188,6 +190,7 @@
         listen.upstream, in.optional_address("listen", "upstream"));
     BOOST_LEAF_ASSIGN(listen.peers, in.address("listen", "peers"));
     BOOST_LEAF_ASSIGN(listen.operators, in.address("listen", "operators"));
+    BOOST_LEAF_ASSIGN(listen.metrics, in.optional_address("listen", "metrics"));
     return listen;
 }
 
--- a/nutmegusher/node/settings.hpp
+++ b/nutmegusher/node/settings.hpp
@@ -71,6 +71,8 @@
     std::optional<endpoint> upstream;
     endpoint peers;
     endpoint operators;
+    // Serves counters and times to whoever collects them.
+    std::optional<endpoint> metrics;
 };
 
 // A control host by name, as in `initial`.
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -546,9 +546,21 @@
         }
     }
 
+    // Where no route was found, as where no class was.
+    [[nodiscard]] class_name counted_as() const
+    {
+        return class_name(route_ == nullptr ? "(none)" : route_->name);
+    }
+
     asio::awaitable<void> refuse(refusal told)
     {
         note_end(true);
+        state_.process.measured.refused(
+            node::call_side::entry,
+            counted_as(),
+            told.reason,
+            told.result,
+            sent_);
         auto head = state_.names.refuse(told);
         if (!call_.terms.id.empty())
         {
@@ -560,6 +572,11 @@
     asio::awaitable<void> pass_on(routed_answer answer)
     {
         note_end(answer.head.status >= status_server_error);
+        state_.process.measured.completed(
+            node::call_side::entry,
+            counted_as(),
+            host_clock().now() - arrived_,
+            sent_ + 1);
         if (!answer.rest)
         {
             co_await exchange_.answer(std::move(answer.head), answer.body);
--- a/nutmegusher/routed/routed_path_test.cpp
+++ b/nutmegusher/routed/routed_path_test.cpp
@@ -518,6 +518,32 @@
     EXPECT_EQ(runs, 1);
 }
 
+TEST_F(routed_path, answers_and_refusals_are_counted_by_route)
+{
+    std::atomic<int> runs = 0;
+    start(counting(runs));
+    EXPECT_EQ(ask("/views/1", "id-1").result_int(), 200U);
+    EXPECT_EQ(ask("/views/2", "id-2").result_int(), 200U);
+    EXPECT_EQ(ask("/other/", "id-3").result_int(), 404U);
+    beside->state.local.withdraw("i-1");
+    EXPECT_EQ(ask("/pay/1", "id-4", "amount 7").result_int(), 503U);
+    const auto text = entry->shared.measured.exposition();
+    const auto has = [&text](std::string_view line)
+    {
+        return text.find(line) != std::string::npos;
+    };
+    EXPECT_TRUE(
+        has("requests_completed_total{class=\"/views/\",side=\"entry\"} 2"))
+        << text;
+    EXPECT_TRUE(
+        has("requests_refused_total{class=\"(none)\",side=\"entry\",reason="
+            "\"no-such-route\",outcome=\"not-run\"} 1"))
+        << text;
+    EXPECT_TRUE(has("requests_refused_total{class=\"/pay/\",side=\"entry\","
+                    "reason=\"leaving\",outcome=\"not-run\"} 1"))
+        << text;
+}
+
 TEST_F(routed_path, a_leaving_upstream_gets_nothing_new)
 {
     std::atomic<int> runs = 0;
