Have emptied control hosts ask until a leader has noted them

Cause: a host without a vote asked the seeds in order and stopped at the first that named the cluster. Two emptied hosts that were the first two of the list each stopped at the other one, which is no member and knows no leader; no leader heard of either, and the next loss took the majority. An answer now says whether the leader of each group has noted the question; the asker goes on until one says so, asks the members that answers name beside the seeds, and writes event 211 when nobody takes it up for 3 s.

Ruled out: other pairs of hosts (they were admitted before and after).

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -64,6 +64,10 @@
         event::control_membership_changed,
         "control_membership_changed",
         severity::info},
+    event_description{
+        event::control_host_not_admitted,
+        "control_host_not_admitted",
+        severity::warning},
     event_description{
         event::upstream_announced, "upstream_announced", severity::info},
     event_description{
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -48,6 +48,7 @@
     control_storage_failed = 208,
     control_snapshot_taken = 209,
     control_membership_changed = 210,
+    control_host_not_admitted = 211,
     upstream_announced = 300,
     upstream_leaving = 301,
     upstream_lost = 302,
--- a/nutmegusher/node/control_growth.cpp
+++ b/nutmegusher/node/control_growth.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace nutmegusher::node::internal
 {
@@ -24,6 +25,13 @@
 // removed while it was cut off.
 constexpr duration leaderless_limit = std::chrono::seconds(2);
 
+// A host that no leader has taken up by then is told of in the log, and every
+// so often after it: others are back within two seconds.
+constexpr duration admission_log_after = std::chrono::seconds(3);
+constexpr duration admission_log_interval = std::chrono::seconds(10);
+// Of other hosts, as answers told; a cluster has 23 control hosts at most.
+constexpr std::size_t most_told_members = 64;
+
 bool contains_voter(const messages::replica_set& members, std::uint64_t id)
 {
     return std::any_of(
@@ -84,19 +92,31 @@
     }
 }
 
-asio::awaitable<void> control_loop::ask_all_for_admission()
+// Seeds, and members of whom this host knows or was told; each once.
+std::vector<asio::ip::tcp::endpoint> control_loop::admission_hosts() const
 {
-    auto hosts = settings_.seeds;
+    std::set<asio::ip::tcp::endpoint> hosts(
+        settings_.seeds.begin(), settings_.seeds.end());
     for (const auto& member : status().members)
     {
-        hosts.push_back(member.address);
+        hosts.insert(member.address);
     }
-    for (const auto& host : hosts)
+    hosts.insert(told_members_.begin(), told_members_.end());
+    hosts.erase(settings_.address);
+    return {hosts.begin(), hosts.end()};
+}
+
+// Asks until a leader has noted the question.
+//
+// Pattern of failure: two hosts lose their disks at once, and each is the first
+// that the other asks. Both know the cluster's number, neither is a member. An
+// answer that told no more than the number ended the round: the leader heard of
+// neither for the rest of the day, and the next loss took the majority.
+asio::awaitable<void> control_loop::ask_all_for_admission()
+{
+    std::string answers;
+    for (const auto& host : admission_hosts())
     {
-        if (host == settings_.address)
-        {
-            continue;
-        }
         messages::admit_request request;
         *request.mutable_member() = own_member();
         request.set_cluster(identity_.cluster());
@@ -104,21 +124,62 @@
         const auto answer = co_await wire::call(
             peers_.sessions(), host, "/control/admit", body, admission_timeout);
         messages::admit_reply reply;
-        if (!answer || !reply.ParseFromString(*answer) || stopped_)
+        if (stopped_)
         {
-            continue;
+            co_return;
         }
-        if (identity_.cluster() == 0 && reply.cluster() != 0)
+        const bool answered = answer && reply.ParseFromString(*answer);
+        answers += answers.empty() ? "" : ", ";
+        answers += to_text(host) + (answered ? " no leader" : " silent");
+        if (answered && take_admission(reply))
         {
-            const messages::replica_set unknown;
-            static_cast<void>(
-                establish(reply.cluster(), reply.groups(), unknown));
+            not_admitted_since_.reset();
+            co_return;
         }
-        if (reply.cluster() != 0)
+    }
+    note_not_admitted(answers);
+}
+
+// True where a leader has noted the question.
+bool control_loop::take_admission(const messages::admit_reply& reply)
+{
+    for (const auto& text : reply.members())
+    {
+        const auto address = parse_endpoint(text);
+        if (address && told_members_.size() < most_told_members)
         {
-            co_return;
+            told_members_.insert(*address);
         }
     }
+    if (identity_.cluster() == 0 && reply.cluster() != 0)
+    {
+        const messages::replica_set unknown;
+        static_cast<void>(establish(reply.cluster(), reply.groups(), unknown));
+    }
+    return reply.taken() && reply.cluster() == identity_.cluster();
+}
+
+void control_loop::note_not_admitted(const std::string& answers)
+{
+    const auto now = host_clock().now();
+    if (!not_admitted_since_)
+    {
+        not_admitted_since_ = now;
+        next_admission_log_ = now + admission_log_after;
+    }
+    if (now < next_admission_log_)
+    {
+        return;
+    }
+    next_admission_log_ = now + admission_log_interval;
+    using std::chrono::milliseconds;
+    const auto waited =
+        std::chrono::duration_cast<milliseconds>(now - *not_admitted_since_);
+    log_event(
+        event::control_host_not_admitted,
+        {{"cluster", identity_.cluster()},
+         {"for_ms", static_cast<std::uint64_t>(waited.count())},
+         {"asked", answers}});
 }
 
 asio::awaitable<messages::admit_reply>
@@ -128,26 +189,34 @@
     messages::admit_reply reply;
     reply.set_cluster(identity_.cluster());
     reply.set_groups(identity_.groups());
+    for (const auto& member : status().members)
+    {
+        reply.add_members(to_text(member.address));
+    }
     if (identity_.cluster() == 0 || request.cluster() != identity_.cluster())
     {
         co_return reply;
     }
     const auto id = request.member().identity();
     asking_[id] = {request.member(), host_clock().now()};
-    if (!forward)
-    {
-        co_return reply;
-    }
     const auto body = request.SerializeAsString();
+    bool taken = true;
+    bool leads_one = false;
     for (std::uint32_t group = 0; group < identity_.groups(); ++group)
     {
-        const auto deadline = host_clock().now() + admission_timeout;
-        if (!leads(group))
+        const bool here = leads_with_lease(group);
+        bool there = false;
+        if (!here && forward)
         {
-            static_cast<void>(co_await call_leader(
-                group, "/control/lead/admit", body, deadline));
+            const auto deadline = host_clock().now() + admission_timeout;
+            const auto told = co_await ask_leader<messages::admit_reply>(
+                group, "/control/lead/admit", body, deadline);
+            there = told && told->taken();
         }
+        taken = taken && (here || there);
+        leads_one = leads_one || here;
     }
+    reply.set_taken(forward ? taken : leads_one);
     co_return reply;
 }
 
--- a/nutmegusher/node/control_growth_test.cpp
+++ b/nutmegusher/node/control_growth_test.cpp
@@ -217,5 +217,49 @@
     EXPECT_EQ(hosts[0]->logs().present().routes().source(), "document 2");
 }
 
+// Whichever two lose their disks, seeds or not: both are voters again, also
+// where each is the first host that the other asks.
+class emptied_pair
+    : public growing_cluster,
+      public testing::WithParamInterface<std::pair<std::size_t, std::size_t>>
+{
+};
+
+TEST_P(emptied_pair, votes_again_without_anybody)
+{
+    for (std::size_t i = 0; i < host_count; ++i)
+    {
+        start(i, true);
+    }
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return all_see(host_count);
+        }));
+    ASSERT_EQ(install(0, 1), messages::change_accepted);
+    const auto [first, second] = GetParam();
+    wipe(first);
+    wipe(second);
+    start(first, false);
+    start(second, false);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return all_see(host_count);
+        }));
+    EXPECT_EQ(install(second, 2), messages::change_accepted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each,
+    emptied_pair,
+    testing::Values(
+        std::pair(0, 1),
+        std::pair(0, 2),
+        std::pair(1, 2),
+        std::pair(0, 3),
+        std::pair(1, 4),
+        std::pair(3, 4)));
+
 } // namespace
 } // namespace nutmegusher::node
--- a/nutmegusher/node/control_loop.hpp
+++ b/nutmegusher/node/control_loop.hpp
@@ -142,6 +142,8 @@
     [[nodiscard]] std::optional<asio::ip::tcp::endpoint>
     leader_address(std::uint32_t group);
     [[nodiscard]] bool leads(std::uint32_t group);
+    // A majority has confirmed it lately: no other host leads the group.
+    [[nodiscard]] bool leads_with_lease(std::uint32_t group);
     // The answer that this host has applied for the change's id.
     [[nodiscard]] std::optional<messages::change_result>
     known_answer(const messages::change& change) const;
@@ -202,6 +204,9 @@
     [[nodiscard]] messages::replica_member own_member() const;
     asio::awaitable<void> ask_for_admission();
     asio::awaitable<void> ask_all_for_admission();
+    [[nodiscard]] std::vector<asio::ip::tcp::endpoint> admission_hosts() const;
+    [[nodiscard]] bool take_admission(const messages::admit_reply& reply);
+    void note_not_admitted(const std::string& answers);
     void tend_members();
     void tend_group(std::uint32_t number, replica& core, time_point now);
     [[nodiscard]] std::vector<member_view>
@@ -236,6 +241,11 @@
         time_point asked_at;
     };
     std::map<std::uint64_t, admission_question> asking_;
+    // While this host is no voter: members that answers told of, and since when
+    // no leader has noted its question.
+    std::set<asio::ip::tcp::endpoint> told_members_;
+    std::optional<time_point> not_admitted_since_;
+    time_point next_admission_log_{};
     // When each other member was last heard, by group; while this host leads.
     std::map<std::uint32_t, std::map<replica_id, time_point>> heard_;
     time_point next_spread_{};
--- a/nutmegusher/node/control_requests.cpp
+++ b/nutmegusher/node/control_requests.cpp
@@ -69,6 +69,19 @@
     return found;
 }
 
+bool control_loop::leads_with_lease(std::uint32_t group)
+{
+    const auto now = host_clock().now();
+    bool found = false;
+    with_core(
+        group,
+        [&found, now](const replica& core)
+        {
+            found = core.holds_lease(now);
+        });
+    return found;
+}
+
 std::optional<asio::ip::tcp::endpoint>
 control_loop::leader_address(std::uint32_t group)
 {
