Order what an upstream says by its start, then its count

An upstream may start again under its id; it then holds nothing of before and its count begins anew, so its reports looked stale. Reports carry the start now ('born' at the platform). A later start makes void what the earlier one said of leaving and withdrawal, frees the slots of its calls, forgets its times and errors; other daemons hear of the start in the announcement and drop errors, times and calls in work too. Late words of the earlier start change nothing.

--- a/nutmegusher/node/own_upstream.cpp
+++ b/nutmegusher/node/own_upstream.cpp
@@ -106,12 +106,14 @@
         said_->state = messages::upstream_leaving;
     }
     if (record_.version() > 0 && before == said_->state &&
-        record_.service() == said.service.str())
+        record_.service() == said.service.str() &&
+        record_.upstream_start() == said.start)
     {
         return upstream_change::none;
     }
     record_.set_service(said.service.str());
     record_.set_state(said_->state);
+    record_.set_upstream_start(said.start);
     record_.set_version(record_.version() + 1);
     switch (said_->state)
     {
--- a/nutmegusher/node/own_upstream.hpp
+++ b/nutmegusher/node/own_upstream.hpp
@@ -24,6 +24,9 @@
     service_name service;
     endpoint address;
     messages::upstream_state state = messages::upstream_serving;
+    // Another one after each start of the upstream's process; 0: it doesn't
+    // tell.
+    std::uint64_t start = 0;
 };
 
 // Errors: `json_error` (see json_messages.hpp).
--- a/nutmegusher/node/own_upstream_test.cpp
+++ b/nutmegusher/node/own_upstream_test.cpp
@@ -62,6 +62,22 @@
         upstream_change::appeared);
 }
 
+TEST(own_upstream, a_new_start_is_told_to_others)
+{
+    manual_clock clock;
+    auto upstream = make_upstream();
+    auto first = said(messages::upstream_serving);
+    first.start = 7;
+    upstream.announce(first, clock.now());
+    EXPECT_EQ(upstream.announce(first, clock.now()), upstream_change::none);
+    auto second = first;
+    second.start = 8;
+    EXPECT_EQ(
+        upstream.announce(second, clock.now()), upstream_change::appeared);
+    EXPECT_EQ(upstream.record()->version(), 2U);
+    EXPECT_EQ(upstream.record()->upstream_start(), 8U);
+}
+
 TEST(own_upstream, stays_left_when_its_daemon_stops)
 {
     manual_clock clock;
--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -101,6 +101,20 @@
     return settled_;
 }
 
+std::span<const settlement> slot_queue::restart(time_point now)
+{
+    settled_.clear();
+    running_.clear();
+    holds_.clear();
+    mean_hold_ = 0;
+    useful_ = useful_slots();
+    useful_.set_slots(slots_);
+    sub_call_at_.reset();
+    update_limit(now);
+    admit_waiting(now);
+    return settled_;
+}
+
 arrival slot_queue::arrive(const call_facts& call, time_point now)
 {
     settled_.clear();
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -85,6 +85,11 @@
     // When `tick` has something to do next.
     [[nodiscard]] std::optional<time_point> next_event() const;
 
+    // Another process of the upstream has started: it works on nothing that was
+    // let in before, and how long calls held the slots of the earlier one says
+    // nothing of it. Calls that wait go on waiting.
+    std::span<const settlement> restart(time_point now);
+
     // The upstream made a call of its own: what calls take there then says
     // little of its slots, and all of them are used.
     void note_sub_call(time_point now);
--- a/nutmegusher/policy/slot_queue_test.cpp
+++ b/nutmegusher/policy/slot_queue_test.cpp
@@ -216,5 +216,28 @@
     EXPECT_EQ(queue.state().slots, 16U);
 }
 
+// An upstream crashes with all slots taken and starts again: it works on
+// nothing, and is as slow as a cold one.
+TEST_F(slots, a_new_start_holds_nothing_of_the_earlier_one)
+{
+    learn(0, 400ms);
+    const auto first = call(0, 1s, 5s);
+    const auto second = call(0, 1s, 5s);
+    arrive(first);
+    arrive(second);
+    const auto third = call(0, 1s, 5s);
+    EXPECT_TRUE(std::holds_alternative<queued>(arrive(third)));
+    const auto let_in = admitted_in(queue.restart(now));
+    ASSERT_EQ(let_in.size(), 1U);
+    EXPECT_EQ(let_in[0], third.ticket);
+    EXPECT_EQ(queue.state().running, 1U);
+    EXPECT_EQ(queue.state().hold, 0ms);
+    EXPECT_TRUE(queue.finish(first.ticket, call_result::failed, now).empty());
+    EXPECT_EQ(queue.state().running, 1U) << "a call of the earlier start";
+    // Its time says nothing of the new one: 100 ms may do.
+    const auto short_one = call(0, 1s, 100ms);
+    EXPECT_TRUE(std::holds_alternative<admitted>(arrive(short_one)));
+}
+
 } // namespace
 } // namespace nutmegusher
--- a/nutmegusher/routed/extension.cpp
+++ b/nutmegusher/routed/extension.cpp
@@ -93,6 +93,7 @@
         node::announcement said;
         said.service = now->service;
         said.address = now->address;
+        said.start = stable_hash(now->id, now->order.started);
         said.state = takes          ? messages::upstream_serving
                      : now->leaving ? messages::upstream_leaving
                                     : messages::upstream_starting;
@@ -113,14 +114,24 @@
 
 void routed_service::report(const upstream_report& said)
 {
-    static_cast<void>(state->local.report(said));
+    if (state->local.report(said) == report_effect::started)
+    {
+        state->slots.restart();
+        state->errors.forget();
+    }
     // Also without a change: the announcement lives by being repeated.
     state->upstream_changed();
 }
 
-void routed_service::withdraw(const std::string& id)
+bool routed_service::serves(const service_name& service) const
+{
+    const auto& configured = context_.shared.configured.upstream.service;
+    return configured.str().empty() || configured == service;
+}
+
+void routed_service::withdraw(const std::string& id, std::uint64_t started)
 {
-    if (state->local.withdraw(id))
+    if (state->local.withdraw(id, started))
     {
         state->upstream_changed();
     }
--- a/nutmegusher/routed/extension.hpp
+++ b/nutmegusher/routed/extension.hpp
@@ -20,8 +20,12 @@
     // late.
     void report(const upstream_report& said);
 
-    // The upstream with that id takes no new work.
-    void withdraw(const std::string& id);
+    // Whether the upstream on this host is one of the service, by the settings.
+    [[nodiscard]] bool serves(const service_name& service) const;
+
+    // The upstream with that id takes no new work; `started`: see
+    // `local_upstream`.
+    void withdraw(const std::string& id, std::uint64_t started);
 
     // Whether callers on this host should be sent here: there is a document of
     // routes, and no stop has begun.
--- a/nutmegusher/routed/local_upstream.cpp
+++ b/nutmegusher/routed/local_upstream.cpp
@@ -31,33 +31,50 @@
     {
         known_.pop_front();
     }
-    known_.push_back({id, 0, false});
+    known_.push_back({id, std::nullopt, false});
     return known_.back();
 }
 
-bool local_upstream::report(const upstream_report& said)
+report_effect local_upstream::report(const upstream_report& said)
 {
     const std::scoped_lock lock(mutex_);
     auto& known = remember(said.id);
-    const bool is_first = known.sequence == 0 && !known.withdrawn;
-    if (known.withdrawn || (!is_first && said.sequence <= known.sequence))
+    const bool is_later_start =
+        known.last && said.order.started > known.last->started;
+    if (is_later_start)
     {
-        return false;
+        known.withdrawn = false;
+    }
+    if (known.withdrawn || (known.last && said.order <= *known.last))
+    {
+        return report_effect::none;
     }
-    known.sequence = said.sequence;
+    known.last = said.order;
+    const bool is_other_start =
+        is_later_start || (current_ && current_->id != said.id);
     const bool same = current_ && reachable_ && current_->id == said.id &&
                       current_->address == said.address &&
+                      current_->service == said.service &&
                       current_->slots == said.slots &&
                       current_->leaving == said.leaving;
     current_ = said;
     reachable_ = true;
-    return !same;
+    if (is_other_start)
+    {
+        return report_effect::started;
+    }
+    return same ? report_effect::none : report_effect::changed;
 }
 
-bool local_upstream::withdraw(const std::string& id)
+bool local_upstream::withdraw(const std::string& id, std::uint64_t started)
 {
     const std::scoped_lock lock(mutex_);
-    remember(id).withdrawn = true;
+    auto& known = remember(id);
+    if (started != 0 && known.last && started < known.last->started)
+    {
+        return false;
+    }
+    known.withdrawn = true;
     if (!current_ || current_->id != id || current_->leaving)
     {
         return false;
--- a/nutmegusher/routed/routed_state.cpp
+++ b/nutmegusher/routed/routed_state.cpp
@@ -103,6 +103,12 @@
     meter_.on_failed_call(host_clock().now());
 }
 
+void own_errors::forget()
+{
+    const std::scoped_lock lock(mutex_);
+    meter_ = error_meter();
+}
+
 double own_errors::share(const data_center_name& from) const
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/routed/routed_state.hpp
+++ b/nutmegusher/routed/routed_state.hpp
@@ -97,6 +97,8 @@
     void on_answer(const data_center_name& from, bool error);
     // A call that it made itself failed.
     void on_failed_call();
+    // Another process of the upstream has started.
+    void forget();
 
     [[nodiscard]] double share(const data_center_name& from) const;
 
--- a/nutmegusher/routed/slot_gate.cpp
+++ b/nutmegusher/routed/slot_gate.cpp
@@ -113,6 +113,12 @@
     waiting_.deliver(queue_.set_slots(slots, host_clock().now()));
 }
 
+void slot_gate::restart()
+{
+    const std::scoped_lock lock(mutex_);
+    waiting_.deliver(queue_.restart(host_clock().now()));
+}
+
 void slot_gate::note_sub_call()
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/routed/slot_gate.hpp
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -36,6 +36,8 @@
     void cancel(ticket_id ticket);
 
     void set_slots(std::size_t slots);
+    // Another process of the upstream has started: see `slot_queue`.
+    void restart();
     void note_sub_call();
     void set_leaving(bool leaving);
 
