Let the tightest target go first in a short queue, whatever its rank

Hypothesis: a short request that reaches a deep service directly waits behind all sub-calls of better rank, which have time; going first it is on time, and nobody else is late for it. Change: while the first of the best rank would still be within its target behind the whole queue, the call with the earliest latest start goes first; otherwise by rank as before.

--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -140,11 +140,39 @@
         return {refuse(refusal_reason::overload, call, now), settled_};
     }
     ++arrivals_;
-    waiting_.emplace(at, call);
-    places_.emplace(call.ticket, at);
+    add_waiting(at, call, now);
     return {queued(), settled_};
 }
 
+void slot_queue::add_waiting(
+    const place& at, const call_facts& call, time_point now)
+{
+    const auto left = call.deadline - now;
+    const auto target = call.target > duration::zero() ? call.target : left;
+    const auto due = now + std::min(target, left);
+    const auto latest_start = due - from_seconds(hold_of(call.work_class));
+    waiting_.emplace(at, waiting_call{call, due, latest_start});
+    by_latest_start_.emplace(latest_start, at);
+    places_.emplace(call.ticket, at);
+}
+
+slot_queue::waiting_calls::iterator
+slot_queue::remove_waiting(waiting_calls::iterator at)
+{
+    by_latest_start_.erase({at->second.latest_start, at->first});
+    places_.erase(at->second.facts.ticket);
+    return waiting_.erase(at);
+}
+
+// Requires: a call waits.
+slot_queue::waiting_calls::iterator slot_queue::next_to_start(time_point now)
+{
+    const auto best = waiting_.begin();
+    const auto wait = expected_wait(waiting_.size());
+    const bool all_in_time = mean_hold_ > 0 && now + wait <= best->second.due;
+    return all_in_time ? waiting_.find(by_latest_start_.begin()->second) : best;
+}
+
 void slot_queue::update_shed(time_point now)
 {
     const auto waiting = static_cast<double>(waiting_.size());
@@ -215,10 +243,9 @@
 {
     while (!waiting_.empty() && running_.size() < limit_)
     {
-        const auto first = waiting_.begin();
-        const auto call = first->second;
-        places_.erase(call.ticket);
-        waiting_.erase(first);
+        const auto next = next_to_start(now);
+        const auto call = next->second.facts;
+        remove_waiting(next);
         if (is_hopeless(call, duration::zero(), now))
         {
             settled_.push_back(
@@ -236,8 +263,7 @@
     const auto found = places_.find(ticket);
     if (found != places_.end())
     {
-        waiting_.erase(found->second);
-        places_.erase(found);
+        remove_waiting(waiting_.find(found->second));
         return settled_;
     }
     return finish(ticket, call_result::cancelled, now);
@@ -249,15 +275,14 @@
     std::size_t ahead = 0;
     for (auto at = waiting_.begin(); at != waiting_.end();)
     {
-        const auto call = at->second;
+        const auto call = at->second.facts;
         if (!is_hopeless(call, expected_wait(ahead), now))
         {
             ++ahead;
             ++at;
             continue;
         }
-        places_.erase(call.ticket);
-        at = waiting_.erase(at);
+        at = remove_waiting(at);
         settled_.push_back(
             {call.ticket, refuse(refusal_reason::overload, call, now)});
     }
@@ -273,8 +298,8 @@
     auto earliest = time_point::max();
     for (const auto& [at, call] : waiting_)
     {
-        const auto hold = from_seconds(hold_of(call.work_class));
-        earliest = std::min(earliest, call.deadline - hold);
+        const auto hold = from_seconds(hold_of(call.facts.work_class));
+        earliest = std::min(earliest, call.facts.deadline - hold);
     }
     return earliest;
 }
@@ -292,9 +317,11 @@
     for (const auto& [at, call] : waiting_)
     {
         settled_.push_back(
-            {call.ticket, refuse(refusal_reason::leaving, call, now)});
+            {call.facts.ticket,
+             refuse(refusal_reason::leaving, call.facts, now)});
     }
     waiting_.clear();
+    by_latest_start_.clear();
     places_.clear();
     return settled_;
 }
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -13,7 +13,12 @@
 // the better one can still go first and the hopeless one can still be refused
 // with the proof that it didn't run.
 //
-// - By rank; in a rank the earliest deadline first. A sub-call has at most the
+// - While the queue is so short that the first of the best rank would still be
+//   within its target behind all others: by the latest start at which each
+//   meets its own target, whatever its rank. A short call of a lesser rank then
+//   costs the others nothing, and isn't late behind calls that have time.
+// - Otherwise by rank; in a rank the earliest deadline first. A sub-call has at
+// most the
 //   time that its request has left: so those of requests with short deadlines,
 //   and of requests that have waited already, go before the others, at every
 //   level of a chain. In order of arrival 15 in 100 lookups with a target of
@@ -35,6 +40,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -117,6 +123,16 @@
         friend auto operator<=>(const place&, const place&) = default;
     };
 
+    struct waiting_call
+    {
+        call_facts facts;
+        // When its target is over, and the latest start that meets it.
+        time_point due;
+        time_point latest_start;
+    };
+
+    using waiting_calls = std::map<place, waiting_call>;
+
     struct running_call
     {
         std::uint64_t work_class = 0;
@@ -125,6 +141,9 @@
     };
 
     [[nodiscard]] place place_of(const call_facts& call) const;
+    void add_waiting(const place& at, const call_facts& call, time_point now);
+    waiting_calls::iterator remove_waiting(waiting_calls::iterator at);
+    [[nodiscard]] waiting_calls::iterator next_to_start(time_point now);
     [[nodiscard]] double hold_of(std::uint64_t work_class) const;
     [[nodiscard]] double slots_per_second() const;
     [[nodiscard]] duration expected_wait(std::size_t ahead) const;
@@ -147,7 +166,8 @@
     std::optional<time_point> sub_call_at_;
     bool leaving_ = false;
     std::uint64_t arrivals_ = 0;
-    std::map<place, call_facts> waiting_;
+    waiting_calls waiting_;
+    std::set<std::pair<time_point, place>> by_latest_start_;
     std::unordered_map<ticket_id, place> places_;
     std::unordered_map<ticket_id, running_call> running_;
     // Moving means of the time that calls hold a slot, seconds.
--- a/nutmegusher/policy/slot_queue_test.cpp
+++ b/nutmegusher/policy/slot_queue_test.cpp
@@ -103,6 +103,46 @@
     EXPECT_EQ(order, wanted);
 }
 
+// Sub-calls of a better rank that have time, and one short call that hasn't.
+TEST_F(slots, in_a_short_queue_the_tightest_target_goes_first)
+{
+    learn(1, 20ms);
+    learn(2, 60ms);
+    const auto running = call(1, 300ms, 700ms);
+    arrive(running);
+    arrive(call(1, 300ms, 700ms));
+    const auto sub_call = call(1, 300ms, 700ms);
+    const auto signing = call(2, 250ms, 1s);
+    EXPECT_EQ(arrive(sub_call), decision(queued()));
+    EXPECT_EQ(arrive(signing), decision(queued()));
+    const auto next =
+        admitted_in(queue.finish(running.ticket, call_result::ok, now));
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next.front(), signing.ticket);
+}
+
+// The queue is longer than the targets: what is to be refused last goes first.
+TEST_F(slots, in_a_long_queue_the_better_rank_goes_first)
+{
+    learn(1, 20ms);
+    learn(2, 60ms);
+    const auto running = call(1, 300ms, 700ms);
+    arrive(running);
+    arrive(call(1, 300ms, 700ms));
+    std::vector<ticket_id> sub_calls;
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto one = call(1, 300ms, 7s);
+        sub_calls.push_back(one.ticket);
+        EXPECT_EQ(arrive(one), decision(queued()));
+    }
+    EXPECT_EQ(arrive(call(2, 250ms, 9s)), decision(queued()));
+    const auto next =
+        admitted_in(queue.finish(running.ticket, call_result::ok, now));
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next.front(), sub_calls.front());
+}
+
 TEST_F(slots, refuses_at_once_what_cannot_end_in_time)
 {
     learn(1, 100ms);
