Count lost, broken and turned-away calls as errors of the upstream

Hypothesis: only answers with an error status were counted, so an upstream that loses answers, or turns calls away although it has slots, kept its whole share; what may not be repeated was lost there, and a chain of four sub-calls failed in one of two where one upstream of three turned 45 in 100 away.

--- a/nutmegusher/routed/routed_path_test.cpp
+++ b/nutmegusher/routed/routed_path_test.cpp
@@ -343,5 +343,61 @@
     }
 }
 
+// It runs the call, and every second answer is lost: nothing that may not be
+// repeated can be saved then, but sent elsewhere in the first place. A tenth of
+// the calls is what finding it may cost.
+TEST_F(failing_upstream, one_that_loses_its_answers_is_avoided)
+{
+    std::atomic<int> count = 0;
+    start(
+        [this, &count](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            while (const auto request = read_request(socket, buffer))
+            {
+                note_run(id_of(*request));
+                if (++count % 2 == 0)
+                {
+                    return;
+                }
+                http::write(socket, answer_to(id_of(*request), "done"));
+            }
+        });
+    start_another(answering(http::status::ok));
+    int lost = 0;
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto id = "id-" + std::to_string(i);
+        lost += ask("/pay/1", id, "amount 7").result_int() == 200U ? 0 : 1;
+        EXPECT_EQ(runs_of(id), 1) << id;
+    }
+    EXPECT_LE(lost, requests / 10);
+}
+
+// It turns calls away although it has slots for them.
+TEST_F(failing_upstream, one_that_turns_calls_away_is_avoided)
+{
+    int turned_away = 0;
+    start(
+        [&turned_away](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            while (const auto request = read_request(socket, buffer))
+            {
+                ++turned_away;
+                auto no = answer_to(id_of(*request), "");
+                no.result(http::status::service_unavailable);
+                no.set("nutmeg-not-run", "full");
+                http::write(socket, no);
+            }
+        });
+    start_another(answering(http::status::ok));
+    for (int i = 0; i < requests; ++i)
+    {
+        static_cast<void>(ask("/pay/1", "id-" + std::to_string(i), "amount 7"));
+    }
+    EXPECT_LE(turned_away, requests / 10);
+}
+
 } // namespace
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/upstream_side.cpp
+++ b/nutmegusher/routed/upstream_side.cpp
@@ -315,16 +315,19 @@
             wire::find_header(head->fields, state_.names.not_run).has_value();
         if (says_not_run || head->status == status_other_upstream)
         {
+            // It gets no more calls than it has slots: what it turns away all
+            // the same it would not have to.
+            note_answer(head->status != status_other_upstream);
             slot_->set_result(call_result::shed_by_upstream);
             co_await skip_rest();
             co_return refused_by_upstream(come_back_elsewhere);
         }
         if (!is_acceptable(*head))
         {
+            note_answer(true);
             co_return unknown(call_reason::answer_broken);
         }
-        state_.errors.on_answer(
-            call_.terms.caller_data_center, is_error(head->status));
+        note_answer(is_error(head->status));
         co_return co_await read_body(*std::move(head));
     }
 
@@ -347,15 +350,26 @@
         return is_signed && !wire::find_header(head.fields, "content-encoding");
     }
 
+    void note_answer(bool error)
+    {
+        state_.errors.on_answer(call_.terms.caller_data_center, error);
+    }
+
     void note_failure(node::upstream_failure failure)
     {
-        if (failure == node::upstream_failure::timed_out)
+        switch (failure)
         {
+        case node::upstream_failure::timed_out:
             slot_->set_result(call_result::timed_out);
-        }
-        else if (failure == node::upstream_failure::cancelled)
-        {
+            break;
+        case node::upstream_failure::cancelled:
             slot_->set_result(call_result::cancelled);
+            break;
+        default:
+            // Lost, broken off or no answer at all. Without this an upstream
+            // that loses two answers in five got its whole share of what may
+            // not be repeated.
+            note_answer(true);
         }
     }
 
