Let calls that can be sent elsewhere leave a silent session early

Hypothesis: a daemon that loses power holds each call on it until the session is given up after 3.5 s, or until the call's time limit; sub-calls with 0.7 s all fail. Where an answer is due soon the session now asks after 150 ms of silence and is suspect after 300 ms more; repeatable calls then fail with 'silent' and are sent elsewhere, the others wait on. Test: what_can_be_sent_elsewhere_fails_when_the_session_is_suspect (new interface; without the new rule the call waits for give_up_limit, 60 s there).

--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -114,6 +114,10 @@
         }
         stream_ = *std::move(opened);
         stream_->expire_after(call_.terms.time_left());
+        if (!call_.terms.bulk)
+        {
+            stream_->expect_answer_soon(call_.terms.repeatable);
+        }
         auto* const stream = stream_.get();
         cancelled_->stop = [stream]
         {
--- a/nutmegusher/wire/client_stream.cpp
+++ b/nutmegusher/wire/client_stream.cpp
@@ -81,6 +81,11 @@
     stream_->deadline->async_wait(expired);
 }
 
+void client_stream::expect_answer_soon(bool movable)
+{
+    connection_->expect_answer_soon(*stream_, movable);
+}
+
 void client_stream::cancel()
 {
     const bool whole = stream_->remote_ended && stream_->local_end_queued;
--- a/nutmegusher/wire/client_stream.hpp
+++ b/nutmegusher/wire/client_stream.hpp
@@ -59,6 +59,14 @@
     // peer is told to stop.
     void expire_after(duration left);
 
+    // The answer is due within fractions of a second, so silence is noticed
+    // early. `movable`: the request can be sent again elsewhere, so it fails
+    // with `silent` once the session is suspect, long before the session is
+    // given up. Pattern of failure: a host loses power with calls on it;
+    // without this each of them waited out its time limit, 300 on a day on
+    // which one in two daemons was lost for two seconds.
+    void expect_answer_soon(bool movable);
+
     // Resets the stream with CANCEL; waiting operations fail with
     // `cancelled`.
     void cancel();
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -111,6 +111,8 @@
     read_some(std::shared_ptr<stream> source, std::span<std::byte> into);
     // Breaks the stream off with an HTTP/2 error code.
     void reset(stream& target, std::uint32_t code, stream_failure why);
+    // The stream's answer is due soon; `movable`: see `client_stream`.
+    void expect_answer_soon(stream& target, bool movable);
     // The handle has gone.
     void abandon(stream& target);
 
@@ -147,6 +149,8 @@
     void linger();
     void plan_tick();
     void tick();
+    [[nodiscard]] liveness::waiting waits_for() const;
+    void give_up_movable();
 
     // connection_streams.cpp and connection_frames.cpp.
     [[nodiscard]] std::shared_ptr<stream> make_stream(std::int32_t id);
--- a/nutmegusher/wire/connection_streams.cpp
+++ b/nutmegusher/wire/connection_streams.cpp
@@ -71,7 +71,8 @@
 
 std::shared_ptr<stream> connection::make_stream(std::int32_t id)
 {
-    if (!busy() && liveness_.planned_for_idle() && ready_)
+    if (!busy() && liveness_.planned_late(liveness::waiting::an_answer) &&
+        ready_)
     {
         plan_tick();
     }
--- a/nutmegusher/wire/connection_time.cpp
+++ b/nutmegusher/wire/connection_time.cpp
@@ -3,6 +3,7 @@
 #include "nutmegusher/base/events.hpp"
 #include "nutmegusher/wire/connection.hpp"
 
+#include <algorithm>
 #include <sstream>
 
 namespace nutmegusher::wire::internal
@@ -58,12 +59,57 @@
     tick_.async_wait(expired);
 }
 
+liveness::waiting connection::waits_for() const
+{
+    if (!busy())
+    {
+        return liveness::waiting::nothing;
+    }
+    const bool near = std::any_of(
+        streams_.begin(),
+        streams_.end(),
+        [](const auto& item)
+        {
+            return item.second->answer_is_near;
+        });
+    return near ? liveness::waiting::a_near_answer
+                : liveness::waiting::an_answer;
+}
+
+void connection::expect_answer_soon(stream& target, bool movable)
+{
+    target.answer_is_near = true;
+    target.movable = movable;
+    if (liveness_.planned_late(liveness::waiting::a_near_answer) && ready_)
+    {
+        plan_tick();
+    }
+}
+
+// Those that can be sent again elsewhere.
+void connection::give_up_movable()
+{
+    std::vector<std::shared_ptr<stream>> given_up;
+    for (const auto& [id, each] : streams_)
+    {
+        if (each->movable && !each->remote_ended)
+        {
+            given_up.push_back(each);
+        }
+    }
+    for (const auto& each : given_up)
+    {
+        reset(*each, NGHTTP2_CANCEL, stream_failure::silent);
+    }
+}
+
 void connection::plan_tick()
 {
     const bool recently_busy = busy() || used_since_tick_;
     used_since_tick_ = false;
     last_tick_ = std::chrono::steady_clock::now();
-    tick_.expires_after(liveness_.plan_tick(recently_busy));
+    tick_.expires_after(liveness_.plan_tick(
+        recently_busy ? waits_for() : liveness::waiting::nothing));
     const auto due = [weak = weak_from_this()](const error_code& error)
     {
         const auto self = weak.lock();
@@ -78,7 +124,12 @@
 void connection::tick()
 {
     const auto elapsed = std::chrono::steady_clock::now() - last_tick_;
-    const auto action = liveness_.tick(elapsed, busy());
+    const bool was_suspect = liveness_.suspect();
+    const auto action = liveness_.tick(elapsed, waits_for());
+    if (liveness_.suspect() && !was_suspect)
+    {
+        give_up_movable();
+    }
     if (action == liveness::action::give_up)
     {
         const auto peer = peer_name(socket_);
--- a/nutmegusher/wire/liveness.cpp
+++ b/nutmegusher/wire/liveness.cpp
@@ -5,7 +5,28 @@
 namespace nutmegusher::wire::internal
 {
 
-liveness::action liveness::tick(duration elapsed, bool busy)
+duration liveness::interval(waiting now) const
+{
+    switch (now)
+    {
+    case waiting::nothing:
+        return options_.idle_ping_interval;
+    case waiting::an_answer:
+        return options_.ping_interval;
+    case waiting::a_near_answer:
+        break;
+    }
+    return std::min(options_.ping_interval, options_.near_ping_interval);
+}
+
+duration liveness::silence(waiting now) const
+{
+    return now == waiting::a_near_answer
+               ? std::min(options_.silence_limit, options_.near_silence_limit)
+               : options_.silence_limit;
+}
+
+liveness::action liveness::tick(duration elapsed, waiting now)
 {
     if (received_)
     {
@@ -20,7 +41,7 @@
     if (!ping_sent_)
     {
         quiet_ += elapsed;
-        if (quiet_ < (busy ? ping_interval_ : idle_ping_interval_))
+        if (quiet_ < interval(now))
         {
             return action::none;
         }
@@ -28,23 +49,25 @@
         return action::send_ping;
     }
     unanswered_ += elapsed;
-    suspect_ = unanswered_ >= silence_limit_;
-    const bool over = unanswered_ >= silence_limit_ + give_up_limit_;
+    suspect_ = unanswered_ >= silence(now);
+    const bool over =
+        unanswered_ >= options_.silence_limit + options_.give_up_limit;
     return over ? action::give_up : action::none;
 }
 
-duration liveness::plan_tick(bool busy)
+duration liveness::plan_tick(waiting now)
 {
     if (!ping_sent_)
     {
-        planned_ = busy ? ping_interval_ : idle_ping_interval_;
+        planned_ = interval(now);
         return planned_;
     }
     const auto next_limit =
-        suspect_ ? silence_limit_ + give_up_limit_ : silence_limit_;
+        suspect_ ? options_.silence_limit + options_.give_up_limit
+                 : silence(now);
     const auto left = std::max<duration>(
         next_limit - unanswered_, std::chrono::milliseconds(1));
-    planned_ = std::min(left, ping_interval_);
+    planned_ = std::min(left, options_.ping_interval);
     return planned_;
 }
 
--- a/nutmegusher/wire/liveness.hpp
+++ b/nutmegusher/wire/liveness.hpp
@@ -5,7 +5,8 @@
 // connections work. Without a check of one's own every request on it waits
 // for its deadline, and the pool hands it out again and again.
 //
-// The thresholds are those of `session_options`. A pause of this process (it
+// The thresholds are those of `session_options`; where a stream waits for an
+// answer that is due soon, the short ones hold. A pause of this process (it
 // was stopped, or starved) is no silence of the peer: a tick that comes far
 // too late isn't counted.
 #ifndef NUTMEGUSHER_WIRE_LIVENESS_HPP
@@ -27,11 +28,16 @@
         give_up
     };
 
+    // What the open streams wait for.
+    enum class waiting : std::uint8_t
+    {
+        nothing,
+        an_answer,
+        a_near_answer
+    };
+
     explicit liveness(const session_options& options)
-        : ping_interval_(options.ping_interval)
-        , idle_ping_interval_(options.idle_ping_interval)
-        , silence_limit_(options.silence_limit)
-        , give_up_limit_(options.give_up_limit)
+        : options_(options)
     {
     }
 
@@ -42,16 +48,16 @@
         suspect_ = false;
     }
 
-    // Time has passed since the tick before. `busy`: a stream is open.
-    [[nodiscard]] action tick(duration elapsed, bool busy);
+    // Time has passed since the tick before.
+    [[nodiscard]] action tick(duration elapsed, waiting now);
 
     // When the next tick is due; also plans it.
-    [[nodiscard]] duration plan_tick(bool busy);
+    [[nodiscard]] duration plan_tick(waiting now);
 
-    // The planned tick is later than an open stream may wait for it.
-    [[nodiscard]] bool planned_for_idle() const
+    // The planned tick is later than streams that wait so may wait for it.
+    [[nodiscard]] bool planned_late(waiting now) const
     {
-        return planned_ > ping_interval_;
+        return planned_ > interval(now);
     }
 
     // No new streams.
@@ -62,11 +68,10 @@
 
 private:
     void start_over();
+    [[nodiscard]] duration interval(waiting now) const;
+    [[nodiscard]] duration silence(waiting now) const;
 
-    duration ping_interval_;
-    duration idle_ping_interval_;
-    duration silence_limit_;
-    duration give_up_limit_;
+    const session_options options_;
 
     duration planned_ = duration::zero();
     // Without anything received.
--- a/nutmegusher/wire/session_options.hpp
+++ b/nutmegusher/wire/session_options.hpp
@@ -22,6 +22,13 @@
     // timeouts of TCP (200 ms and 400 ms), so that one lost packet isn't
     // taken for silence.
     duration silence_limit = std::chrono::seconds(1);
+    // The same while a stream waits for an answer that is due soon, and then
+    // its streams that can be sent again elsewhere fail with `silent` as soon
+    // as the session is suspect: of a call's time limit, 0.7 s and more at the
+    // users', enough is left to run it. Above one retransmission timeout of
+    // TCP; a second packet lost in a row costs a repeat.
+    duration near_ping_interval = std::chrono::milliseconds(150);
+    duration near_silence_limit = std::chrono::milliseconds(300);
     // Suspect for so long: the open streams fail with `silent` and the
     // connection is closed.
     duration give_up_limit = std::chrono::seconds(2);
--- a/nutmegusher/wire/silence_test.cpp
+++ b/nutmegusher/wire/silence_test.cpp
@@ -142,5 +142,40 @@
     run(context, long_work(context));
 }
 
+// Two calls on a session that goes silent: the one that can be sent elsewhere
+// fails while the session is suspect, the other one when it is given up.
+asio::awaitable<void> movable_and_not(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, wait_for_cancel, quick_times());
+    tcp_relay relay(context, server->local_endpoint());
+    auto options = quick_times();
+    options.give_up_limit = std::chrono::seconds(60);
+    const auto session =
+        co_await client_session::connect(context, relay.endpoint(), options);
+    EXPECT_TRUE(session);
+    const auto movable = (*session)->open(get("/wait"), true);
+    const auto fixed = (*session)->open(get("/wait"), true);
+    EXPECT_TRUE(movable && fixed);
+    (*movable)->expect_answer_soon(true);
+    (*fixed)->expect_answer_soon(false);
+    const auto both_open = [&server]
+    {
+        return server->open_streams() == 2;
+    };
+    co_await until(both_open);
+    relay.silence();
+    const auto head = co_await (*movable)->read_head();
+    EXPECT_FALSE(head);
+    EXPECT_EQ(head.error(), stream_failure::silent);
+    EXPECT_FALSE((*session)->usable()) << "suspect, not replaced";
+    EXPECT_EQ(server->open_streams(), 2U) << "not given up as a whole";
+}
+
+TEST(silence, what_can_be_sent_elsewhere_fails_when_the_session_is_suspect)
+{
+    asio::io_context context(1);
+    run(context, movable_and_not(context));
+}
+
 } // namespace
 } // namespace nutmegusher::wire
--- a/nutmegusher/wire/stream.hpp
+++ b/nutmegusher/wire/stream.hpp
@@ -45,6 +45,9 @@
     bool remote_ended = false;
     bool peer_reset = false;
     byte_queue inbound;
+    // See `client_stream::expect_answer_soon`.
+    bool answer_is_near = false;
+    bool movable = false;
     // Nobody will read any more: what arrives is dropped.
     bool discard = false;
 
