Turn classes of a rank away in proportion to the time they take

Hypothesis: a share that is the same for all classes of a rank costs a class that reaches the full service directly as much as one that holds slots at four services, though it frees a fifth of the time. The entry now learns how long each class takes and divides the part of the rank accordingly; all together lose the same part.

--- a/nutmegusher/policy/policy.hpp
+++ b/nutmegusher/policy/policy.hpp
@@ -28,6 +28,7 @@
 #include "nutmegusher/policy/router.hpp"
 #include "nutmegusher/policy/shed_board.hpp"
 #include "nutmegusher/policy/shed_control.hpp"
+#include "nutmegusher/policy/shed_order.hpp"
 #include "nutmegusher/policy/slot_queue.hpp"
 #include "nutmegusher/policy/useful_slots.hpp"
 
--- /dev/null
+++ b/nutmegusher/policy/shed_order.cpp
@@ -0,0 +1,109 @@
+#include "nutmegusher/policy/shed_order.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace nutmegusher
+{
+
+namespace
+{
+
+// Thirty answers: seconds of one class at one daemon.
+constexpr double elapsed_weight = 1.0 / 32;
+
+void move_mean(double& mean, double value)
+{
+    mean = mean <= 0 ? value : mean + (value - mean) * elapsed_weight;
+}
+
+} // namespace
+
+double shed_order::count_of(const one_class& one, time_point now)
+{
+    using seconds = std::chrono::duration<double>;
+    const double halvings = seconds(now - one.counted_at) / seconds(half_life);
+    return one.count * std::exp2(-std::max(halvings, 0.0));
+}
+
+double shed_order::cost_of(const one_class& one) const
+{
+    const double known = one.elapsed > 0 ? one.elapsed : mean_elapsed_;
+    return known > 0 ? known : 1.0;
+}
+
+void shed_order::on_request(std::uint64_t work_class, time_point now)
+{
+    if (classes_.size() >= most_classes && !classes_.contains(work_class))
+    {
+        classes_.clear();
+    }
+    auto& one = classes_[work_class];
+    one.count = count_of(one, now) + 1;
+    one.counted_at = now;
+}
+
+void shed_order::on_answer(std::uint64_t work_class, duration elapsed)
+{
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    if (seconds <= 0)
+    {
+        return;
+    }
+    move_mean(mean_elapsed_, seconds);
+    const auto found = classes_.find(work_class);
+    if (found != classes_.end())
+    {
+        move_mean(found->second.elapsed, seconds);
+    }
+}
+
+// Shares are `factor * cost`, at most 1: the factor at which the classes lose
+// `part` of all requests together. What a class at its bound can't lose falls
+// to the others, so the costliest are settled first.
+double shed_order::share_of(
+    std::uint64_t work_class, double part, time_point now) const
+{
+    const auto found = classes_.find(work_class);
+    if (found == classes_.end() || part <= 0 || part >= 1)
+    {
+        return std::clamp(part, 0.0, 1.0);
+    }
+    struct load
+    {
+        double cost;
+        double count;
+    };
+    std::vector<load> loads;
+    double left = 0;
+    double weighted = 0;
+    for (const auto& [id, one] : classes_)
+    {
+        const load each{cost_of(one), count_of(one, now)};
+        loads.push_back(each);
+        left += each.count * part;
+        weighted += each.count * each.cost;
+    }
+    std::sort(
+        loads.begin(),
+        loads.end(),
+        [](const load& one, const load& other)
+        {
+            return one.cost > other.cost;
+        });
+    double factor = 0;
+    for (const auto& each : loads)
+    {
+        factor = weighted > 0 ? left / weighted : 0;
+        if (factor * each.cost <= 1)
+        {
+            break;
+        }
+        left -= each.count;
+        weighted -= each.count * each.cost;
+    }
+    return std::clamp(factor * cost_of(found->second), 0.0, 1.0);
+}
+
+} // namespace nutmegusher
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -262,7 +262,9 @@
         }
         const auto level = state_.ahead.level(route_->hash);
         const auto below = view_->routes().ranks_below(route_->rank);
-        if (!is_shed(level, below, request_fraction(facts())))
+        const double part = level - static_cast<double>(below);
+        const double fraction = request_fraction(facts());
+        if (!state_.shed.decide(route_->rank, route_->hash, part, fraction))
         {
             return std::nullopt;
         }
@@ -575,6 +577,11 @@
     asio::awaitable<void> pass_on(routed_answer answer)
     {
         note_end(answer.head.status >= status_server_error);
+        if (!call_.terms.sub_call)
+        {
+            const auto elapsed = host_clock().now() - arrived_;
+            state_.shed.on_answer(route_->rank, route_->hash, elapsed);
+        }
         state_.process.measured.completed(
             node::call_side::entry,
             counted_as(),
--- a/nutmegusher/routed/routed_state.cpp
+++ b/nutmegusher/routed/routed_state.cpp
@@ -66,6 +66,27 @@
     return {called_.begin(), called_.end()};
 }
 
+bool turned_away::decide(
+    std::uint8_t rank, std::uint64_t route, double part, double fraction)
+{
+    if (part <= 0)
+    {
+        return false;
+    }
+    const auto now = host_clock().now();
+    const std::scoped_lock lock(mutex_);
+    auto& order = orders_.at(rank);
+    order.on_request(route, now);
+    return order.share_of(route, part, now) > fraction;
+}
+
+void turned_away::on_answer(
+    std::uint8_t rank, std::uint64_t route, duration elapsed)
+{
+    const std::scoped_lock lock(mutex_);
+    orders_.at(rank).on_answer(route, elapsed);
+}
+
 void sub_call_routes::count(std::uint64_t route, const service_name& caller)
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/routed/routed_state.hpp
+++ b/nutmegusher/routed/routed_state.hpp
@@ -8,6 +8,7 @@
 #include "nutmegusher/routed/request_dialect.hpp"
 #include "nutmegusher/routed/slot_gate.hpp"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -69,6 +70,22 @@
     std::set<service_name> called_;
 };
 
+// Which requests that enter here are turned away: `shed_order` by rank.
+class turned_away
+{
+public:
+    // Decides on a request of the route; `part`: of its rank.
+    // `fraction`: its own number in [0, 1).
+    bool decide(
+        std::uint8_t rank, std::uint64_t route, double part, double fraction);
+    // One that was let in has its answer.
+    void on_answer(std::uint8_t rank, std::uint64_t route, duration elapsed);
+
+private:
+    std::mutex mutex_;
+    std::array<shed_order, rank_count> orders_;
+};
+
 // Which routes only upstreams call, as this host has seen or was told.
 class sub_call_routes
 {
@@ -120,6 +137,7 @@
     slot_gate slots;
     repeat_allowances repeats;
     way_ahead ahead;
+    turned_away shed;
     sub_call_routes sub_calls;
     own_errors errors;
     // Tells the rest of the process that `local` has changed.
