Believe the other owner of a daemon where the one believed ends its lease

Found: two control hosts that speak of one daemon at nearly the same moment are seen in another order by a third one than by themselves. It passes over the later owner, hears six seconds later that the first one ended its lease, drops the daemon, and nobody speaks of it again. The owner that was passed over is now remembered and believed then. Test: two_claims_seen_in_another_order_lose_nobody fails before. Ruled out: the fence (its memory is 6 s, the hole lasted 8 s); the router (no try was made).

--- a/nutmegusher/membership/lease_registry.cpp
+++ b/nutmegusher/membership/lease_registry.cpp
@@ -362,8 +362,13 @@
     const bool heard_later_here = value.incarnation == lease.incarnation() &&
                                   value.owner != owner &&
                                   renewed_at <= value.renewed_at;
-    if (!added && (heard_later_here || lease.incarnation() < value.incarnation))
+    const bool is_earlier_run = lease.incarnation() < value.incarnation;
+    if (!added && (heard_later_here || is_earlier_run))
     {
+        if (!is_earlier_run)
+        {
+            value.other_owner = owner;
+        }
         if (mine)
         {
             assert_ownership(host);
@@ -375,6 +380,12 @@
         owned_.erase(host);
         handed_over_.push_back({now, host});
     }
+    if (value.owner != owner)
+    {
+        value.other_owner = added || value.incarnation < lease.incarnation()
+                                ? std::string()
+                                : value.owner;
+    }
     value.owner = owner;
     value.incarnation = lease.incarnation();
     value.revision = lease.configuration_revision();
@@ -399,14 +410,26 @@
     {
         return;
     }
-    if (found->second.owner == owner)
+    auto& value = found->second;
+    if (value.other_owner == owner)
     {
-        lose(found, now);
+        value.other_owner.clear();
     }
-    else if (found->second.owner == self_)
+    if (value.owner == self_)
     {
         assert_ownership(host);
+        return;
+    }
+    if (value.owner != owner)
+    {
+        return;
+    }
+    if (value.other_owner.empty() || value.other_owner == self_)
+    {
+        lose(found, now);
+        return;
     }
+    value.owner = std::exchange(value.other_owner, std::string());
 }
 
 // Others may believe another owner: it is said again that the daemon lives
--- a/nutmegusher/membership/lease_registry.hpp
+++ b/nutmegusher/membership/lease_registry.hpp
@@ -66,7 +66,12 @@
 // Renewals aren't passed on: a lease lives until its owner says that it ended.
 //
 // Of two records of a host the higher (incarnation, version) holds. Of two
-// owners the one that heard of the daemon later holds.
+// owners the one that heard of the daemon later holds. Messages take their
+// time, so control hosts may see two claims of nearly the same moment in
+// another order: where the owner believed here ends its lease, the other one
+// that had spoken is believed. Without this a control host lost a daemon for
+// good that had just moved, and the daemons that sync with it refused what only
+// its upstream could serve: 200 requests in 2 s.
 //
 //     lease_registry registry(self, epoch, now);
 //     registry.renew(now, request);
@@ -133,6 +138,9 @@
     {
         messages::upstream_record record;
         std::string owner;
+        // The owner that was passed over last, of two that both spoke of the
+        // daemon; empty: none, or it has ended its lease.
+        std::string other_owner;
         std::uint64_t incarnation = 0;
         std::uint64_t revision = 0;
         // When the owner last heard of it, as far as is known here.
--- a/nutmegusher/membership/registry_exchange_test.cpp
+++ b/nutmegusher/membership/registry_exchange_test.cpp
@@ -73,6 +73,36 @@
     EXPECT_EQ(one.update(start, two.exchange(one_id)).leases_size(), 1);
 }
 
+// Two claims of nearly the same moment: the third control host takes the first
+// for the later one, and the first itself, which hears of the second over a
+// slower way, the second. When the first one ends its lease the daemon lives on
+// at the second, which says nothing new of it.
+TEST_F(registry_exchange_test, two_claims_seen_in_another_order_lose_nobody)
+{
+    using std::chrono::milliseconds;
+    const auto renewed = start + milliseconds(10);
+    two.renew(start, sync("a"));
+    one.renew(renewed, sync("a"));
+    pull(three, one, one_id, renewed);
+    pull(three, two, two_id, renewed);
+    const auto slow = two.update(renewed, one.exchange(two_id));
+    one.apply(renewed + milliseconds(20), two_id, slow);
+    for (int second = 1; second < 20; ++second)
+    {
+        const auto now = start + seconds(second);
+        two.renew(now, sync("a"));
+        one.expire(now);
+        pull(one, two, two_id, now);
+        pull(three, one, one_id, now);
+        pull(three, two, two_id, now);
+        three.expire(now);
+        ASSERT_EQ(three.counts().upstreams, 1U) << second;
+    }
+    two.expire(start + seconds(40));
+    pull(three, two, two_id, start + seconds(40));
+    EXPECT_EQ(three.counts().upstreams, 0U) << "its last owner ended it";
+}
+
 TEST_F(registry_exchange_test, daemon_that_moves_is_never_lost)
 {
     one.renew(start, sync("a"));
