Ask the other owner for its leases where a daemon's lease ends

Where a lease ends and another owner had spoken, that one is asked for all of its leases, and the daemon has one lease's time to be among them.

--- a/nutmegusher/membership/lease_registry.cpp
+++ b/nutmegusher/membership/lease_registry.cpp
@@ -120,6 +120,26 @@
     return entries_.erase(at);
 }
 
+lease_registry::entry_map::iterator
+lease_registry::end_lease(entry_map::iterator at, time_point now)
+{
+    auto& [host, value] = *at;
+    if (value.other_owner.empty() || value.other_owner == self_)
+    {
+        return lose(at, now);
+    }
+    if (value.owner == self_)
+    {
+        owned_.remove(host, ++stamp_, now);
+    }
+    value.owner = std::exchange(value.other_owner, std::string());
+    // It is asked for all of its leases, as it won't speak of this one by
+    // itself; should it have ended it as well, the lease runs out.
+    owners_[value.owner].epoch = 0;
+    set_expiry(value, now + options_.lease());
+    return std::next(at);
+}
+
 void lease_registry::expire(time_point now)
 {
     for (auto& [owner, state] : owners_)
@@ -151,7 +171,7 @@
     {
         if (at->second.expires_at <= now)
         {
-            at = lose(at, now);
+            at = end_lease(at, now);
             continue;
         }
         next_expiry_ = std::min(next_expiry_, at->second.expires_at);
@@ -424,12 +444,7 @@
     {
         return;
     }
-    if (value.other_owner.empty() || value.other_owner == self_)
-    {
-        lose(found, now);
-        return;
-    }
-    value.owner = std::exchange(value.other_owner, std::string());
+    end_lease(found, now);
 }
 
 // Others may believe another owner: it is said again that the daemon lives
--- a/nutmegusher/membership/lease_registry.hpp
+++ b/nutmegusher/membership/lease_registry.hpp
@@ -182,6 +182,8 @@
         const messages::upstream_record& record,
         time_point now);
     entry_map::iterator lose(entry_map::iterator at, time_point now);
+    // Its owner's lease ended: the other owner is believed, or it is lost.
+    entry_map::iterator end_lease(entry_map::iterator at, time_point now);
     void settle(time_point now);
     void end_leases(time_point now);
     void set_expiry(entry& value, time_point at);
--- a/nutmegusher/membership/registry_exchange_test.cpp
+++ b/nutmegusher/membership/registry_exchange_test.cpp
@@ -103,6 +103,26 @@
     EXPECT_EQ(three.counts().upstreams, 0U) << "its last owner ended it";
 }
 
+// The daemon renews with both in the same moment and then with one alone: the
+// other one keeps its own lease, and isn't told anew when that runs out.
+TEST_F(registry_exchange_test, a_lease_that_runs_out_falls_to_the_other_owner)
+{
+    two.renew(start, sync("a"));
+    one.renew(start, sync("a"));
+    pull(two, one, one_id, start);
+    for (int second = 1; second < 20; ++second)
+    {
+        const auto now = start + seconds(second);
+        one.renew(now, sync("a"));
+        two.expire(now);
+        pull(two, one, one_id, now);
+        ASSERT_EQ(two.counts().upstreams, 1U) << second;
+    }
+    one.expire(start + seconds(40));
+    pull(two, one, one_id, start + seconds(40));
+    EXPECT_EQ(two.counts().upstreams, 0U);
+}
+
 TEST_F(registry_exchange_test, daemon_that_moves_is_never_lost)
 {
     one.renew(start, sync("a"));
