Let a daemon whose clock was set back go before its earlier run

Cause: a run is numbered by the time of day at its start, the only use of the time of day beside the stamp of log lines and the numbers of claims' attempts. A daemon that starts after the clock was set back has a lower number than its earlier run; control hosts refused its syncs until that run's lease ended, six seconds without a configuration or upstreams. The refusal now tells the known run, and the daemon takes the number after it. Tests: own_upstream, lease_registry (new interface). On processes with a stepped clock: not tested.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -75,6 +75,8 @@
     event_description{event::upstream_lost, "upstream_lost", severity::warning},
     event_description{
         event::upstream_pressed, "upstream_pressed", severity::info},
+    event_description{
+        event::run_was_overtaken, "run_was_overtaken", severity::warning},
     event_description{
         event::request_refused, "request_refused", severity::info},
     event_description{event::answer_broken, "answer_broken", severity::warning},
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -53,6 +53,7 @@
     upstream_leaving = 301,
     upstream_lost = 302,
     upstream_pressed = 303,
+    run_was_overtaken = 304,
     request_refused = 400,
     answer_broken = 401,
     request_unknown = 402,
--- a/nutmegusher/membership/lease_registry.cpp
+++ b/nutmegusher/membership/lease_registry.cpp
@@ -69,6 +69,12 @@
     return renewal::accepted;
 }
 
+std::uint64_t lease_registry::known_incarnation(const std::string& host) const
+{
+    const auto found = entries_.find(host);
+    return found == entries_.end() ? 0 : found->second.incarnation;
+}
+
 void lease_registry::own(const std::string& host, entry& value)
 {
     value.owner = self_;
--- a/nutmegusher/membership/lease_registry.hpp
+++ b/nutmegusher/membership/lease_registry.hpp
@@ -94,6 +94,10 @@
     // A daemon's sync: renews its lease and takes its announcement.
     renewal renew(time_point now, const messages::sync_request& request);
 
+    // The latest run of the host's daemon that is known; 0: none.
+    [[nodiscard]] std::uint64_t
+    known_incarnation(const std::string& host) const;
+
     // Ends the leases that ran out. A pass over all leases is made only where
     // one may have.
     void expire(time_point now);
--- a/nutmegusher/membership/lease_registry_test.cpp
+++ b/nutmegusher/membership/lease_registry_test.cpp
@@ -198,5 +198,19 @@
     EXPECT_EQ(sum.lagging(revision(100))[0].runs, revision(1));
 }
 
+// The clock of its host was set back before the daemon started again.
+TEST_F(lease_registry_test, an_earlier_run_is_told_which_one_is_known)
+{
+    EXPECT_EQ(registry.known_incarnation("a"), 0U);
+    registry.renew(start, sync("a", "balances", 9));
+    EXPECT_EQ(
+        registry.renew(start + seconds(1), sync("a", "balances", 5)),
+        renewal::stale_incarnation);
+    EXPECT_EQ(registry.known_incarnation("a"), 9U);
+    EXPECT_EQ(
+        registry.renew(start + seconds(1), sync("a", "balances", 10)),
+        renewal::accepted);
+}
+
 } // namespace
 } // namespace nutmegusher
--- a/nutmegusher/node/own_upstream.cpp
+++ b/nutmegusher/node/own_upstream.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace nutmegusher::node
@@ -139,6 +140,18 @@
     return upstream_change::lost;
 }
 
+std::uint64_t own_upstream::run() const
+{
+    const std::scoped_lock lock(mutex_);
+    return record_.incarnation();
+}
+
+void own_upstream::go_before(std::uint64_t known_run)
+{
+    const std::scoped_lock lock(mutex_);
+    record_.set_incarnation(std::max(record_.incarnation(), known_run + 1));
+}
+
 void own_upstream::leave()
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/node/own_upstream.hpp
+++ b/nutmegusher/node/own_upstream.hpp
@@ -55,6 +55,16 @@
     // Withdraws an upstream that has been silent for too long.
     upstream_change expire(time_point now);
 
+    // By which run of the daemon its records are ordered among those of its
+    // host.
+    [[nodiscard]] std::uint64_t run() const;
+
+    // Another run of this host's daemon is known as the latest one, though it
+    // has ended: the host's clock was set back. From now on this run goes
+    // before it. Without this the daemon got no configuration until the lease
+    // of the earlier run ended, six seconds.
+    void go_before(std::uint64_t known_run);
+
     // The daemon itself stops: its upstream leaves, whatever it says.
     void leave();
 
--- a/nutmegusher/node/own_upstream_test.cpp
+++ b/nutmegusher/node/own_upstream_test.cpp
@@ -78,6 +78,19 @@
     EXPECT_EQ(upstream.record()->upstream_start(), 8U);
 }
 
+TEST(own_upstream, goes_before_a_run_that_a_clock_ahead_gave_a_higher_number)
+{
+    manual_clock clock;
+    auto upstream = make_upstream();
+    upstream.announce(said(messages::upstream_serving), clock.now());
+    EXPECT_EQ(upstream.run(), 3U);
+    upstream.go_before(7);
+    EXPECT_EQ(upstream.run(), 8U);
+    EXPECT_EQ(upstream.record()->incarnation(), 8U);
+    upstream.go_before(5);
+    EXPECT_EQ(upstream.run(), 8U);
+}
+
 TEST(own_upstream, stays_left_when_its_daemon_stops)
 {
     manual_clock clock;
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -115,6 +115,15 @@
     {
         take(*reply);
     }
+    else if (reply && reply->known_incarnation() > 0)
+    {
+        log_event(
+            event::run_was_overtaken,
+            {{"run", request.incarnation()},
+             {"known", reply->known_incarnation()},
+             {"control_host", target.address}});
+        here_.shared.upstream.go_before(reply->known_incarnation());
+    }
     // A host without a leader still knows leases, but may have missed changes.
     if (answered && !reply->without_leader())
     {
@@ -178,7 +187,7 @@
     const auto running = shared.configuration.current()->at();
     messages::sync_request request;
     request.set_host(host.id.str());
-    request.set_incarnation(shared.run.value());
+    request.set_incarnation(shared.upstream.run());
     request.set_data_center(host.data_center.str());
     request.set_region(host.region.str());
     request.set_configuration_revision(running.value());
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -159,6 +159,11 @@
         const auto before = registry_.counts().stamp;
         const auto renewed = registry_.renew(host_clock().now(), request);
         reply.set_accepted(renewed == renewal::accepted);
+        if (!reply.accepted())
+        {
+            reply.set_known_incarnation(
+                registry_.known_incarnation(request.host()));
+        }
         changed = registry_.counts().stamp != before;
     }
     if (!reply.accepted())
