Tell which control host or member lacks entries, and who a daemon syncs with

What callers saw: a change that was confirmed wasn't in force in time. The logs showed that a host had few revisions, not what the leader knew of it, and no line said from which control host a daemon had its configuration.

No change of what is decided.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -68,6 +68,17 @@
         event::control_host_not_admitted,
         "control_host_not_admitted",
         severity::warning},
+    event_description{
+        event::control_member_lags, "control_member_lags", severity::warning},
+    event_description{
+        event::control_member_caught_up,
+        "control_member_caught_up",
+        severity::info},
+    event_description{
+        event::control_host_behind, "control_host_behind", severity::warning},
+    event_description{
+        event::control_host_current, "control_host_current", severity::info},
+    event_description{event::control_moved, "control_moved", severity::info},
     event_description{
         event::upstream_announced, "upstream_announced", severity::info},
     event_description{
--- a/nutmegusher/control/control.hpp
+++ b/nutmegusher/control/control.hpp
@@ -20,6 +20,7 @@
 #include "nutmegusher/control/frame.hpp"
 #include "nutmegusher/control/group_storage.hpp"
 #include "nutmegusher/control/host_identity.hpp"
+#include "nutmegusher/control/lag_watch.hpp"
 #include "nutmegusher/control/membership_plan.hpp"
 #include "nutmegusher/control/replica.hpp"
 #include "nutmegusher/control/replica_log.hpp"
--- a/nutmegusher/control/replica.hpp
+++ b/nutmegusher/control/replica.hpp
@@ -26,6 +26,7 @@
 #include "nutmegusher/control/replica_log.hpp"
 #include "nutmegusher/messages/replication.pb.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -180,6 +181,10 @@
     bool installing = false;
     // About to stop; it refuses leadership.
     bool declines_leadership = false;
+    // Sent, and neither answered nor taken for lost.
+    std::size_t unanswered_bytes = 0;
+    // Times that entries were taken for lost since the last progress.
+    unsigned resends = 0;
 };
 
 class replica
@@ -240,6 +245,11 @@
         return settings_.self;
     }
 
+    [[nodiscard]] std::uint32_t group() const
+    {
+        return settings_.group;
+    }
+
     [[nodiscard]] replica_role role() const
     {
         return role_;
@@ -255,6 +265,13 @@
         return state_.commit();
     }
 
+    // The highest commit that a leader has told or that is known here: above
+    // `commit` while entries are missing here.
+    [[nodiscard]] log_index leader_commit() const
+    {
+        return std::max(leader_commit_, commit());
+    }
+
     // Term, vote and commit, as they must be durable.
     [[nodiscard]] const messages::hard_state& hard_state() const
     {
@@ -414,6 +431,7 @@
     replica_role role_ = replica_role::follower;
     std::optional<replica_id> leader_;
     std::optional<time_point> leader_heard_;
+    log_index leader_commit_ = 0;
     time_point election_deadline_;
 
     // Candidates.
--- a/nutmegusher/control/replica_follower.cpp
+++ b/nutmegusher/control/replica_follower.cpp
@@ -37,6 +37,7 @@
     }
     become_follower(term(), from, now);
     leader_heard_ = now;
+    leader_commit_ = std::max(leader_commit_, request.commit());
 
     const auto previous = request.previous_index();
     if (previous < log_.base_index())
--- a/nutmegusher/control/replica_leader.cpp
+++ b/nutmegusher/control/replica_leader.cpp
@@ -399,7 +399,9 @@
              known.match,
              active,
              known.installing_since.has_value(),
-             known.declines_leadership});
+             known.declines_leadership,
+             known.on_the_way ? known.on_the_way->bytes : 0,
+             known.resends});
     }
     return all;
 }
--- a/nutmegusher/node/control_loop.cpp
+++ b/nutmegusher/node/control_loop.cpp
@@ -184,6 +184,7 @@
             }
             spread_leaders();
             tend_members();
+            watch_lags();
             publish_status();
         }
         tick_timer_.expires_after(tick_interval);
--- a/nutmegusher/node/control_loop.hpp
+++ b/nutmegusher/node/control_loop.hpp
@@ -212,6 +212,10 @@
     [[nodiscard]] std::vector<member_view>
     view_members(std::uint32_t number, const replica& core, time_point now);
 
+    // control_lag.cpp
+    void watch_lags();
+    void watch_lag(const replica& core, time_point now);
+
     // control_leaders.cpp
     void spread_leaders();
     [[nodiscard]] bool hand_over_groups();
@@ -248,6 +252,14 @@
     time_point next_admission_log_{};
     // When each other member was last heard, by group; while this host leads.
     std::map<std::uint32_t, std::map<replica_id, time_point>> heard_;
+    // Of one group: whether this host lacks entries, and which members do while
+    // this host leads.
+    struct lag_watches
+    {
+        lag_watch own;
+        std::map<replica_id, lag_watch> members;
+    };
+    std::map<std::uint32_t, lag_watches> lags_;
     time_point next_spread_{};
     time_point leader_known_at_{};
     mutable std::mutex status_mutex_;
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -271,6 +271,7 @@
     if (reached)
     {
         last_reply_ = host_clock().now();
+        note_source(address);
     }
     if (reached_ != reached)
     {
@@ -281,6 +282,17 @@
     }
 }
 
+void sync_client::note_source(const std::string& address)
+{
+    if (!source_.empty() && source_ != address)
+    {
+        log_event(
+            event::control_moved,
+            {{"from", std::string_view(source_)}, {"to", address}});
+    }
+    source_ = address;
+}
+
 boost::json::value sync_client::dump() const
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/node/sync_client.hpp
+++ b/nutmegusher/node/sync_client.hpp
@@ -52,6 +52,7 @@
     void take_control_hosts(const messages::sync_reply& reply);
     void update_routes();
     void note_reached(const std::string& address, bool reached);
+    void note_source(const std::string& address);
 
     worker& here_;
     upstream_view view_;
@@ -66,6 +67,8 @@
     // For the dump.
     mutable std::mutex mutex_;
     std::string control_address_;
+    // The control host that answered last.
+    std::string source_;
     bool reached_ = false;
     time_point last_reply_;
 };
