--- a/nutmegusher/control/test_cluster.cpp
+++ b/nutmegusher/control/test_cluster.cpp
@@ -253,6 +253,7 @@
     while (now < end)
     {
         now += step_length;
+        send_on_lines();
         deliver();
         for (auto& each : hosts)
         {
@@ -294,6 +295,12 @@
     {
         return;
     }
+    if (line)
+    {
+        lines_[{from, target->name()}].waiting.push_back(
+            {message, from, target->name()});
+        return;
+    }
     const auto spread =
         static_cast<std::uint64_t>(faults.longest_delay.count());
     const auto copies =
@@ -306,6 +313,34 @@
     }
 }
 
+void cluster::send_on_lines()
+{
+    for (auto& [ends, each] : lines_)
+    {
+        auto waiting = std::exchange(each.waiting, {});
+        for (std::size_t next = 0; next < waiting.size();)
+        {
+            const auto first = next;
+            std::size_t bytes = 0;
+            while (next < waiting.size() && bytes < line->batch_bytes)
+            {
+                bytes += waiting[next++].message.ByteSizeLong();
+            }
+            const std::chrono::duration<double> seconds(
+                static_cast<double>(bytes) / line->bytes_per_second);
+            const auto begins = std::max(now, each.free_at);
+            const auto arrives =
+                begins + std::chrono::duration_cast<duration>(seconds);
+            const auto given_up = now + line->longest_transfer;
+            each.free_at = std::min(arrives, std::max(begins, given_up));
+            for (auto at = first; arrives <= given_up && at < next; ++at)
+            {
+                network_.emplace(arrives, std::move(waiting[at]));
+            }
+        }
+    }
+}
+
 host* cluster::leader()
 {
     host* best = nullptr;
@@ -333,7 +368,8 @@
     return found == hosts.end() ? nullptr : &*found;
 }
 
-bool cluster::propose(host& at, const std::string& item)
+bool cluster::propose(
+    host& at, const std::string& item, std::size_t entry_bytes)
 {
     if (!at.up() || at.frozen)
     {
@@ -341,6 +377,8 @@
     }
     messages::log_entry entry;
     entry.mutable_configuration_change()->set_change_id(item);
+    entry.mutable_configuration_change()->set_author(
+        std::string(entry_bytes, 'x'));
     const auto position = leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<proposal_position>>
         {
--- a/nutmegusher/control/test_cluster.hpp
+++ b/nutmegusher/control/test_cluster.hpp
@@ -118,6 +118,16 @@
     duration longest_delay = std::chrono::milliseconds(1);
 };
 
+// The line from one host to another, as `control_peers` uses it: what leaves
+// in one moment travels as batches, and a batch that takes too long is lost
+// whole.
+struct network_line
+{
+    double bytes_per_second = 0;
+    std::size_t batch_bytes = 8 * 1024 * 1024;
+    duration longest_transfer = std::chrono::seconds(1);
+};
+
 class cluster
 {
 public:
@@ -146,8 +156,10 @@
     [[nodiscard]] host* find(replica_id id);
     host& add_host(const std::string& name);
 
-    // Proposes an item at a host; false where it refuses.
-    bool propose(host& at, const std::string& item);
+    // Proposes an item at a host, in an entry of at least so many bytes; false
+    // where it refuses.
+    bool
+    propose(host& at, const std::string& item, std::size_t entry_bytes = 0);
     bool read(host& at);
     // False where the host refuses it now.
     bool propose_membership(host& at, const messages::replica_set& members);
@@ -187,6 +199,8 @@
     random_engine engine;
     std::deque<host> hosts;
     network_faults faults;
+    // Set: messages also take the time that their bytes take.
+    std::optional<network_line> line;
     snapshot_policy policy;
     replica_timing timing;
     time_point now{std::chrono::hours(1)};
@@ -203,6 +217,7 @@
 
     void
     post(const std::string& from, const messages::replica_message& message);
+    void send_on_lines();
     void deliver();
     void note_applied(host& at, const messages::log_entry& entry);
     void note_leader(host& at);
@@ -210,7 +225,15 @@
     void check_restored(const host& at, const std::vector<std::string>& items);
     void fail(const std::string& what);
 
+    // What waits for a line, and until when the line is taken.
+    struct line_state
+    {
+        std::vector<envelope> waiting;
+        time_point free_at;
+    };
+
     std::multimap<time_point, envelope> network_;
+    std::map<std::pair<std::string, std::string>, line_state> lines_;
     std::set<std::string> cut_;
     // What stands at each committed index; the first host to apply decides.
     std::map<log_index, std::string> committed_;
