Compact a log by its bytes as well

What callers saw: with an emptied control host no change was in force in time at the daemons that synced with it, and it was never a voter again.

--- a/nutmegusher/control/replicated_group.hpp
+++ b/nutmegusher/control/replicated_group.hpp
@@ -18,14 +18,19 @@
 namespace nutmegusher
 {
 
-// When a snapshot is due: enough entries, and a log that outweighs the last
-// snapshot, so that the cost of snapshots stays a fixed share of all writing.
+// When a snapshot is due: enough entries or bytes, and a log that outweighs the
+// last snapshot, so that the cost of snapshots stays a fixed share of all
+// writing. By entries alone hundreds of large documents stayed in memory and on
+// disk, and a host that was emptied had to be sent each of them.
 struct snapshot_policy
 {
     std::uint64_t entries_between = 4096;
     double log_to_snapshot_ratio = 2.0;
-    // Kept in the log behind a snapshot, for followers that lag a little.
+    // Kept in the log behind a snapshot, for followers that lag a little: at
+    // most so many entries, and bytes.
     std::uint64_t entries_kept = 1024;
+    std::uint64_t bytes_between = 4 * 1024 * 1024;
+    std::uint64_t bytes_kept = 1024 * 1024;
 };
 
 // Told of what happens in a turn, in this order for each committed entry.
@@ -163,7 +168,7 @@
         content.set_state(machine_.snapshot());
         BOOST_LEAF_CHECK(storage_.save_snapshot(content, kept_log()));
         snapshot_index_ = applied_;
-        core_.compact(applied_ - std::min(applied_, policy_.entries_kept));
+        core_.compact(kept_behind());
         return {};
     }
 
@@ -278,10 +283,32 @@
     {
         const auto ratio = policy_.log_to_snapshot_ratio;
         const auto weight = ratio * double(storage_.snapshot_bytes());
-        return applied_ - snapshot_index_ >= policy_.entries_between &&
+        const bool enough =
+            applied_ - snapshot_index_ >= policy_.entries_between ||
+            storage_.log_bytes() >= policy_.bytes_between;
+        return enough && applied_ > snapshot_index_ &&
                double(storage_.log_bytes()) >= weight;
     }
 
+    // What stays in the log behind a snapshot starts above this index.
+    [[nodiscard]] log_index kept_behind() const
+    {
+        const auto& log = core_.log();
+        auto index = applied_;
+        std::uint64_t bytes = 0;
+        while (index > log.base_index() &&
+               applied_ - index < policy_.entries_kept)
+        {
+            bytes += log.at(index).ByteSizeLong();
+            if (bytes > policy_.bytes_kept)
+            {
+                break;
+            }
+            --index;
+        }
+        return index;
+    }
+
     // The log file that goes with a snapshot of `applied_`.
     [[nodiscard]] messages::log_frame kept_log() const
     {
