Bound what is under way to a follower by its bytes, and wait by bytes

What callers saw: changes that were confirmed weren't in force in time at daemons of an emptied control host, and after the next losses no service at all.

A follower that lacked 10 MB was sent all of it, the batch was dropped whole at its deadline, and it was sent again after 10 s, 20 s and so on; between two floods a probe brought two entries. The floods took the line from heartbeats as well: 20 leaders stepped down from 70.8 to 91 s.

The class is a bound in one unit under a deadline in another, over a transfer that counts only whole.

Why it holds: at most 512 KiB and one entry are unanswered, half a second on the slowest line that is planned for, and each deadline grows with the bytes at that speed; so each round brings progress, whatever the entries weigh.

--- a/nutmegusher/control/catch_up_test.cpp
+++ b/nutmegusher/control/catch_up_test.cpp
@@ -17,6 +17,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace nutmegusher::control_test
 {
 namespace
@@ -33,14 +35,25 @@
 // take on the line, far below the time between two losses.
 constexpr seconds repair_limit{10};
 
-class emptied_host : public testing::Test
+// With the snapshots that are usual, and with none: then each document is sent.
+class emptied_host : public testing::TestWithParam<bool>
 {
 protected:
     emptied_host()
-        : hosts(5, 1)
+        : hosts(5, 1, policy(GetParam()))
     {
     }
 
+    static snapshot_policy policy(bool with_snapshots)
+    {
+        snapshot_policy made;
+        if (!with_snapshots)
+        {
+            made.bytes_between = std::numeric_limits<std::uint64_t>::max();
+        }
+        return made;
+    }
+
     host& leader()
     {
         EXPECT_TRUE(hosts.run_until(
@@ -87,7 +100,7 @@
     std::size_t installed = 0;
 };
 
-TEST_F(emptied_host, votes_again_soon_behind_a_long_log_and_a_slow_line)
+TEST_P(emptied_host, votes_again_soon_behind_a_long_log_and_a_slow_line)
 {
     install(documents);
     hosts.line = network_line{line_bytes_per_second};
@@ -97,7 +110,7 @@
 }
 
 // The others go on changing the configuration meanwhile.
-TEST_F(emptied_host, votes_again_soon_while_documents_follow)
+TEST_P(emptied_host, votes_again_soon_while_documents_follow)
 {
     install(documents);
     hosts.line = network_line{line_bytes_per_second};
@@ -113,7 +126,7 @@
 
 // Two disks are lost one after the other, with time for a repair between them,
 // then all lose power and two of those that are left their disks as well.
-TEST_F(emptied_host, a_majority_outlives_two_more_losses_after_two_repairs)
+TEST_P(emptied_host, a_majority_outlives_two_more_losses_after_two_repairs)
 {
     install(documents);
     hosts.line = network_line{line_bytes_per_second};
@@ -143,5 +156,7 @@
     EXPECT_EQ(hosts.violation(), "");
 }
 
+INSTANTIATE_TEST_SUITE_P(snapshots, emptied_host, testing::Bool());
+
 } // namespace
 } // namespace nutmegusher::control_test
--- a/nutmegusher/control/replica.hpp
+++ b/nutmegusher/control/replica.hpp
@@ -58,7 +58,8 @@
     // hosts that start together aren't all there in the same moment. With the
     // timeout above service came back 0.4 s later after a loss of all power.
     duration start_timeout = std::chrono::milliseconds(100);
-    // Before a snapshot that wasn't answered is sent again.
+    // Before a snapshot that wasn't answered is sent again, beside the time
+    // that its bytes take.
     duration snapshot_retry = std::chrono::seconds(2);
     // Before entries that weren't answered are sent again, beside the time that
     // their bytes take: a heartbeat overtakes them, and its rejection says
@@ -71,8 +72,12 @@
 {
     std::size_t entries_per_message = 512;
     std::size_t bytes_per_message = 256 * 1024;
-    // Sent to one follower and not yet answered.
+    // Sent to one follower and not yet answered. More is sent while fewer bytes
+    // are under way, so a single large entry passes. Without the bound on bytes
+    // a follower that lacked many large entries got them all at once: more
+    // than its line carries before they count as lost, again and again.
     std::uint64_t entries_in_flight = 4096;
+    std::size_t bytes_in_flight = 512 * 1024;
     // What one follower receives and syncs at least: a tenth of a line of 86
     // Mbit/s, on which four followers and a data centre's daemons are served.
     double bytes_per_second = 1'000'000;
@@ -308,12 +313,20 @@
     [[nodiscard]] bool holds_lease(time_point now) const;
 
 private:
+    // One message with entries.
+    struct sent_part
+    {
+        log_index last = 0;
+        std::size_t bytes = 0;
+    };
+
     // Entries that were sent and may still arrive.
     struct sent_entries
     {
         log_index first = 0;
         log_index last = 0;
-        // Of those that were on the way when the wait began.
+        std::deque<sent_part> parts;
+        // Of all parts.
         std::size_t bytes = 0;
         time_point until;
     };
@@ -330,7 +343,8 @@
         std::optional<sent_entries> on_the_way;
         // Times that entries were taken for lost since the last progress.
         unsigned resends = 0;
-        std::optional<time_point> installing_since;
+        // When a snapshot that was sent is taken for lost.
+        std::optional<time_point> installing_until;
         std::uint64_t acknowledged_round = 0;
         // When the acknowledged round was sent.
         time_point lease_start{};
@@ -405,7 +419,13 @@
     static void note_rejection(peer& from, log_index hint, time_point now);
     void note_sent(
         peer& to, const messages::append_request& request, time_point now);
+    // Drops the parts that the follower holds.
+    static void forget_arrived(sent_entries& sent, log_index match);
     void wait_for_sent(peer& to, time_point now) const;
+    // Until what was sent counts as lost.
+    [[nodiscard]] duration
+    wait_for(std::size_t bytes, duration retry, unsigned resends) const;
+    [[nodiscard]] bool has_room(const peer& to) const;
     void refresh_peers();
     void start_round(time_point now);
     void send_to_all(bool heartbeat, time_point now);
--- a/nutmegusher/control/replica_leader.cpp
+++ b/nutmegusher/control/replica_leader.cpp
@@ -43,11 +43,11 @@
         note_success(from, reply.match_index(), now);
         if (from.match >= log_.base_index())
         {
-            from.installing_since.reset();
+            from.installing_until.reset();
         }
         advance_commit();
     }
-    else if (!from.installing_since)
+    else if (!from.installing_until)
     {
         note_rejection(from, reply.match_index(), now);
     }
@@ -75,6 +75,7 @@
     }
     if (progress && from.on_the_way)
     {
+        forget_arrived(*from.on_the_way, from.match);
         wait_for_sent(from, now);
     }
     const auto last = from.on_the_way ? from.on_the_way->last : from.match;
@@ -110,37 +111,47 @@
         return;
     }
     const auto first = request.entries().begin()->index();
-    const auto last = request.entries().rbegin()->index();
+    const sent_part part{
+        request.entries().rbegin()->index(), request.ByteSizeLong()};
     auto& sent = to.on_the_way;
     if (sent && first == sent->last + 1)
     {
         // The first of them is due when it was: new ones that came each 33 ms
         // put off for good what the loss of an earlier one asked for.
-        sent->last = last;
+        sent->last = part.last;
+        sent->parts.push_back(part);
+        sent->bytes += part.bytes;
         return;
     }
-    sent = sent_entries{first, last, 0, now};
+    sent = sent_entries{first, part.last, {part}, part.bytes, now};
     wait_for_sent(to, now);
 }
 
-// Twice as long after each loss, so that a line that is slower than expected
-// isn't given everything again and again.
-void replica::wait_for_sent(peer& to, time_point now) const
+void replica::forget_arrived(sent_entries& sent, log_index match)
 {
-    auto& sent = to.on_the_way;
-    sent->bytes = 0;
-    const auto begin =
-        std::max({sent->first, to.match + 1, log_.base_index() + 1});
-    for (auto index = begin; index <= sent->last; ++index)
+    while (!sent.parts.empty() && sent.parts.front().last <= match)
     {
-        sent->bytes += log_.at(index).ByteSizeLong();
+        sent.bytes -= sent.parts.front().bytes;
+        sent.parts.pop_front();
     }
+}
+
+void replica::wait_for_sent(peer& to, time_point now) const
+{
+    auto& sent = *to.on_the_way;
+    const auto retry = settings_.timing.entry_retry;
+    sent.until = now + wait_for(sent.bytes, retry, to.resends);
+}
+
+// Twice as long after each loss, so that a line that is slower than expected
+// isn't given everything again and again.
+duration
+replica::wait_for(std::size_t bytes, duration retry, unsigned resends) const
+{
     const std::chrono::duration<double> transfer(
-        static_cast<double>(sent->bytes) / settings_.limits.bytes_per_second);
-    const auto once = settings_.timing.entry_retry +
-                      std::chrono::duration_cast<duration>(transfer);
-    const auto doublings = std::min(to.resends, most_doublings);
-    sent->until = now + once * (1U << doublings);
+        static_cast<double>(bytes) / settings_.limits.bytes_per_second);
+    const auto once = retry + std::chrono::duration_cast<duration>(transfer);
+    return once * (1U << std::min(resends, most_doublings));
 }
 
 void replica::note_round(peer& from, std::uint64_t round)
@@ -211,9 +222,8 @@
     {
         const bool behind = progress.next <= log_.base_index();
         const bool overdue =
-            progress.installing_since &&
-            now - *progress.installing_since >= settings_.timing.snapshot_retry;
-        if ((behind && !progress.installing_since) || overdue)
+            progress.installing_until && now >= *progress.installing_until;
+        if ((behind && !progress.installing_until) || overdue)
         {
             send_snapshot(id, progress, now);
         }
@@ -224,7 +234,7 @@
 void replica::send_entries(
     replica_id to, peer& progress, bool heartbeat, time_point now)
 {
-    if (progress.installing_since)
+    if (progress.installing_until)
     {
         // Keeps the follower from standing while it takes the snapshot in.
         if (heartbeat)
@@ -242,9 +252,7 @@
         }
         return;
     }
-    const auto room = settings_.limits.entries_in_flight;
-    while (progress.next <= log_.last_index() &&
-           progress.next - progress.match <= room)
+    while (progress.next <= log_.last_index() && has_room(progress))
     {
         send_append(to, progress, now);
         heartbeat = false;
@@ -255,6 +263,13 @@
     }
 }
 
+bool replica::has_room(const peer& to) const
+{
+    const auto bytes = to.on_the_way ? to.on_the_way->bytes : 0;
+    return to.next - to.match <= settings_.limits.entries_in_flight &&
+           bytes < settings_.limits.bytes_in_flight;
+}
+
 void replica::send_append(replica_id to, peer& progress, time_point now)
 {
     auto message = make_message(to);
@@ -268,7 +283,7 @@
     const auto& limits = settings_.limits;
     const bool is_waiting = progress.probing && progress.on_the_way &&
                             now < progress.on_the_way->until;
-    const bool with_entries = !progress.installing_since && !is_waiting;
+    const bool with_entries = !progress.installing_until && !is_waiting;
     for (auto index = previous + 1; with_entries && index <= log_.last_index();
          ++index)
     {
@@ -283,7 +298,7 @@
         *request.add_entries() = entry;
     }
     note_sent(progress, request, now);
-    if (!progress.probing && !progress.installing_since)
+    if (!progress.probing && !progress.installing_until)
     {
         progress.next += static_cast<log_index>(request.entries_size());
     }
@@ -300,7 +315,13 @@
     auto message = make_message(to);
     message.mutable_install()->set_round(round_);
     *message.mutable_install()->mutable_content() = *std::move(content);
-    progress.installing_since = now;
+    if (progress.installing_until)
+    {
+        ++progress.resends;
+    }
+    const auto retry = settings_.timing.snapshot_retry;
+    progress.installing_until =
+        now + wait_for(message.ByteSizeLong(), retry, progress.resends);
     progress.probing = true;
     progress.probe_sent = false;
     early_.push_back(std::move(message));
@@ -398,7 +419,7 @@
             {id,
              known.match,
              active,
-             known.installing_since.has_value(),
+             known.installing_until.has_value(),
              known.declines_leadership,
              known.on_the_way ? known.on_the_way->bytes : 0,
              known.resends});
--- a/nutmegusher/control/replica_rules_test.cpp
+++ b/nutmegusher/control/replica_rules_test.cpp
@@ -72,15 +72,16 @@
         message.set_term(3);
         message.mutable_appended()->set_success(true);
         message.mutable_appended()->set_match_index(index);
+        message.mutable_appended()->set_round(round);
         core->step(message, now);
     }
 
-    // Member 2 hasn't got what stands before an append; its log ends at
+    // A member hasn't got what stands before an append; its log ends at
     // `index`.
-    void reject(log_index index)
+    void reject(log_index index, std::uint64_t member = 2)
     {
         messages::replica_message message;
-        message.set_from(2);
+        message.set_from(member);
         message.set_to(1);
         message.set_term(3);
         message.mutable_appended()->set_success(false);
@@ -131,6 +132,42 @@
         return count;
     }
 
+    // Saves; the bytes of entries that leave for member 2, and the last index.
+    std::pair<std::size_t, log_index> sent_to_second()
+    {
+        std::pair<std::size_t, log_index> sent{0, 0};
+        while (const auto ready = core->take_ready(now))
+        {
+            for (const auto& message : ready->early_messages)
+            {
+                const auto& entries = message.append().entries();
+                if (message.to() == 2 && !entries.empty())
+                {
+                    sent.first += message.ByteSizeLong();
+                    sent.second = entries.rbegin()->index();
+                }
+            }
+            core->saved();
+        }
+        return sent;
+    }
+
+    // Saves, and counts the snapshots that leave for member 3.
+    std::size_t snapshots_to_third()
+    {
+        std::size_t count = 0;
+        while (const auto ready = core->take_ready(now))
+        {
+            for (const auto& message : ready->early_messages)
+            {
+                count += message.to() == 3 && message.has_install() ? 1 : 0;
+                round = std::max(round, message.append().round());
+            }
+            core->saved();
+        }
+        return count;
+    }
+
     // A heartbeat that overtakes the entries before it, `times` in a row.
     std::size_t entries_while_overtaken(int times, log_index last)
     {
@@ -282,6 +319,59 @@
     EXPECT_LE(with_first, 10U);
 }
 
+// A follower that lacks many large entries has as much of them on the way as
+// its line carries in a moment; the rest follows as it answers.
+TEST_F(elected_replica, has_few_bytes_on_the_way_to_one_follower)
+{
+    save();
+    acknowledge(3);
+    // What a line of the least speed carries in a second, and one entry more.
+    constexpr std::size_t most = 1'000'000 + large_bytes;
+    log_index held = 3;
+    for (int i = 0; i < 40; ++i)
+    {
+        propose_large();
+    }
+    while (held < 43)
+    {
+        const auto [bytes, last] = sent_to_second();
+        ASSERT_GT(last, held);
+        ASSERT_LE(bytes, most);
+        held = last;
+        acknowledge(held);
+    }
+}
+
+// A second copy of a snapshot on a line that still carries the first one takes
+// the time from both.
+TEST_F(elected_replica, sends_a_large_snapshot_once_while_it_may_be_on_its_way)
+{
+    save();
+    acknowledge(3);
+    save();
+    messages::snapshot content;
+    content.set_last_index(3);
+    content.set_last_term(3);
+    content.set_state(std::string(8'000'000, 'x'));
+    core->set_snapshot_source(
+        [&content]
+        {
+            return std::optional(content);
+        });
+    core->compact(3);
+    reject(1, 3);
+    std::size_t snapshots = 0;
+    // 1 MB/s is the least that a line carries.
+    for (int i = 0; i < 160; ++i)
+    {
+        now += replica_timing().heartbeat;
+        core->tick(now);
+        snapshots += snapshots_to_third();
+        acknowledge(3);
+    }
+    EXPECT_EQ(snapshots, 1U);
+}
+
 TEST_F(elected_replica, sends_lost_entries_again)
 {
     save();
--- a/nutmegusher/node/control_peers.cpp
+++ b/nutmegusher/node/control_peers.cpp
@@ -15,12 +15,21 @@
 
 // A follower's sync included; what takes longer is lost and sent again.
 constexpr duration batch_timeout = std::chrono::seconds(1);
-// A snapshot of hundreds of megabytes on a line of 1 Gbit/s.
-constexpr duration snapshot_timeout = std::chrono::seconds(20);
+// The least that a line carries, on top of it: a time that doesn't grow with
+// the bytes loses what is large whole, each time.
+constexpr double least_bytes_per_second = 1'000'000;
 // An answer never waits longer: the sender's slot would be taken for nothing.
 constexpr duration answer_limit = std::chrono::milliseconds(500);
-// A batch stays below what a peer takes.
-constexpr std::size_t batch_bytes = 8 * 1024 * 1024;
+// A batch may have one message more than this. Small ones, as a batch arrives
+// or is lost whole.
+constexpr std::size_t batch_bytes = 1024 * 1024;
+
+duration time_for(std::size_t bytes)
+{
+    const std::chrono::duration<double> transfer(
+        static_cast<double>(bytes) / least_bytes_per_second);
+    return batch_timeout + std::chrono::duration_cast<duration>(transfer);
+}
 
 } // namespace
 
@@ -132,22 +141,18 @@
     while (!target.queue.empty() && target.in_flight < batches_in_flight)
     {
         ++target.in_flight;
-        const bool snapshot = target.queue.front().has_install();
         auto body = take_batch(target, true);
         asio::co_spawn(
             context_,
-            send_batch(
-                to,
-                *target.address,
-                std::move(body),
-                snapshot ? snapshot_timeout : batch_timeout),
+            send_batch(to, *target.address, std::move(body)),
             asio::detached);
     }
 }
 
-asio::awaitable<void> control_peers::send_batch(
-    replica_id to, endpoint at, std::string body, duration timeout)
+asio::awaitable<void>
+control_peers::send_batch(replica_id to, endpoint at, std::string body)
 {
+    const auto timeout = time_for(body.size());
     const auto answer =
         co_await wire::call(sessions_, at, raft_path, body, timeout);
     auto& target = peers_[to];
--- a/nutmegusher/node/control_peers.hpp
+++ b/nutmegusher/node/control_peers.hpp
@@ -76,7 +76,7 @@
     [[nodiscard]] std::string take_batch(peer& from, bool with_snapshots);
     void send_next(replica_id to, peer& target);
     asio::awaitable<void>
-    send_batch(replica_id to, endpoint at, std::string body, duration timeout);
+    send_batch(replica_id to, endpoint at, std::string body);
 
     asio::io_context& context_;
     receiver receive_;
