Prove up to when a replica knows all that was committed

What callers saw: daemons ran a configuration of 15 s before and took themselves to be in touch, as the control host that held their syncs had a leader; that it had 6 revisions of 92 neither it nor they knew.

Nothing said how old a host's knowledge may be. A leader that a majority has answered now tells each follower the commit, how long ago that was, and the time that the follower wrote on its last reply; so the follower places the message by its own clock, and claims that moment once it has applied the commit.

--- a/nutmegusher/control/control.hpp
+++ b/nutmegusher/control/control.hpp
@@ -15,6 +15,7 @@
 
 #include "nutmegusher/control/configuration_check.hpp"
 #include "nutmegusher/control/configuration_store.hpp"
+#include "nutmegusher/control/current_knowledge.hpp"
 #include "nutmegusher/control/disk.hpp"
 #include "nutmegusher/control/file_disk.hpp"
 #include "nutmegusher/control/frame.hpp"
--- a/nutmegusher/control/replica.cpp
+++ b/nutmegusher/control/replica.cpp
@@ -31,6 +31,10 @@
     , log_(recovered.base, std::move(recovered.entries))
     , last_now_(now)
 {
+    while (run_ == 0)
+    {
+        run_ = engine();
+    }
     const auto hint = std::min(state_.commit(), log_.last_index());
     state_.set_commit(std::max(hint, log_.base_index()));
     saved_state_ = state_;
@@ -237,6 +241,10 @@
             start_round(now);
         }
         send_to_all(false, now);
+        if (own_term_committed())
+        {
+            known_.proved(commit(), majority_heard_at());
+        }
     }
     replica_ready ready;
     ready.early_messages = std::exchange(early_, {});
@@ -278,6 +286,7 @@
         ++applied_;
         ready.committed.push_back(log_.at(applied_));
     }
+    known_.applied(applied_);
     ready.reads = std::exchange(confirmed_, {});
     ready.failed_reads = std::exchange(failed_, {});
 }
--- a/nutmegusher/control/replica.hpp
+++ b/nutmegusher/control/replica.hpp
@@ -23,6 +23,7 @@
 #define NUTMEGUSHER_CONTROL_REPLICA_HPP
 
 #include "nutmegusher/base/base.hpp"
+#include "nutmegusher/control/current_knowledge.hpp"
 #include "nutmegusher/control/replica_log.hpp"
 #include "nutmegusher/messages/replication.pb.h"
 
@@ -277,6 +278,13 @@
         return std::max(leader_commit_, commit());
     }
 
+    // What was handed out as committed holds all that a majority had accepted
+    // at this moment of the own clock; the clock's start: nothing was proved.
+    [[nodiscard]] time_point known_current_at() const
+    {
+        return known_.as_of();
+    }
+
     // Term, vote and commit, as they must be durable.
     [[nodiscard]] const messages::hard_state& hard_state() const
     {
@@ -346,6 +354,9 @@
         // When a snapshot that was sent is taken for lost.
         std::optional<time_point> installing_until;
         std::uint64_t acknowledged_round = 0;
+        // What the follower wrote on its latest reply.
+        std::uint64_t heard_run = 0;
+        std::uint64_t heard_reply_us = 0;
         // When the acknowledged round was sent.
         time_point lease_start{};
     };
@@ -405,6 +416,7 @@
 
     // replica_follower.cpp
     void on_append(const messages::replica_message& message, time_point now);
+    void note_proof(const messages::append_request& request, time_point now);
     // False: the request contradicts what is committed.
     bool accept_entries(const messages::append_request& request);
     void reply_append(
@@ -415,6 +427,8 @@
     void
     on_append_reply(const messages::replica_message& message, time_point now);
     void note_round(peer& from, std::uint64_t round);
+    static void
+    note_reply_time(peer& from, const messages::append_reply& reply);
     void note_success(peer& from, log_index match, time_point now);
     static void note_rejection(peer& from, log_index hint, time_point now);
     void note_sent(
@@ -436,6 +450,8 @@
     void advance_commit();
     void confirm_reads();
     void check_transfer(time_point now);
+    // A majority has answered a round that was sent then.
+    [[nodiscard]] time_point majority_heard_at() const;
     [[nodiscard]] time_point lease_end() const;
     [[nodiscard]] bool own_term_committed() const;
     [[nodiscard]] std::optional<replica_refusal>
@@ -444,6 +460,8 @@
 
     replica_settings settings_;
     random_engine* engine_;
+    // Tells its replies from those of an earlier run.
+    std::uint64_t run_ = 0;
     snapshot_source snapshot_source_;
 
     messages::hard_state state_;
@@ -452,6 +470,7 @@
     std::optional<replica_id> leader_;
     std::optional<time_point> leader_heard_;
     log_index leader_commit_ = 0;
+    current_knowledge known_;
     time_point election_deadline_;
 
     // Candidates.
--- a/nutmegusher/control/replica_election.cpp
+++ b/nutmegusher/control/replica_election.cpp
@@ -55,12 +55,12 @@
         leader_heard_ ? settings_.timing.election_timeout
                       : settings_.timing.start_timeout,
         now);
+    leader_.reset();
     if (!is_voter(settings_.self))
     {
         return;
     }
     role_ = replica_role::pre_candidate;
-    leader_.reset();
     votes_ = {settings_.self};
     refusals_.clear();
     request_votes(true, false);
--- a/nutmegusher/control/replica_follower.cpp
+++ b/nutmegusher/control/replica_follower.cpp
@@ -24,6 +24,15 @@
     return true;
 }
 
+// Rounded down: a reply is never taken for a later one.
+std::uint64_t to_us(time_point at)
+{
+    using std::chrono::microseconds;
+    const auto since_start = at.time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::floor<microseconds>(since_start).count());
+}
+
 } // namespace
 
 void replica::on_append(
@@ -38,6 +47,7 @@
     become_follower(term(), from, now);
     leader_heard_ = now;
     leader_commit_ = std::max(leader_commit_, request.commit());
+    note_proof(request, now);
 
     const auto previous = request.previous_index();
     if (previous < log_.base_index())
@@ -67,6 +77,18 @@
     reply_append(from, true, match, request.round());
 }
 
+void replica::note_proof(
+    const messages::append_request& request, time_point now)
+{
+    const time_point replied(
+        std::chrono::microseconds(request.heard_reply_us()));
+    if (request.heard_run() == run_ && replied <= now)
+    {
+        const std::chrono::microseconds age(request.proof_age_us());
+        known_.proved(request.commit(), replied - age);
+    }
+}
+
 bool replica::accept_entries(const messages::append_request& request)
 {
     for (const auto& entry : request.entries())
@@ -100,6 +122,8 @@
     appended.set_match_index(match);
     appended.set_round(round);
     appended.set_declines_leadership(declines_leadership_);
+    appended.set_run(run_);
+    appended.set_replied_us(to_us(last_now_));
     queue(std::move(reply));
 }
 
@@ -126,6 +150,7 @@
             log_.reset(content);
             state_.set_commit(index);
             applied_ = index;
+            known_.applied(index);
             saved_index_ = index;
             handed_index_ = index;
             install_ = content;
--- a/nutmegusher/control/replica_leader.cpp
+++ b/nutmegusher/control/replica_leader.cpp
@@ -37,6 +37,7 @@
     auto& from = found->second;
     const auto& reply = message.appended();
     note_round(from, reply.round());
+    note_reply_time(from, reply);
     from.declines_leadership = reply.declines_leadership();
     if (reply.success())
     {
@@ -171,6 +172,16 @@
         std::max(from.lease_start, round_starts_[position].second);
 }
 
+// A late reply of an earlier run takes a proof from the follower, no more.
+void replica::note_reply_time(peer& from, const messages::append_reply& reply)
+{
+    const bool same_run = from.heard_run == reply.run();
+    from.heard_run = reply.run();
+    from.heard_reply_us =
+        same_run ? std::max(from.heard_reply_us, reply.replied_us())
+                 : reply.replied_us();
+}
+
 void replica::refresh_peers()
 {
     std::map<replica_id, peer> refreshed;
@@ -279,6 +290,15 @@
     request.set_previous_term(log_.term_at(previous).value_or(0));
     request.set_commit(commit());
     request.set_round(round_);
+    if (own_term_committed())
+    {
+        using std::chrono::microseconds;
+        const auto age = std::chrono::ceil<microseconds>(
+            std::max(now - majority_heard_at(), duration::zero()));
+        request.set_heard_run(progress.heard_run);
+        request.set_heard_reply_us(progress.heard_reply_us);
+        request.set_proof_age_us(static_cast<std::uint64_t>(age.count()));
+    }
     std::size_t bytes = 0;
     const auto& limits = settings_.limits;
     const bool is_waiting = progress.probing && progress.on_the_way &&
@@ -384,7 +404,7 @@
     }
 }
 
-time_point replica::lease_end() const
+time_point replica::majority_heard_at() const
 {
     std::vector<time_point> starts;
     for (const auto id : voters())
@@ -400,7 +420,12 @@
         return lease_floor_;
     }
     const auto agreed = reached_by(std::move(starts), quorum());
-    return std::max(agreed, lease_floor_) + settings_.timing.election_timeout;
+    return std::max(agreed, lease_floor_);
+}
+
+time_point replica::lease_end() const
+{
+    return majority_heard_at() + settings_.timing.election_timeout;
 }
 
 bool replica::holds_lease(time_point now) const
--- a/nutmegusher/control/test_cluster.cpp
+++ b/nutmegusher/control/test_cluster.cpp
@@ -145,7 +145,7 @@
     }
     if (position->second.first == entry.term())
     {
-        owner_.acknowledged_.insert(item);
+        owner_.note_acknowledged(item);
     }
     waiting->second.erase(position);
 }
@@ -259,6 +259,10 @@
         {
             each.tick();
         }
+        for (const auto& each : hosts)
+        {
+            check_current(each);
+        }
     }
 }
 
@@ -295,7 +299,7 @@
     {
         return;
     }
-    if (line)
+    if (line && (line->only_to.empty() || line->only_to == target->name()))
     {
         lines_[{from, target->name()}].waiting.push_back(
             {message, from, target->name()});
@@ -535,6 +539,40 @@
     check_restored(at, at.running().machine().items());
 }
 
+void cluster::note_acknowledged(const std::string& item)
+{
+    acknowledged_.insert(item);
+    const auto place = std::find(order_.rbegin(), order_.rend(), item);
+    const auto count =
+        static_cast<std::size_t>(std::distance(place, order_.rend()));
+    const auto before =
+        acknowledged_at_.empty() ? 0 : acknowledged_at_.back().second;
+    acknowledged_at_.emplace_back(now, std::max(before, count));
+}
+
+// What a host claims to know up to a moment it must have.
+void cluster::check_current(const host& at)
+{
+    if (!at.up())
+    {
+        return;
+    }
+    const auto as_of = at.running().core().known_current_at() - at.clock_offset;
+    const auto later = std::partition_point(
+        acknowledged_at_.begin(),
+        acknowledged_at_.end(),
+        [as_of](const auto& each)
+        {
+            return each.first < as_of;
+        });
+    const auto count =
+        later == acknowledged_at_.begin() ? 0 : std::prev(later)->second;
+    if (at.running().machine().items().size() < count)
+    {
+        fail(at.name() + " claims to be current and lacks an item");
+    }
+}
+
 void cluster::check_restored(
     const host& at, const std::vector<std::string>& items)
 {
--- a/nutmegusher/control/test_cluster.hpp
+++ b/nutmegusher/control/test_cluster.hpp
@@ -77,6 +77,11 @@
         return *group_;
     }
 
+    [[nodiscard]] const group& running() const
+    {
+        return *group_;
+    }
+
     [[nodiscard]] bool leads() const
     {
         return up() && group_->core().role() == replica_role::leader;
@@ -126,6 +131,8 @@
     double bytes_per_second = 0;
     std::size_t batch_bytes = 8 * 1024 * 1024;
     duration longest_transfer = std::chrono::seconds(1);
+    // Set: only what goes to this host.
+    std::string only_to = {};
 };
 
 class cluster
@@ -220,6 +227,8 @@
     void send_on_lines();
     void deliver();
     void note_applied(host& at, const messages::log_entry& entry);
+    void note_acknowledged(const std::string& item);
+    void check_current(const host& at);
     void note_leader(host& at);
     void note_read(host& at, confirmed_read read, std::size_t known);
     void check_restored(const host& at, const std::vector<std::string>& items);
@@ -249,6 +258,9 @@
     std::map<std::string, std::map<log_index, std::pair<log_term, std::string>>>
         waiting_;
     std::set<std::string> acknowledged_;
+    // When something was acknowledged, and how many committed items there were
+    // up to it; rising in both.
+    std::vector<std::pair<time_point, std::size_t>> acknowledged_at_;
     std::string violation_;
 };
 
