Count the outcome of a sync for the host that was asked

What callers would have seen: a change not in force in time at a daemon whose control host went silent, for 3 s and more.

Cause: whose outcome it was followed from the time at which it was told. When it had become time to go back to a nearer host meanwhile, a failure counted against that one; the silent one was polled again, and was taken for another one to be asked beside its own poll. The one that was asked is remembered now.

--- a/nutmegusher/control/test_cluster.hpp
+++ b/nutmegusher/control/test_cluster.hpp
@@ -196,6 +196,12 @@
         return acknowledged_.size();
     }
 
+    // How many committed items there are up to the last acknowledged one.
+    [[nodiscard]] std::size_t acknowledged_items() const
+    {
+        return acknowledged_at_.empty() ? 0 : acknowledged_at_.back().second;
+    }
+
     // True where the host's state has every acknowledged item.
     [[nodiscard]] bool holds_all_acknowledged(host& at) const;
 
--- a/nutmegusher/membership/sync_schedule.cpp
+++ b/nutmegusher/membership/sync_schedule.cpp
@@ -95,18 +95,32 @@
     return return_at_ && now >= *return_at_ ? return_to_ : current_;
 }
 
+void sync_schedule::asked(time_point now)
+{
+    if (!candidates_.empty())
+    {
+        asked_ = candidates_[position(now)].host.host;
+    }
+}
+
+std::optional<std::size_t> sync_schedule::asked_or_planned(time_point now) const
+{
+    return asked_ ? find(*asked_) : std::optional(position(now));
+}
+
 void sync_schedule::succeeded(time_point now, random_engine& random)
 {
     if (candidates_.empty())
     {
         return;
     }
-    const auto used = position(now);
-    if (used != current_)
+    const auto used = asked_or_planned(now);
+    asked_.reset();
+    if (used && *used != current_)
     {
         return_at_.reset();
     }
-    current_ = used;
+    current_ = used.value_or(current_);
     ever_succeeded_ = true;
     candidates_[current_].failures = 0;
     try_at_ = now;
@@ -145,9 +159,15 @@
     {
         return;
     }
-    const auto used = position(now);
-    note_failure(candidates_[used], now, random);
-    const bool was_return = used != current_;
+    const auto used = asked_or_planned(now);
+    asked_.reset();
+    if (!used)
+    {
+        try_at_ = now;
+        return;
+    }
+    note_failure(candidates_[*used], now, random);
+    const bool was_return = *used != current_;
     return_at_.reset();
     if (!was_return)
     {
@@ -171,7 +191,7 @@
     tried.usable_at = now + backoff(tried.failures, random);
 }
 
-sync_schedule::candidate* sync_schedule::find(const host_id& host)
+std::optional<std::size_t> sync_schedule::find(const host_id& host) const
 {
     const auto found = std::find_if(
         candidates_.begin(),
@@ -180,13 +200,17 @@
         {
             return one.host.host == host;
         });
-    return found == candidates_.end() ? nullptr : &*found;
+    if (found == candidates_.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - candidates_.begin());
 }
 
 std::optional<control_host> sync_schedule::pick_other(time_point now)
 {
     candidate* best = nullptr;
-    const auto planned = position(now);
+    const auto planned = asked_or_planned(now);
     for (std::size_t at = 0; at < candidates_.size(); ++at)
     {
         auto& one = candidates_[at];
@@ -210,17 +234,18 @@
 void sync_schedule::move_to(
     const host_id& other, time_point now, random_engine& random)
 {
-    auto* const used = find(other);
-    if (used == nullptr)
+    const auto used = find(other);
+    if (!used)
     {
         return;
     }
-    auto& planned = candidates_[position(now)];
-    if (&planned != used)
+    const auto left = asked_or_planned(now);
+    asked_.reset();
+    if (left && *left != *used)
     {
-        note_failure(planned, now, random);
+        note_failure(candidates_[*left], now, random);
     }
-    current_ = static_cast<std::size_t>(used - candidates_.data());
+    current_ = *used;
     return_at_.reset();
     succeeded(now, random);
 }
@@ -228,9 +253,9 @@
 void sync_schedule::other_failed(
     const host_id& other, time_point now, random_engine& random)
 {
-    if (auto* const tried = find(other))
+    if (const auto tried = find(other))
     {
-        note_failure(*tried, now, random);
+        note_failure(candidates_[*tried], now, random);
     }
 }
 
--- a/nutmegusher/membership/sync_schedule.hpp
+++ b/nutmegusher/membership/sync_schedule.hpp
@@ -84,6 +84,10 @@
     // below, and when it is time to go back to a nearer one.
     [[nodiscard]] sync_plan plan(time_point now) const;
 
+    // The planned one is asked now; what is told next is of it, also where
+    // another one is planned by then.
+    void asked(time_point now);
+
     // A sync with the planned one was answered.
     void succeeded(time_point now, random_engine& random);
 
@@ -114,8 +118,12 @@
     };
 
     void note_failure(candidate& tried, time_point now, random_engine& random);
-    [[nodiscard]] candidate* find(const host_id& host);
+    [[nodiscard]] std::optional<std::size_t> find(const host_id& host) const;
 
+    // Of the one that was asked, else of the planned one; nothing where it is
+    // no candidate any more.
+    [[nodiscard]] std::optional<std::size_t>
+    asked_or_planned(time_point now) const;
     [[nodiscard]] std::size_t position(time_point now) const;
     [[nodiscard]] std::size_t best(time_point now) const;
     [[nodiscard]] duration
@@ -128,6 +136,7 @@
     // Most wanted first.
     std::vector<candidate> candidates_;
     std::size_t current_ = 0;
+    std::optional<host_id> asked_;
     bool ever_succeeded_ = false;
     time_point try_at_;
     // When to go back to a more wanted one, and to which.
--- a/nutmegusher/membership/sync_schedule_test.cpp
+++ b/nutmegusher/membership/sync_schedule_test.cpp
@@ -190,6 +190,33 @@
     EXPECT_EQ(target(start), "new");
 }
 
+// It is time to go back to a nearer host while the one in use has gone silent:
+// the failure counted against the nearer one, the silent one was polled once
+// more, and asked again as another one beside its own poll.
+TEST_F(sync_schedule_test, a_failure_counts_against_the_one_that_was_asked)
+{
+    schedule.failed(start, random);
+    schedule.succeeded(start, random);
+    ASSERT_EQ(target(start), "region");
+    schedule.asked(start);
+    const auto later = start + seconds(70);
+    ASSERT_EQ(target(later), "own");
+    const auto other = schedule.pick_other(later);
+    ASSERT_TRUE(other);
+    EXPECT_NE(other->host, host_id("region"));
+    schedule.failed(later, random);
+    EXPECT_NE(target(later), "region");
+}
+
+TEST_F(sync_schedule_test, a_failure_of_a_host_that_is_gone_counts_for_nobody)
+{
+    schedule.asked(start);
+    schedule.set_hosts({host("far", elsewhere), host("region", near_by)});
+    schedule.failed(start, random);
+    EXPECT_EQ(target(start), "region");
+    EXPECT_EQ(schedule.plan(start).at, start);
+}
+
 TEST_F(sync_schedule_test, moves_to_another_one_that_knows_more)
 {
     const auto first = schedule.pick_other(start);
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -108,6 +108,7 @@
     const auto request = make_request(true);
     const auto sent_at = host_clock().now();
     opinions_.asked(sent_at);
+    schedule_.asked(sent_at);
     std::optional<messages::sync_reply> reply;
     polling_ = true;
     poll_left_ = false;
