Let a sync's answer take longer than its limit while pieces of it arrive

Now the limit holds for the head and then for each piece. Others are not asked while a first answer is arriving, as they would send the same once more.

--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -20,7 +20,8 @@
 // How long a control host may hold a sync without news: half of the lease's
 // renewal interval, so that one lost exchange costs no lease.
 constexpr duration poll_wait = std::chrono::seconds(1);
-// On top of it, before the control host counts as failed.
+// On top of it, before the control host counts as failed; also without another
+// piece of an answer that has begun.
 constexpr duration answer_limit = std::chrono::milliseconds(1500);
 // A reply that tells of an earlier moment comes from a host that isn't current.
 // Above what a control host holds syncs on, by the way of the answer.
@@ -217,12 +218,17 @@
     wake_.cancel();
 }
 
+bool sync_client::knows_something() const
+{
+    return opinions_.current_at() > time_point();
+}
+
 void sync_client::note_age()
 {
     const auto now = host_clock().now();
     const auto current_at = opinions_.current_at();
-    const bool knows = current_at > time_point();
-    const auto report = age_watch_.update(knows && opinions_.is_old(now), now);
+    const bool is_old = knows_something() && opinions_.is_old(now);
+    const auto report = age_watch_.update(is_old, now);
     const std::scoped_lock lock(mutex_);
     current_at_ = current_at;
     if (!report)
@@ -268,6 +274,14 @@
     while (sent && answer && answer->status == 200 &&
            text.size() <= most_reply_bytes)
     {
+        // For each piece: one limit for the whole of a large configuration lost
+        // it each time where many daemons start beside one control host.
+        open->expire_after(answer_limit);
+        if (!knows_something())
+        {
+            // Others asked meanwhile would send it a second time.
+            opinions_.asked(host_clock().now());
+        }
         const auto got = co_await open->read_some(piece);
         if (!got || *got == 0)
         {
--- a/nutmegusher/node/sync_client.hpp
+++ b/nutmegusher/node/sync_client.hpp
@@ -69,6 +69,8 @@
     void take_members(const messages::sync_reply& reply);
     void leave_poll();
     void note_age();
+    // Some control host has told up to when it is current.
+    [[nodiscard]] bool knows_something() const;
     void take_control_hosts(const messages::sync_reply& reply);
     void update_routes();
     void note_reached(const std::string& address, bool reached);
--- /dev/null
+++ b/nutmegusher/node/sync_client_test.cpp
@@ -0,0 +1,221 @@
+// The daemon's side of a sync, against control hosts that answer as told.
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/node/sync_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace nutmegusher::node
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Far above what any step takes; a test that reaches it has failed.
+constexpr seconds test_limit{20};
+
+const endpoint any_port(asio::ip::address_v4::loopback(), 0);
+
+class control_hosts_as_told : public testing::Test
+{
+protected:
+    using stream_pointer = std::shared_ptr<wire::server_stream>;
+    // By the host's number.
+    using script = std::function<asio::awaitable<void>(
+        std::size_t, messages::sync_request, stream_pointer)>;
+
+    void start(std::size_t count, script answer)
+    {
+        answer_ = std::move(answer);
+        settings made;
+        made.host.id = host_id("d1");
+        made.host.data_center = data_center_name("dc");
+        made.host.region = region_name("region");
+        made.host.threads = 1;
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            const auto serve = [this, number](stream_pointer stream)
+            {
+                return serve_one(number, std::move(stream));
+            };
+            auto& listening = servers_.emplace_back(std::move(
+                wire::server::listen(
+                    context_, any_port, serve, wire::session_options(), false)
+                    .value()));
+            made.control_hosts.push_back(listening->local_endpoint());
+        }
+        shared_.emplace(made, incarnation(1));
+        here_.emplace(*shared_, 0);
+        client_.emplace(*here_);
+        asio::co_spawn(here_->context, client_->run(), asio::detached);
+        asio::co_spawn(here_->context, client_->watch_age(), asio::detached);
+    }
+
+    // False where it didn't come about.
+    bool run_until(const std::function<bool()>& done)
+    {
+        const auto limit = host_clock().now() + test_limit;
+        while (!done() && host_clock().now() < limit)
+        {
+            context_.run_for(milliseconds(1));
+            context_.restart();
+            here_->context.run_for(milliseconds(1));
+            here_->context.restart();
+        }
+        return done();
+    }
+
+    [[nodiscard]] std::uint64_t runs() const
+    {
+        return shared_->configuration.current()->at().value();
+    }
+
+    static std::string reply_of(std::uint64_t revision)
+    {
+        messages::sync_reply reply;
+        reply.set_accepted(true);
+        reply.set_linearizable(true);
+        reply.set_current_after_ms(0);
+        reply.mutable_delta()->mutable_full()->set_revision(revision);
+        return reply.SerializeAsString();
+    }
+
+    static asio::awaitable<void> send(stream_pointer stream, std::string body)
+    {
+        wire::response_head head{200, {}};
+        co_await stream->write_head(std::move(head), false);
+        co_await stream->write(std::as_bytes(std::span(body)), true);
+    }
+
+    asio::awaitable<void> pause(duration length)
+    {
+        asio::steady_timer timer(context_, length);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+private:
+    asio::awaitable<void> serve_one(std::size_t number, stream_pointer stream)
+    {
+        std::string text;
+        std::array<std::byte, 4096> piece;
+        while (true)
+        {
+            const auto got = co_await stream->read_some(piece);
+            if (!got || *got == 0)
+            {
+                break;
+            }
+            text.append(reinterpret_cast<const char*>(piece.data()), *got);
+        }
+        messages::sync_request request;
+        EXPECT_TRUE(request.ParseFromString(text));
+        co_await answer_(number, std::move(request), std::move(stream));
+    }
+
+    asio::io_context context_{1};
+    script answer_;
+    std::deque<std::unique_ptr<wire::server>> servers_;
+    std::optional<controllers> shared_;
+    std::optional<worker> here_;
+    std::optional<sync_client> client_;
+};
+
+// Many daemons start at once beside one control host, and each gets a whole
+// configuration: it takes longer than an answer without news may, and was given
+// up and begun again each time.
+TEST_F(control_hosts_as_told, an_answer_that_arrives_slowly_is_taken)
+{
+    std::size_t asked = 0;
+    const auto answer = [&asked, this](
+                            std::size_t,
+                            messages::sync_request,
+                            stream_pointer stream) -> asio::awaitable<void>
+    {
+        ++asked;
+        const auto body = reply_of(7);
+        wire::response_head head{200, {}};
+        co_await stream->write_head(std::move(head), false);
+        for (std::size_t at = 0; at < body.size(); ++at)
+        {
+            const auto wait = milliseconds(3000 / body.size());
+            co_await pause(wait);
+            const bool is_last = at + 1 == body.size();
+            const auto byte = std::span(body).subspan(at, 1);
+            co_await stream->write(std::as_bytes(byte), is_last);
+        }
+    };
+    start(1, answer);
+    EXPECT_TRUE(run_until(
+        [this]
+        {
+            return runs() == 7;
+        }));
+    EXPECT_EQ(asked, 1U);
+}
+
+// The control host that holds the poll goes silent, or its answer is lost, and
+// another one knows a newer configuration.
+TEST_F(control_hosts_as_told, a_daemon_asks_another_one_before_its_poll_ends)
+{
+    std::optional<std::size_t> silent;
+    time_point silent_since;
+    const auto answer = [&](std::size_t number,
+                            messages::sync_request,
+                            stream_pointer stream) -> asio::awaitable<void>
+    {
+        if (!silent)
+        {
+            silent = number;
+            silent_since = host_clock().now();
+            co_await send(stream, reply_of(1));
+        }
+        else if (silent == number)
+        {
+            co_await pause(test_limit);
+        }
+        else
+        {
+            co_await send(stream, reply_of(2));
+        }
+    };
+    start(2, answer);
+    EXPECT_TRUE(run_until(
+        [this]
+        {
+            return runs() == 2;
+        }));
+    // The poll's own time, after which it would have asked elsewhere anyway.
+    EXPECT_LT(host_clock().now() - silent_since, milliseconds(2500));
+}
+
+// Its host answers all the while, and says that it isn't current.
+TEST_F(control_hosts_as_told, a_daemon_leaves_one_that_is_behind)
+{
+    std::optional<std::size_t> behind;
+    const auto answer = [&](std::size_t number,
+                            messages::sync_request,
+                            stream_pointer stream) -> asio::awaitable<void>
+    {
+        behind = behind.value_or(number);
+        messages::sync_reply reply;
+        EXPECT_TRUE(reply.ParseFromString(reply_of(behind == number ? 1 : 2)));
+        reply.set_current_after_ms(behind == number ? -15'000 : 0);
+        co_await send(stream, reply.SerializeAsString());
+    };
+    start(2, answer);
+    EXPECT_TRUE(run_until(
+        [this]
+        {
+            return runs() == 2;
+        }));
+}
+
+} // namespace
+} // namespace nutmegusher::node
