Take a daemon's first configuration only where a majority has confirmed it

Cause: control hosts that start replay their logs. Since they answer at once where they know nothing current, a daemon that started with them took what they had by then; before, most of the time the answer waited for a leader. What a starting daemon takes now has been confirmed by a majority after it asked; until then it isn't ready and requests wait, as documented.

The new test's daemon ran revision 1 where it had run 9 before. A first form that went by the age of the answer refused a whole configuration that took 3 s, and was dropped.

--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -330,6 +330,13 @@
 bool sync_client::take_configuration(
     const messages::sync_reply& reply, time_point sent_at)
 {
+    // A process that starts runs nothing rather than what may be older than
+    // what it ran before: control hosts that start with it replay their logs.
+    if (!confirmed_ && !reply.linearizable())
+    {
+        return false;
+    }
+    confirmed_ = true;
     auto& shared = here_.shared;
     if (shared.configuration.accept(reply.delta()))
     {
@@ -337,7 +344,6 @@
             event::configuration_in_force,
             {{"revision", shared.configuration.current()->at().value()}});
     }
-    confirmed_ = confirmed_ || reply.linearizable();
     const std::chrono::milliseconds after(reply.current_after_ms());
     const auto current_at = sent_at + after;
     opinions_.learned(current_at);
--- a/nutmegusher/node/sync_client.hpp
+++ b/nutmegusher/node/sync_client.hpp
@@ -63,7 +63,8 @@
         std::unique_ptr<wire::client_stream>& open);
     // `may_wait`: the control host may hold it until there is news.
     [[nodiscard]] messages::sync_request make_request(bool may_wait);
-    // False where the reply's sender doesn't know what is current.
+    // False where the reply's sender doesn't know what is current. The first
+    // one is taken only where a majority has confirmed it.
     bool
     take_configuration(const messages::sync_reply& reply, time_point sent_at);
     void take_members(const messages::sync_reply& reply);
--- a/nutmegusher/node/sync_client_test.cpp
+++ b/nutmegusher/node/sync_client_test.cpp
@@ -195,6 +195,35 @@
     EXPECT_LT(host_clock().now() - silent_since, milliseconds(2500));
 }
 
+// All control hosts and the daemon start together; the hosts replay their logs
+// before they know what is current. The daemon ran revision 9 before.
+TEST_F(control_hosts_as_told, a_daemon_that_starts_takes_nothing_old)
+{
+    std::size_t asked = 0;
+    std::uint64_t oldest_run = 9;
+    const auto answer = [&](std::size_t,
+                            messages::sync_request,
+                            stream_pointer stream) -> asio::awaitable<void>
+    {
+        const bool is_behind = ++asked <= 5;
+        messages::sync_reply reply;
+        EXPECT_TRUE(reply.ParseFromString(reply_of(is_behind ? asked : 9)));
+        reply.set_linearizable(!is_behind);
+        reply.set_current_after_ms(is_behind ? -1'000'000 : 0);
+        co_await send(stream, reply.SerializeAsString());
+    };
+    start(2, answer);
+    EXPECT_TRUE(run_until(
+        [&]
+        {
+            oldest_run =
+                runs() == 0 ? oldest_run : std::min(oldest_run, runs());
+            return runs() == 9;
+        }));
+    EXPECT_EQ(oldest_run, 9U);
+    EXPECT_GT(asked, 5U);
+}
+
 // Its host answers all the while, and says that it isn't current.
 TEST_F(control_hosts_as_told, a_daemon_leaves_one_that_is_behind)
 {
