Give the tests of control hosts loopback addresses of their own process

control_hosts.a_planned_stop_hands_leadership_over failed once in 2 ms, as its fixture couldn't listen: a port that had been free a moment before was taken by another process (tests and 80 processes beside it, all on 127.0.0.1).

--- a/nutmegusher/node/control_test_hosts.hpp
+++ b/nutmegusher/node/control_test_hosts.hpp
@@ -11,6 +11,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <unistd.h>
+
 #include <filesystem>
 #include <memory>
 #include <random>
@@ -111,11 +113,18 @@
     std::thread thread_;
 };
 
-// A port that was free a moment ago.
+// A port that was free a moment ago, on an address that no other process's
+// tests or outgoing connections use: they took such ports before they were used
+// here.
 inline asio::ip::tcp::endpoint free_address()
 {
     asio::io_context context;
-    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    const auto process = static_cast<std::uint32_t>(::getpid());
+    constexpr std::uint32_t loopback = 0x7f000000;
+    constexpr std::uint32_t own_part = 0x7fff;
+    const asio::ip::address_v4 own(
+        loopback | (1U << 23) | ((process & own_part) << 8) | 1U);
+    const asio::ip::tcp::endpoint any(own, 0);
     asio::ip::tcp::acceptor acceptor(context, any);
     return acceptor.local_endpoint();
 }
