--- a/nutmegusher/membership/opinion_schedule.hpp
+++ b/nutmegusher/membership/opinion_schedule.hpp
@@ -17,8 +17,8 @@
     // knows nothing, and shouldn't ask two where one answers.
     duration patience = std::chrono::milliseconds(200);
     // Between two questions to others; doubles up to the bound, and half of it
-    // is spread. 16,000 daemons whose control is all gone make 700 of these a
-    // second at each of 23 control hosts.
+    // is spread. 16,000 daemons whose control is all gone make at most 700 of
+    // these a second at each of 23 control hosts.
     duration first_pause = std::chrono::milliseconds(250);
     duration max_pause = std::chrono::seconds(2);
 };
