--- a/nutmegusher/node/control_test_hosts.hpp
+++ b/nutmegusher/node/control_test_hosts.hpp
@@ -113,9 +113,8 @@
     std::thread thread_;
 };
 
-// A port that was free a moment ago, on an address that no other process's
-// tests or outgoing connections use: they took such ports before they were used
-// here.
+// A port that was free a moment ago, on an address that other processes' tests
+// and outgoing connections don't use: they could take it before it is used.
 inline asio::ip::tcp::endpoint free_address()
 {
     asio::io_context context;
