Ask a peer before sending what may not be sent again, and after a loss

Cause: a daemon learns that a host is gone from a call that it sends there on a session of before. Each pair of daemons learns it apart, as each has a session of its own, used every few seconds. What may not be repeated was lost with unknown outcome; a sub-call needed a repeat, and a daemon with few calls has two saved up. Class: failure detection by the traffic that it is to protect.

Mend: what may not be repeated is sent only where the peer was heard within 50 ms, or answers a PING now; for 3 s after a daemon has lost a peer, so is everything else. Without an answer in 150 ms nothing was sent, which is proved, and another upstream takes the call at no cost in repeats. It holds because a request never leaves for a session that wasn't heard from at that moment, but for those 50 ms.

Ruled out: the proof by TCP's unsent bytes (a one-way cut looks the same), and by asking the host once it's back (its new run doesn't know what the old one did).

Tests, red before: silent_host (504 after 2.1 s in place of not-run, and in place of 200 from another upstream), silence.a_peer_is_confirmed_*.

--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -104,6 +104,13 @@
         if (!session)
         {
             feedback_.broken = session.error() != wire::stream_failure::refused;
+            note_loss();
+            co_return not_sent();
+        }
+        const bool confirms =
+            !call_.terms.repeatable || here_.peers.has_lost_lately();
+        if (confirms && !co_await is_there(**session))
+        {
             co_return not_sent();
         }
         const auto head = to_peer_head(call_);
@@ -129,6 +136,28 @@
     }
 
 private:
+    // Pattern of failure: hosts lose power together, and each of their many
+    // callers learns it from the next call that it sends there on a session of
+    // before. Of calls that may not be repeated each of these was lost, and
+    // nobody could say that it hadn't run; the others needed a repeat each,
+    // and callers with few calls have few.
+    asio::awaitable<bool> is_there(wire::client_session& session)
+    {
+        const auto proof = co_await session.confirm();
+        feedback_.silent =
+            !proof && proof.error() == wire::stream_failure::silent;
+        note_loss();
+        co_return proof && !cancelled_->requested;
+    }
+
+    void note_loss()
+    {
+        if (feedback_.silent || feedback_.broken)
+        {
+            here_.peers.note_loss();
+        }
+    }
+
     asio::awaitable<routed_result> exchange()
     {
         if (!call_.body.empty())
@@ -210,6 +239,7 @@
             return {told, false};
         }
         feedback_.broken = failure != timed_out && failure != cancelled;
+        note_loss();
         const auto reason = failure == timed_out   ? call_reason::deadline
                             : failure == cancelled ? call_reason::cancelled
                             : failure == protocol
--- /dev/null
+++ b/nutmegusher/routed/silent_host_test.cpp
@@ -0,0 +1,150 @@
+// Hosts that lose power under the sessions of their callers.
+#include "nutmegusher/routed/test_path.hpp"
+#include "nutmegusher/wire/wire_test_relay.hpp"
+
+namespace nutmegusher::routed
+{
+namespace
+{
+
+using namespace test_path;
+
+// The ways to daemons lead through relays that can lose track of their
+// connections.
+class silent_host : public routed_path
+{
+protected:
+    void SetUp() override
+    {
+        relaying = std::thread(
+            [this]
+            {
+                const auto guard = asio::make_work_guard(relay_context);
+                relay_context.run();
+            });
+        start(counting(runs_on_silent));
+        put_relay_before(*beside);
+    }
+
+    void TearDown() override
+    {
+        relay_context.stop();
+        relaying.join();
+    }
+
+    void put_relay_before(routed_node& node)
+    {
+        on_relays(
+            [this, &node]
+            {
+                const auto target = node.peers->local_endpoint();
+                auto made =
+                    std::make_unique<wire::tcp_relay>(relay_context, target);
+                relays.push_back(std::move(made));
+            });
+        std::ostringstream address;
+        address << relays.back()->endpoint();
+        for (auto& record : records)
+        {
+            if (record.host() == node.shared.configured.host.id.str())
+            {
+                record.set_address(address.str());
+            }
+        }
+        entry->shared.routes.update(service_name("balances"), records);
+    }
+
+    // Runs it on the relays' thread.
+    template <class Action>
+    void on_relays(Action action)
+    {
+        std::promise<void> done;
+        const auto run = [&]
+        {
+            action();
+            done.set_value();
+        };
+        asio::post(relay_context, run);
+        done.get_future().wait();
+    }
+
+    static scripted_upstream::script counting(std::atomic<int>& runs)
+    {
+        return [&runs](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            while (const auto request = read_request(socket, buffer))
+            {
+                ++runs;
+                http::write(socket, answer_to(id_of(*request), "done"));
+            }
+        };
+    }
+
+    void silence()
+    {
+        on_relays(
+            [this]
+            {
+                for (const auto& each : relays)
+                {
+                    each->silence();
+                }
+            });
+        // Longer than a peer counts as heard from.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+
+    std::atomic<int> runs_on_silent = 0;
+    std::atomic<int> runs_on_other = 0;
+    asio::io_context relay_context;
+    std::vector<std::unique_ptr<wire::tcp_relay>> relays;
+    std::thread relaying;
+};
+
+TEST_F(silent_host, what_may_not_run_twice_is_proved_not_to_have_run)
+{
+    EXPECT_EQ(ask("/pay/1", "id-1", "amount 7").result_int(), 200U);
+    silence();
+    const auto answer = ask("/pay/1", "id-2", "amount 8");
+    EXPECT_EQ(answer["nutmeg-outcome"], "not-run");
+    EXPECT_EQ(runs_on_silent, 1);
+}
+
+TEST_F(silent_host, it_runs_elsewhere_in_the_same_request)
+{
+    EXPECT_EQ(ask("/pay/1", "id-1", "amount 7").result_int(), 200U);
+    start_another(counting(runs_on_other));
+    silence();
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto id = "id-" + std::to_string(i + 2);
+        EXPECT_EQ(ask("/pay/1", id, "amount 8").result_int(), 200U) << i;
+    }
+    EXPECT_EQ(runs_on_silent + runs_on_other, 11);
+}
+
+// Two hosts of three go at once: the loss of a call shows the first one, and
+// no other call is lost to the second.
+TEST_F(silent_host, one_loss_makes_calls_ask_before_they_are_sent)
+{
+    start_another(counting(runs_on_silent));
+    put_relay_before(*other);
+    for (int i = 0; i < 20; ++i)
+    {
+        ask("/views/1", "warm-" + std::to_string(i));
+    }
+    scripted_upstream last_upstream(counting(runs_on_other));
+    routed_node last("last");
+    announce(last, last_upstream);
+    last.start();
+    silence();
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto id = "id-" + std::to_string(i);
+        EXPECT_EQ(ask("/views/1", id).result_int(), 200U) << i;
+    }
+}
+
+} // namespace
+} // namespace nutmegusher::routed
--- a/nutmegusher/wire/client_session.cpp
+++ b/nutmegusher/wire/client_session.cpp
@@ -86,6 +86,11 @@
     return std::make_unique<client_stream>(connection_, std::move(*opened));
 }
 
+boost::asio::awaitable<outcome<void, stream_failure>> client_session::confirm()
+{
+    return connection_->confirm();
+}
+
 bool client_session::usable() const
 {
     return connection_->usable();
--- a/nutmegusher/wire/client_session.hpp
+++ b/nutmegusher/wire/client_session.hpp
@@ -41,6 +41,15 @@
     [[nodiscard]] outcome<std::unique_ptr<client_stream>, stream_failure>
     open(const request_head& head, bool end_stream);
 
+    // Proof that the peer is there, before a request that may not be sent
+    // again: something was received within `heard_lately`, or comes now in
+    // answer to a PING. Without it the first request on a session that has
+    // gone silent is lost, and nobody can tell whether it ran.
+    // Errors: silent where nothing comes within `confirm_limit`, and the
+    // session is suspect; otherwise why it closed.
+    [[nodiscard]] boost::asio::awaitable<outcome<void, stream_failure>>
+    confirm();
+
     // False when going away, suspect or closed.
     [[nodiscard]] bool usable() const;
 
--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -81,6 +81,7 @@
         one->post_cancelled(context_);
     }
     opened_.notify();
+    wake_listeners();
     if (hooks_.closed)
     {
         asio::post(context_, std::exchange(hooks_.closed, nullptr));
@@ -159,7 +160,7 @@
         lose(stream_failure::cut);
         return false;
     }
-    liveness_.received();
+    heard();
     const auto taken =
         nghttp2_session_mem_recv(session_.get(), buffer.data(), count);
     if (taken < 0)
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -98,6 +99,9 @@
     // Server: running handlers, and responses that are still to be sent.
     [[nodiscard]] std::size_t streams_in_flight() const;
 
+    // See `client_session`.
+    [[nodiscard]] asio::awaitable<outcome<void, stream_failure>> confirm();
+
     // Streams; used by their handles.
     [[nodiscard]] outcome<std::shared_ptr<stream>, stream_failure>
     open(const request_head& head, bool end);
@@ -151,6 +155,9 @@
     void tick();
     [[nodiscard]] liveness::waiting waits_for() const;
     void give_up_movable();
+    void heard();
+    void wake_listeners();
+    void note_no_answer();
 
     // connection_streams.cpp and connection_frames.cpp.
     [[nodiscard]] std::shared_ptr<stream> make_stream(std::int32_t id);
@@ -182,6 +189,9 @@
     bool flush_scheduled_ = false;
 
     liveness liveness_;
+    std::chrono::steady_clock::time_point heard_at_;
+    // Those that wait for the peer to be heard, or for the end.
+    std::list<signal*> listeners_;
     rate_limit control_frames_;
     timer tick_;
     std::chrono::steady_clock::time_point last_tick_;
--- a/nutmegusher/wire/connection_time.cpp
+++ b/nutmegusher/wire/connection_time.cpp
@@ -20,6 +20,36 @@
     return text.str();
 }
 
+// Keeps a listener in the list while it waits.
+class registered_listener
+{
+public:
+    registered_listener(asio::io_context& context, std::list<signal*>& all)
+        : all_(all)
+        , signal_(context)
+        , place_(all_.insert(all_.end(), &signal_))
+    {
+    }
+
+    registered_listener(const registered_listener&) = delete;
+    registered_listener& operator=(const registered_listener&) = delete;
+
+    ~registered_listener()
+    {
+        all_.erase(place_);
+    }
+
+    [[nodiscard]] signal& wait_on()
+    {
+        return signal_;
+    }
+
+private:
+    std::list<signal*>& all_;
+    signal signal_;
+    std::list<signal*>::iterator place_;
+};
+
 } // namespace
 
 void connection::limit_handshake(duration limit)
@@ -36,6 +66,60 @@
     tick_.async_wait(expired);
 }
 
+void connection::heard()
+{
+    liveness_.received();
+    heard_at_ = std::chrono::steady_clock::now();
+    wake_listeners();
+}
+
+void connection::wake_listeners()
+{
+    for (signal* const each : listeners_)
+    {
+        each->notify();
+    }
+}
+
+asio::awaitable<outcome<void, stream_failure>> connection::confirm()
+{
+    const auto self = shared_from_this();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto needed = begin - options_.heard_lately;
+    const auto until = begin + options_.confirm_limit;
+    if (!closed_ && heard_at_ < needed)
+    {
+        nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+        schedule_flush();
+    }
+    while (!closed_ && heard_at_ < needed)
+    {
+        registered_listener listener(context_, listeners_);
+        const auto woken = co_await listener.wait_on().wait_until(until);
+        if (woken == wake::cancelled)
+        {
+            co_return stream_failure::cancelled;
+        }
+        if (woken == wake::timed_out)
+        {
+            note_no_answer();
+            co_return stream_failure::silent;
+        }
+    }
+    if (closed_)
+    {
+        co_return failure_;
+    }
+    co_return outcome<void, stream_failure>();
+}
+
+void connection::note_no_answer()
+{
+    liveness_.unanswered(options_.near_silence_limit);
+    give_up_movable();
+    plan_tick();
+}
+
 // Closing while bytes of the peer are unread would make TCP drop what was
 // sent last; so only the sending side ends, until the peer closes too.
 void connection::linger()
--- a/nutmegusher/wire/liveness.cpp
+++ b/nutmegusher/wire/liveness.cpp
@@ -55,6 +55,14 @@
     return over ? action::give_up : action::none;
 }
 
+void liveness::unanswered(duration time)
+{
+    received_ = false;
+    ping_sent_ = true;
+    suspect_ = true;
+    unanswered_ = std::max(unanswered_, time);
+}
+
 duration liveness::plan_tick(waiting now)
 {
     if (!ping_sent_)
--- a/nutmegusher/wire/liveness.hpp
+++ b/nutmegusher/wire/liveness.hpp
@@ -48,6 +48,10 @@
         suspect_ = false;
     }
 
+    // A PING sent aside of the ticks has had no answer for so long, which is
+    // the limit of silence: the connection is suspect.
+    void unanswered(duration time);
+
     // Time has passed since the tick before.
     [[nodiscard]] action tick(duration elapsed, waiting now);
 
--- a/nutmegusher/wire/session_options.hpp
+++ b/nutmegusher/wire/session_options.hpp
@@ -29,6 +29,18 @@
     // TCP; a second packet lost in a row costs a repeat.
     duration near_ping_interval = std::chrono::milliseconds(150);
     duration near_silence_limit = std::chrono::milliseconds(300);
+    // A peer that was heard from so lately is taken to be there: see
+    // `client_session::confirm`. Far below the time in which a silent session
+    // is found out, and above the pauses of a busy one.
+    duration heard_lately = std::chrono::milliseconds(50);
+    // How long `confirm` waits. Above a round trip between regions; several
+    // hosts that are gone may have to be asked within one call's target. A lost
+    // packet that TCP repeats after 200 ms costs the choice of another peer.
+    duration confirm_limit = std::chrono::milliseconds(150);
+    // Hosts are lost together, as a rack or a data centre: so long after one
+    // was, others that weren't heard from since may be gone as well. Above the
+    // time in which TCP and the ticks find a silent session out.
+    duration loss_memory = std::chrono::seconds(3);
     // Suspect for so long: the open streams fail with `silent` and the
     // connection is closed.
     duration give_up_limit = std::chrono::seconds(2);
--- a/nutmegusher/wire/session_pool.cpp
+++ b/nutmegusher/wire/session_pool.cpp
@@ -153,6 +153,17 @@
             });
     }
 
+    void note_loss()
+    {
+        lost_at_ = std::chrono::steady_clock::now();
+    }
+
+    [[nodiscard]] bool has_lost_lately() const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        return lost_at_ && now - *lost_at_ < options_.loss_memory;
+    }
+
     [[nodiscard]] std::size_t sessions() const
     {
         std::size_t sum = 0;
@@ -293,6 +304,7 @@
     asio::io_context& context_;
     session_options options_;
     std::map<pool_key, std::shared_ptr<pool_entry>> entries_;
+    std::optional<time_point> lost_at_;
     bool closed_ = false;
 };
 
@@ -324,6 +336,16 @@
     return state_->find(key);
 }
 
+void session_pool::note_loss()
+{
+    state_->note_loss();
+}
+
+bool session_pool::has_lost_lately() const
+{
+    return state_->has_lost_lately();
+}
+
 std::size_t session_pool::sessions() const
 {
     return state_->sessions();
--- a/nutmegusher/wire/session_pool.hpp
+++ b/nutmegusher/wire/session_pool.hpp
@@ -45,6 +45,14 @@
         const boost::asio::ip::tcp::endpoint& peer,
         traffic kind = traffic::short_calls) const;
 
+    // A peer was lost: its session went silent or broke, or it can't be
+    // reached.
+    void note_loss();
+
+    // One was within `loss_memory`, and others may have gone with it: requests
+    // are better sent to peers that `client_session::confirm` vouches for.
+    [[nodiscard]] bool has_lost_lately() const;
+
     // Sessions that are open, also suspect ones.
     [[nodiscard]] std::size_t sessions() const;
 
--- a/nutmegusher/wire/silence_test.cpp
+++ b/nutmegusher/wire/silence_test.cpp
@@ -205,5 +205,71 @@
     run(context, silent_between_calls(context));
 }
 
+// A session that was used and then idles; the peer is asked before the next
+// request.
+asio::awaitable<void> confirmed_or_not(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, echo, quick_times());
+    tcp_relay relay(context, server->local_endpoint());
+    auto options = quick_times();
+    options.idle_ping_interval = std::chrono::hours(1);
+    options.confirm_limit = std::chrono::milliseconds(200);
+    options.give_up_limit = std::chrono::seconds(60);
+    session_pool pool(context, options);
+    const auto answer =
+        co_await call(pool, relay.endpoint(), "/echo", "first", test_limit);
+    EXPECT_TRUE(answer);
+    const auto session = co_await pool.get(relay.endpoint());
+    EXPECT_TRUE(session);
+    co_await sleep_for(2 * options.heard_lately);
+    const auto there = co_await (*session)->confirm();
+    EXPECT_TRUE(there);
+
+    relay.silence();
+    co_await sleep_for(2 * options.heard_lately);
+    const auto gone = co_await (*session)->confirm();
+    EXPECT_FALSE(gone);
+    EXPECT_EQ(gone.error(), stream_failure::silent);
+    EXPECT_FALSE((*session)->usable());
+    const auto again =
+        co_await call(pool, relay.endpoint(), "/echo", "again", test_limit);
+    EXPECT_TRUE(again);
+}
+
+TEST(silence, a_peer_is_confirmed_before_what_may_not_be_sent_again)
+{
+    asio::io_context context(1);
+    run(context, confirmed_or_not(context));
+}
+
+asio::awaitable<void> closed_while_asked(asio::io_context& context)
+{
+    const auto server = listen_or_fail(context, echo, quick_times());
+    tcp_relay relay(context, server->local_endpoint());
+    auto options = quick_times();
+    options.confirm_limit = std::chrono::seconds(30);
+    options.silence_limit = std::chrono::seconds(30);
+    const auto session =
+        co_await client_session::connect(context, relay.endpoint(), options);
+    EXPECT_TRUE(session);
+    relay.silence();
+    co_await sleep_for(2 * options.heard_lately);
+    const auto close = [&session]() -> asio::awaitable<void>
+    {
+        co_await sleep_for(std::chrono::milliseconds(20));
+        (*session)->close();
+    };
+    asio::co_spawn(context, close(), asio::detached);
+    const auto gone = co_await (*session)->confirm();
+    EXPECT_FALSE(gone);
+    EXPECT_EQ(gone.error(), stream_failure::cancelled);
+}
+
+TEST(silence, a_session_that_closes_while_its_peer_is_asked_says_so)
+{
+    asio::io_context context(1);
+    run(context, closed_while_asked(context));
+}
+
 } // namespace
 } // namespace nutmegusher::wire
