--- a/nutmegusher/policy/upstream_health.cpp
+++ b/nutmegusher/policy/upstream_health.cpp
@@ -125,6 +125,12 @@
            std::max(shortest_stall_seconds, lane.latency * stall_latencies);
 }
 
+duration upstream_health::quiet(bool bulk, time_point now) const
+{
+    const lane_observation& lane = lanes_[index_of(bulk)];
+    return lane.in_flight == 0 ? duration(0) : now - lane.last_progress;
+}
+
 bool upstream_health::failing() const
 {
     return failures_in_row_ >= failures_to_eject;
--- a/nutmegusher/policy/upstream_health.hpp
+++ b/nutmegusher/policy/upstream_health.hpp
@@ -65,6 +65,10 @@
     // Calls run there, and none has ended for much longer than usual.
     [[nodiscard]] bool stalled(bool bulk, time_point now) const;
 
+    // How long calls have been in flight there without any end; zero where
+    // none is.
+    [[nodiscard]] duration quiet(bool bulk, time_point now) const;
+
     // Failed too often in a row.
     [[nodiscard]] bool failing() const;
 
