Fill large upstreams before slow ones

What callers saw: with upstreams of 72 slots, calls go to one that is a third slower as soon as the others have eight tenths of their slots in use, though they would still find one free at once.

Cause: what the last slots cost was the same whatever their number, and was made for 15 to 31 of them: at 0.8 of 72 more than the time of a whole call.

Mend: the exponent is that of the usual approximation of the wait at many servers (Sakasegawa), 3 for 7 slots as before, 7 for 31 and 11 for 72.

--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -4,15 +4,18 @@
 #include <array>
 #include <cmath>
 
-namespace nutmegusher {
+namespace nutmegusher
+{
 
-namespace {
+namespace
+{
 
 using internal::upstream_health;
 
-constexpr std::array distances{network_distance::same_data_center,
-                               network_distance::same_region,
-                               network_distance::other_region};
+constexpr std::array distances{
+    network_distance::same_data_center,
+    network_distance::same_region,
+    network_distance::other_region};
 
 // An upstream this many times slower than the median of the others gives
 // callers less than a third of what another would; noise of its moving mean
@@ -63,465 +66,602 @@
 constexpr double far_seconds = 0.002;
 constexpr double far_share = 0.6;
 
-double seconds(duration time) {
-  return std::chrono::duration<double>(time).count();
+double seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
 }
 
 // Zero of nothing; the higher of two.
-double upper_median(std::vector<double> &values) {
-  if (values.empty()) {
-    return 0;
-  }
-  const auto middle =
-      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
-  return *middle;
+double upper_median(std::vector<double>& values)
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
 }
 
 } // namespace
 
-router::router(router_options options) : options_(options) {}
+router::router(router_options options)
+    : options_(options)
+{
+}
+
+void router::update(std::span<const candidate> candidates, time_point now)
+{
+    const bool running = !entries_.empty();
+    std::vector<entry> kept;
+    kept.reserve(candidates.size());
+    for (const candidate& each : candidates)
+    {
+        const auto known = std::find_if(
+            entries_.begin(),
+            entries_.end(),
+            [&each](const entry& old)
+            {
+                return old.where.host == each.host &&
+                       old.where.start == each.start;
+            });
+        if (known != entries_.end())
+        {
+            known->where = each;
+            kept.push_back(std::move(*known));
+            entries_.erase(known);
+            continue;
+        }
+        entry added;
+        added.handle = upstream_handle(++last_handle_);
+        added.where = each;
+        added.warm_at = running ? now + ramp : now;
+        kept.push_back(std::move(added));
+    }
+    entries_ = std::move(kept);
+}
 
-void router::update(std::span<const candidate> candidates, time_point now) {
-  const bool running = !entries_.empty();
-  std::vector<entry> kept;
-  kept.reserve(candidates.size());
-  for (const candidate &each : candidates) {
-    const auto known = std::find_if(
-        entries_.begin(), entries_.end(), [&each](const entry &old) {
-          return old.where.host == each.host && old.where.start == each.start;
-        });
-    if (known != entries_.end()) {
-      known->where = each;
-      kept.push_back(std::move(*known));
-      entries_.erase(known);
-      continue;
-    }
-    entry added;
-    added.handle = upstream_handle(++last_handle_);
-    added.where = each;
-    added.warm_at = running ? now + ramp : now;
-    kept.push_back(std::move(added));
-  }
-  entries_ = std::move(kept);
-}
-
-router::pick router::find(upstream_handle handle) const {
-  for (std::size_t index = 0; index < entries_.size(); ++index) {
-    if (entries_[index].handle == handle) {
-      return index;
-    }
-  }
-  return std::nullopt;
-}
-
-bool router::usable(const entry &each, std::span<const upstream_handle> tried,
-                    time_point now) const {
-  return !each.where.leaving && now >= each.leaves_until &&
-         std::find(tried.begin(), tried.end(), each.handle) == tried.end();
-}
-
-bool router::healthy(const entry &each, bool bulk, time_point now) const {
-  return !each.health.ejected() && !each.health.stalled(bulk, now);
-}
-
-std::optional<upstream_handle>
-router::choose(const call_facts &call, std::span<const upstream_handle> tried,
-               time_point now, random_engine &engine) {
-  if (const pick probe = due_probe(call, tried, now)) {
-    entries_[*probe].health.begin_probe();
-    return entries_[*probe].handle;
-  }
-  if (!options_.near_first) {
-    const pick chosen = choose_by_time(call, tried, now, engine);
-    return chosen ? std::optional(entries_[*chosen].handle) : std::nullopt;
-  }
-  for (const network_distance distance : distances) {
-    const auto takes = [&](const entry &each) {
-      return each.where.distance == distance && usable(each, tried, now) &&
-             healthy(each, call.bulk, now) && each.health.takes(call, now);
+router::pick router::find(upstream_handle handle) const
+{
+    for (std::size_t index = 0; index < entries_.size(); ++index)
+    {
+        if (entries_[index].handle == handle)
+        {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+bool router::usable(
+    const entry& each,
+    std::span<const upstream_handle> tried,
+    time_point now) const
+{
+    return !each.where.leaving && now >= each.leaves_until &&
+           std::find(tried.begin(), tried.end(), each.handle) == tried.end();
+}
+
+bool router::healthy(const entry& each, bool bulk, time_point now) const
+{
+    return !each.health.ejected() && !each.health.stalled(bulk, now);
+}
+
+std::optional<upstream_handle> router::choose(
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    time_point now,
+    random_engine& engine)
+{
+    if (const pick probe = due_probe(call, tried, now))
+    {
+        entries_[*probe].health.begin_probe();
+        return entries_[*probe].handle;
+    }
+    if (!options_.near_first)
+    {
+        const pick chosen = choose_by_time(call, tried, now, engine);
+        return chosen ? std::optional(entries_[*chosen].handle) : std::nullopt;
+    }
+    for (const network_distance distance : distances)
+    {
+        const auto takes = [&](const entry& each)
+        {
+            return each.where.distance == distance &&
+                   usable(each, tried, now) && healthy(each, call.bulk, now) &&
+                   each.health.takes(call, now);
+        };
+        if (const pick chosen = best_of_two(call.bulk, now, engine, takes))
+        {
+            return entries_[*chosen].handle;
+        }
+    }
+    // All refuse, as far as is known: the upstream itself decides.
+    const auto is_healthy = [&](const entry& each)
+    {
+        return usable(each, tried, now) && healthy(each, call.bulk, now);
+    };
+    if (const pick chosen = best_of_two(call.bulk, now, engine, is_healthy))
+    {
+        return entries_[*chosen].handle;
+    }
+    const auto any = [&](const entry& each)
+    {
+        return usable(each, tried, now);
     };
-    if (const pick chosen = best_of_two(call.bulk, now, engine, takes)) {
-      return entries_[*chosen].handle;
-    }
-  }
-  // All refuse, as far as is known: the upstream itself decides.
-  const auto is_healthy = [&](const entry &each) {
-    return usable(each, tried, now) && healthy(each, call.bulk, now);
-  };
-  if (const pick chosen = best_of_two(call.bulk, now, engine, is_healthy)) {
-    return entries_[*chosen].handle;
-  }
-  const auto any = [&](const entry &each) { return usable(each, tried, now); };
-  if (const pick chosen = best_of_two(call.bulk, now, engine, any)) {
-    return entries_[*chosen].handle;
-  }
-  return std::nullopt;
-}
-
-router::pick router::choose_by_time(const call_facts &call,
-                                    std::span<const upstream_handle> tried,
-                                    time_point now, random_engine &engine) {
-  const auto is_healthy = [&](const entry &each) {
-    return usable(each, tried, now) && healthy(each, call.bulk, now);
-  };
-  const auto is_near = [&](const entry &each) {
-    return each.where.distance == network_distance::same_data_center &&
-           is_healthy(each);
-  };
-  // Two of the near ones compete with two of all: two of all alone are both
-  // far in most draws.
-  const pick near = best_of_two(call.bulk, now, engine, is_near);
-  const pick chosen = best_of_two(call.bulk, now, engine, is_healthy);
-  if (near && chosen) {
-    const bool is_nearer = cost(entries_[*near], call.bulk, now) <=
-                           cost(entries_[*chosen], call.bulk, now);
-    return is_nearer ? near : chosen;
-  }
-  if (chosen) {
-    return chosen;
-  }
-  const auto any = [&](const entry &each) { return usable(each, tried, now); };
-  return best_of_two(call.bulk, now, engine, any);
-}
-
-bool router::takes_elsewhere(const call_facts &call,
-                             std::span<const upstream_handle> tried,
-                             time_point now) const {
-  return std::any_of(entries_.begin(), entries_.end(), [&](const entry &each) {
-    return usable(each, tried, now) && healthy(each, call.bulk, now) &&
-           each.health.takes(call, now);
-  });
-}
-
-bool router::worth_moving(const call_facts &call,
-                          std::span<const upstream_handle> tried,
-                          time_point now) const {
-  const bool pressed =
-      std::any_of(entries_.begin(), entries_.end(), [now](const entry &each) {
-        return each.health.refuses(now);
-      });
-  return !pressed && takes_elsewhere(call, tried, now);
-}
-
-router::pick router::due_probe(const call_facts &call,
-                               std::span<const upstream_handle> tried,
-                               time_point now) {
-  // The probe may fail: a call that can be tried again loses nothing.
-  if (!call.repeatable || call.bulk) {
+    if (const pick chosen = best_of_two(call.bulk, now, engine, any))
+    {
+        return entries_[*chosen].handle;
+    }
     return std::nullopt;
-  }
-  for (std::size_t index = 0; index < entries_.size(); ++index) {
-    const entry &each = entries_[index];
-    if (usable(each, tried, now) && each.health.probe_due(now)) {
-      return index;
+}
+
+router::pick router::choose_by_time(
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    time_point now,
+    random_engine& engine)
+{
+    const auto is_healthy = [&](const entry& each)
+    {
+        return usable(each, tried, now) && healthy(each, call.bulk, now);
+    };
+    const auto is_near = [&](const entry& each)
+    {
+        return each.where.distance == network_distance::same_data_center &&
+               is_healthy(each);
+    };
+    // Two of the near ones compete with two of all: two of all alone are both
+    // far in most draws.
+    const pick near = best_of_two(call.bulk, now, engine, is_near);
+    const pick chosen = best_of_two(call.bulk, now, engine, is_healthy);
+    if (near && chosen)
+    {
+        const bool is_nearer = cost(entries_[*near], call.bulk, now) <=
+                               cost(entries_[*chosen], call.bulk, now);
+        return is_nearer ? near : chosen;
     }
-  }
-  return std::nullopt;
+    if (chosen)
+    {
+        return chosen;
+    }
+    const auto any = [&](const entry& each)
+    {
+        return usable(each, tried, now);
+    };
+    return best_of_two(call.bulk, now, engine, any);
+}
+
+bool router::takes_elsewhere(
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    time_point now) const
+{
+    return std::any_of(
+        entries_.begin(),
+        entries_.end(),
+        [&](const entry& each)
+        {
+            return usable(each, tried, now) && healthy(each, call.bulk, now) &&
+                   each.health.takes(call, now);
+        });
+}
+
+bool router::worth_moving(
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    time_point now) const
+{
+    const bool pressed = std::any_of(
+        entries_.begin(),
+        entries_.end(),
+        [now](const entry& each)
+        {
+            return each.health.refuses(now);
+        });
+    return !pressed && takes_elsewhere(call, tried, now);
+}
+
+router::pick router::due_probe(
+    const call_facts& call,
+    std::span<const upstream_handle> tried,
+    time_point now)
+{
+    // The probe may fail: a call that can be tried again loses nothing.
+    if (!call.repeatable || call.bulk)
+    {
+        return std::nullopt;
+    }
+    for (std::size_t index = 0; index < entries_.size(); ++index)
+    {
+        const entry& each = entries_[index];
+        if (usable(each, tried, now) && each.health.probe_due(now))
+        {
+            return index;
+        }
+    }
+    return std::nullopt;
 }
 
 // What is known of an upstream now: its own word as far as that is recent, and
 // the mean of the service's other words for the rest.
-router::expectation router::expect(const entry &each, time_point now) const {
-  if (each.load.slots == 0) {
-    return {mean_hold_, mean_taken_};
-  }
-  const double told_hold =
-      std::max(seconds(each.load.hold), least_hold_seconds);
-  const auto slots = static_cast<double>(each.load.slots);
-  const auto calls = static_cast<double>(each.load.running + each.load.waiting);
-  const double age = seconds(now - each.load_at - load_lifetime);
-  if (age <= 0) {
-    const auto sent = static_cast<double>(each.sent_since);
-    return {told_hold, (calls + sent) / slots};
-  }
-  const auto sent =
-      static_cast<double>(std::min(each.sent_since, each.health.in_flight()));
-  const double load_half_life = std::max(told_hold, seconds(load_lifetime));
-  const double load_share = std::exp2(-age / load_half_life);
-  const double hold_share = std::exp2(-age / hold_half_life_seconds);
-  return {mean_hold_ + (told_hold - mean_hold_) * hold_share,
-          mean_taken_ + (calls / slots - mean_taken_) * load_share +
-              sent / slots};
+router::expectation router::expect(const entry& each, time_point now) const
+{
+    if (each.load.slots == 0)
+    {
+        return {mean_hold_, mean_taken_, mean_slots_};
+    }
+    const double told_hold =
+        std::max(seconds(each.load.hold), least_hold_seconds);
+    const auto slots = static_cast<double>(each.load.slots);
+    const auto calls =
+        static_cast<double>(each.load.running + each.load.waiting);
+    const double age = seconds(now - each.load_at - load_lifetime);
+    if (age <= 0)
+    {
+        const auto sent = static_cast<double>(each.sent_since);
+        return {told_hold, (calls + sent) / slots, slots};
+    }
+    const auto sent =
+        static_cast<double>(std::min(each.sent_since, each.health.in_flight()));
+    const double load_half_life = std::max(told_hold, seconds(load_lifetime));
+    const double load_share = std::exp2(-age / load_half_life);
+    const double hold_share = std::exp2(-age / hold_half_life_seconds);
+    return {
+        mean_hold_ + (told_hold - mean_hold_) * hold_share,
+        mean_taken_ + (calls / slots - mean_taken_) * load_share + sent / slots,
+        slots};
 }
 
 // The expected time of one more call there, in seconds; nothing where no
 // upstream of the service has told its load.
-std::optional<double> router::told_cost(const entry &each, bool bulk,
-                                        time_point now) const {
-  if (mean_hold_ <= 0) {
-    return std::nullopt;
-  }
-  const auto [hold, taken] = expect(each, now);
-  const double queue = std::max(taken - 1.0, 0.0) * queue_weight;
-  const double expected =
-      hold * (1.0 + queue) + crowd(taken) * mean_hold_ + way(each, hold);
-  return std::max(expected, seconds(each.health.quiet(bulk, now)));
+std::optional<double>
+router::told_cost(const entry& each, bool bulk, time_point now) const
+{
+    if (mean_hold_ <= 0)
+    {
+        return std::nullopt;
+    }
+    const auto [hold, taken, slots] = expect(each, now);
+    const double queue = std::max(taken - 1.0, 0.0) * queue_weight;
+    const double expected = hold * (1.0 + queue) +
+                            crowd(taken, slots) * mean_hold_ + way(each, hold);
+    return std::max(expected, seconds(each.health.quiet(bulk, now)));
 }
 
-// What it costs to take one of the last slots, in mean times of a call.
-double router::crowd(double taken) {
-  const double filled = std::min(taken, most_crowded);
-  return crowd_weight * filled * filled * filled / (1.0 - filled);
+// What it costs to take one of the last slots, in mean times of a call. The
+// exponent is that of the usual approximation of the wait at many servers: of
+// 72 slots the sixtieth still finds others free, of 8 the seventh hardly.
+double router::crowd(double taken, double slots)
+{
+    const double filled = std::min(taken, most_crowded);
+    const double exponent = std::sqrt(2.0 * (slots + 1.0)) - 1.0;
+    return crowd_weight * std::pow(filled, exponent) / (1.0 - filled);
 }
 
 // What the distance adds to the expected time, in seconds.
-double router::way(const entry &each, double hold) const {
-  const bool near = each.where.distance == network_distance::same_data_center;
-  return options_.near_first || near ? 0.0 : far_seconds + hold * far_share;
-}
-
-double router::cost(const entry &each, bool bulk, time_point now) const {
-  const double failing = each.errors.cost(sent_, now);
-  const auto told = told_cost(each, bulk, now);
-  if (told && each.load.slots > 0) {
-    return *told + failing;
-  }
-  const double expected = told.value_or(each.health.cost(bulk) +
-                                        way(each, each.health.latency(bulk)));
-  if (now >= each.warm_at) {
-    return expected + failing;
-  }
-  const double left = seconds(each.warm_at - now) / seconds(ramp);
-  return (expected + failing) * (1.0 + ramp_cost * left);
+double router::way(const entry& each, double hold) const
+{
+    const bool near = each.where.distance == network_distance::same_data_center;
+    return options_.near_first || near ? 0.0 : far_seconds + hold * far_share;
+}
+
+double router::cost(const entry& each, bool bulk, time_point now) const
+{
+    const double failing = each.errors.cost(sent_, now);
+    const auto told = told_cost(each, bulk, now);
+    if (told && each.load.slots > 0)
+    {
+        return *told + failing;
+    }
+    const double expected = told.value_or(
+        each.health.cost(bulk) + way(each, each.health.latency(bulk)));
+    if (now >= each.warm_at)
+    {
+        return expected + failing;
+    }
+    const double left = seconds(each.warm_at - now) / seconds(ramp);
+    return (expected + failing) * (1.0 + ramp_cost * left);
 }
 
 template <class Accept>
-router::pick router::best_of_two(bool bulk, time_point now,
-                                 random_engine &engine, const Accept &accept) {
-  // Two of those accepted, by reservoir sampling: no list is built.
-  std::array<std::size_t, 2> sample{};
-  std::size_t seen = 0;
-  for (std::size_t index = 0; index < entries_.size(); ++index) {
-    if (!accept(entries_[index])) {
-      continue;
-    }
-    ++seen;
-    if (seen <= sample.size()) {
-      sample[seen - 1] = index;
-      continue;
-    }
-    const std::uint64_t slot = uniform_below(engine, seen);
-    if (slot < sample.size()) {
-      sample[slot] = index;
-    }
-  }
-  if (seen == 0) {
-    return std::nullopt;
-  }
-  if (seen == 1) {
-    return sample[0];
-  }
-  const double first = cost(entries_[sample[0]], bulk, now);
-  const double second = cost(entries_[sample[1]], bulk, now);
-  if (first == second) {
-    return sample[uniform_below(engine, sample.size())];
-  }
-  return first < second ? sample[0] : sample[1];
-}
-
-void router::on_start(upstream_handle to, bool bulk, time_point now) {
-  if (const pick found = find(to)) {
-    ++sent_;
-    entry &one = entries_[*found];
-    one.health.on_start(bulk, now);
-    one.errors.on_start(sent_, now);
-    ++one.sent_since;
-  }
-}
-
-void router::on_answer(upstream_handle from, bool bulk, duration elapsed,
-                       time_point now) {
-  end(from, bulk, upstream_health::ending::answer, elapsed, now);
-}
-
-void router::on_failure(upstream_handle from, bool bulk, time_point now) {
-  end(from, bulk, upstream_health::ending::failure, duration(0), now);
-}
-
-void router::on_silent(upstream_handle from, bool bulk, time_point now) {
-  end(from, bulk, upstream_health::ending::silence, duration(0), now);
-}
-
-void router::on_neutral(upstream_handle from, bool bulk, time_point now) {
-  end(from, bulk, upstream_health::ending::neutral, duration(0), now);
-}
-
-void router::on_leaving(upstream_handle from, bool bulk, time_point now) {
-  on_neutral(from, bulk, now);
-  if (const pick found = find(from)) {
-    entries_[*found].leaves_until = now + leaving_memory;
-  }
-}
-
-void router::on_gone(upstream_handle from, bool bulk, time_point now) {
-  on_neutral(from, bulk, now);
-  if (const pick found = find(from)) {
-    entries_[*found].leaves_until = now + gone_memory;
-  }
-}
-
-void router::end(upstream_handle from, bool bulk,
-                 internal::upstream_health::ending how, duration elapsed,
-                 time_point now) {
-  const pick found = find(from);
-  if (!found) {
-    return;
-  }
-  entry &one = entries_[*found];
-  one.health.on_end(bulk, how, elapsed, now);
-  if (one.health.failing()) {
-    // A failed probe prolongs the ejection.
-    if (one.health.ejected() || may_eject(one)) {
-      one.health.eject(now);
-    }
-    return;
-  }
-  // Where upstreams tell their load a slow one gets less by its time alone:
-  // without it a full service would lose what it still can do.
-  if (how == upstream_health::ending::answer && options_.near_first) {
-    eject_if_slow(one, bulk, now);
-  }
-}
-
-bool router::may_eject(const entry &suspect) const {
-  std::size_t staying = 0;
-  std::size_t sound = 0;
-  for (const entry &each : entries_) {
-    if (each.where.leaving) {
-      continue;
-    }
-    ++staying;
-    const bool other = &each != &suspect;
-    sound += other && !each.health.ejected() && !each.health.failed_last();
-  }
-  return sound * 2 >= staying;
-}
-
-double router::median_of_others(const entry &one, bool bulk) const {
-  values_.clear();
-  for (const entry &each : entries_) {
-    const double latency = each.health.latency(bulk);
-    if (&each != &one && latency > 0 && !each.health.ejected()) {
-      values_.push_back(latency);
-    }
-  }
-  return upper_median(values_);
-}
-
-lane_level router::median_level(bool bulk, time_point now) const {
-  values_.clear();
-  for (const entry &each : entries_) {
-    if (!each.where.leaving && !each.health.ejected()) {
-      const admission_level level = each.health.level(now);
-      values_.push_back(pass_below(bulk ? level.bulk_lane : level.short_lane));
-    }
-  }
-  return values_.empty() ? lane_level{}
-                         : lane_level_below(upper_median(values_));
-}
-
-admission_level router::service_level(time_point now) const {
-  admission_level all;
-  all.short_lane = median_level(false, now);
-  all.bulk_lane = median_level(true, now);
-  for (const entry &each : entries_) {
-    all.come_back_after =
-        std::max(all.come_back_after, each.health.level(now).come_back_after);
-  }
-  return all;
-}
-
-admission_level level_ahead(const router &route, const answer_levels &levels,
-                            bool bulk, time_point now) {
-  admission_level own = route.service_level(now);
-  const lane_level lane = bulk ? own.bulk_lane : own.short_lane;
-  own.short_lane = lane;
-  own.bulk_lane = lane;
-  return stricter(own, levels.deeper);
-}
-
-void router::eject_if_slow(entry &suspect, bool bulk, time_point now) {
-  const double own = suspect.health.latency(bulk);
-  double &mean = mean_latency_[bulk ? 1 : 0];
-  mean = mean == 0 ? own : mean + (own - mean) * mean_weight;
-  // The median is looked up only for those that may lie far above it.
-  if (suspect.health.ejected() || own < least_slow_seconds ||
-      own < mean * suspect_factor) {
-    return;
-  }
-  const double others = median_of_others(suspect, bulk);
-  if (others > 0 && own > others * slow_factor && may_eject(suspect)) {
-    suspect.health.eject(now);
-  }
-}
-
-std::optional<duration> router::try_timeout(upstream_handle at,
-                                            bool bulk) const {
-  const pick found = find(at);
-  if (!found) {
-    return std::nullopt;
-  }
-  const double others = median_of_others(entries_[*found], bulk);
-  if (others <= 0) {
-    return std::nullopt;
-  }
-  const double seconds =
-      std::max(others * timeout_factor, least_timeout_seconds);
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(seconds));
-}
-
-void router::on_load(upstream_handle from, const upstream_load &load,
-                     time_point now) {
-  if (const pick found = find(from)) {
-    entry &one = entries_[*found];
-    one.load = load;
-    one.load_at = now;
-    one.sent_since = 0;
-    learn_means(load);
-    one.errors.on_word(load.errors, sent_, now);
-  }
-}
-
-void router::learn_means(const upstream_load &load) {
-  if (load.slots == 0 || load.hold <= duration(0)) {
-    return;
-  }
-  const double hold = seconds(load.hold);
-  const auto slots = static_cast<double>(load.slots);
-  const double taken = static_cast<double>(load.running + load.waiting) / slots;
-  if (mean_hold_ <= 0) {
-    mean_hold_ = hold;
-    mean_taken_ = taken;
-    return;
-  }
-  mean_hold_ += (hold - mean_hold_) * mean_hold_weight;
-  mean_taken_ += (taken - mean_taken_) * mean_taken_weight;
-}
-
-void router::on_level(upstream_handle from, const admission_level &level,
-                      time_point now) {
-  if (const pick found = find(from)) {
-    entries_[*found].health.on_level(level, now);
-  }
-}
-
-const host_id *router::host(upstream_handle of) const {
-  const pick found = find(of);
-  return found ? &entries_[*found].where.host : nullptr;
-}
-
-std::vector<upstream_state> router::state() const {
-  std::vector<upstream_state> states;
-  states.reserve(entries_.size());
-  for (const entry &each : entries_) {
-    const std::chrono::duration<double> latency(each.health.latency(false));
-    states.push_back({each.handle, each.where.host, each.health.in_flight(),
-                      std::chrono::duration_cast<duration>(latency),
-                      each.health.ejected(), each.where.leaving});
-  }
-  return states;
+router::pick router::best_of_two(
+    bool bulk, time_point now, random_engine& engine, const Accept& accept)
+{
+    // Two of those accepted, by reservoir sampling: no list is built.
+    std::array<std::size_t, 2> sample{};
+    std::size_t seen = 0;
+    for (std::size_t index = 0; index < entries_.size(); ++index)
+    {
+        if (!accept(entries_[index]))
+        {
+            continue;
+        }
+        ++seen;
+        if (seen <= sample.size())
+        {
+            sample[seen - 1] = index;
+            continue;
+        }
+        const std::uint64_t slot = uniform_below(engine, seen);
+        if (slot < sample.size())
+        {
+            sample[slot] = index;
+        }
+    }
+    if (seen == 0)
+    {
+        return std::nullopt;
+    }
+    if (seen == 1)
+    {
+        return sample[0];
+    }
+    const double first = cost(entries_[sample[0]], bulk, now);
+    const double second = cost(entries_[sample[1]], bulk, now);
+    if (first == second)
+    {
+        return sample[uniform_below(engine, sample.size())];
+    }
+    return first < second ? sample[0] : sample[1];
+}
+
+void router::on_start(upstream_handle to, bool bulk, time_point now)
+{
+    if (const pick found = find(to))
+    {
+        ++sent_;
+        entry& one = entries_[*found];
+        one.health.on_start(bulk, now);
+        one.errors.on_start(sent_, now);
+        ++one.sent_since;
+    }
+}
+
+void router::on_answer(
+    upstream_handle from, bool bulk, duration elapsed, time_point now)
+{
+    end(from, bulk, upstream_health::ending::answer, elapsed, now);
+}
+
+void router::on_failure(upstream_handle from, bool bulk, time_point now)
+{
+    end(from, bulk, upstream_health::ending::failure, duration(0), now);
+}
+
+void router::on_silent(upstream_handle from, bool bulk, time_point now)
+{
+    end(from, bulk, upstream_health::ending::silence, duration(0), now);
+}
+
+void router::on_neutral(upstream_handle from, bool bulk, time_point now)
+{
+    end(from, bulk, upstream_health::ending::neutral, duration(0), now);
+}
+
+void router::on_leaving(upstream_handle from, bool bulk, time_point now)
+{
+    on_neutral(from, bulk, now);
+    if (const pick found = find(from))
+    {
+        entries_[*found].leaves_until = now + leaving_memory;
+    }
+}
+
+void router::on_gone(upstream_handle from, bool bulk, time_point now)
+{
+    on_neutral(from, bulk, now);
+    if (const pick found = find(from))
+    {
+        entries_[*found].leaves_until = now + gone_memory;
+    }
+}
+
+void router::end(
+    upstream_handle from,
+    bool bulk,
+    internal::upstream_health::ending how,
+    duration elapsed,
+    time_point now)
+{
+    const pick found = find(from);
+    if (!found)
+    {
+        return;
+    }
+    entry& one = entries_[*found];
+    one.health.on_end(bulk, how, elapsed, now);
+    if (one.health.failing())
+    {
+        // A failed probe prolongs the ejection.
+        if (one.health.ejected() || may_eject(one))
+        {
+            one.health.eject(now);
+        }
+        return;
+    }
+    // Where upstreams tell their load a slow one gets less by its time alone:
+    // without it a full service would lose what it still can do.
+    if (how == upstream_health::ending::answer && options_.near_first)
+    {
+        eject_if_slow(one, bulk, now);
+    }
+}
+
+bool router::may_eject(const entry& suspect) const
+{
+    std::size_t staying = 0;
+    std::size_t sound = 0;
+    for (const entry& each : entries_)
+    {
+        if (each.where.leaving)
+        {
+            continue;
+        }
+        ++staying;
+        const bool other = &each != &suspect;
+        sound += other && !each.health.ejected() && !each.health.failed_last();
+    }
+    return sound * 2 >= staying;
+}
+
+double router::median_of_others(const entry& one, bool bulk) const
+{
+    values_.clear();
+    for (const entry& each : entries_)
+    {
+        const double latency = each.health.latency(bulk);
+        if (&each != &one && latency > 0 && !each.health.ejected())
+        {
+            values_.push_back(latency);
+        }
+    }
+    return upper_median(values_);
+}
+
+lane_level router::median_level(bool bulk, time_point now) const
+{
+    values_.clear();
+    for (const entry& each : entries_)
+    {
+        if (!each.where.leaving && !each.health.ejected())
+        {
+            const admission_level level = each.health.level(now);
+            values_.push_back(
+                pass_below(bulk ? level.bulk_lane : level.short_lane));
+        }
+    }
+    return values_.empty() ? lane_level{}
+                           : lane_level_below(upper_median(values_));
+}
+
+admission_level router::service_level(time_point now) const
+{
+    admission_level all;
+    all.short_lane = median_level(false, now);
+    all.bulk_lane = median_level(true, now);
+    for (const entry& each : entries_)
+    {
+        all.come_back_after = std::max(
+            all.come_back_after, each.health.level(now).come_back_after);
+    }
+    return all;
+}
+
+admission_level level_ahead(
+    const router& route, const answer_levels& levels, bool bulk, time_point now)
+{
+    admission_level own = route.service_level(now);
+    const lane_level lane = bulk ? own.bulk_lane : own.short_lane;
+    own.short_lane = lane;
+    own.bulk_lane = lane;
+    return stricter(own, levels.deeper);
+}
+
+void router::eject_if_slow(entry& suspect, bool bulk, time_point now)
+{
+    const double own = suspect.health.latency(bulk);
+    double& mean = mean_latency_[bulk ? 1 : 0];
+    mean = mean == 0 ? own : mean + (own - mean) * mean_weight;
+    // The median is looked up only for those that may lie far above it.
+    if (suspect.health.ejected() || own < least_slow_seconds ||
+        own < mean * suspect_factor)
+    {
+        return;
+    }
+    const double others = median_of_others(suspect, bulk);
+    if (others > 0 && own > others * slow_factor && may_eject(suspect))
+    {
+        suspect.health.eject(now);
+    }
+}
+
+std::optional<duration> router::try_timeout(upstream_handle at, bool bulk) const
+{
+    const pick found = find(at);
+    if (!found)
+    {
+        return std::nullopt;
+    }
+    const double others = median_of_others(entries_[*found], bulk);
+    if (others <= 0)
+    {
+        return std::nullopt;
+    }
+    const double seconds =
+        std::max(others * timeout_factor, least_timeout_seconds);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+void router::on_load(
+    upstream_handle from, const upstream_load& load, time_point now)
+{
+    if (const pick found = find(from))
+    {
+        entry& one = entries_[*found];
+        one.load = load;
+        one.load_at = now;
+        one.sent_since = 0;
+        learn_means(load);
+        one.errors.on_word(load.errors, sent_, now);
+    }
+}
+
+void router::learn_means(const upstream_load& load)
+{
+    if (load.slots == 0 || load.hold <= duration(0))
+    {
+        return;
+    }
+    const double hold = seconds(load.hold);
+    const auto slots = static_cast<double>(load.slots);
+    const double taken =
+        static_cast<double>(load.running + load.waiting) / slots;
+    if (mean_hold_ <= 0)
+    {
+        mean_hold_ = hold;
+        mean_taken_ = taken;
+        mean_slots_ = slots;
+        return;
+    }
+    mean_hold_ += (hold - mean_hold_) * mean_hold_weight;
+    mean_taken_ += (taken - mean_taken_) * mean_taken_weight;
+    mean_slots_ += (slots - mean_slots_) * mean_hold_weight;
+}
+
+void router::on_level(
+    upstream_handle from, const admission_level& level, time_point now)
+{
+    if (const pick found = find(from))
+    {
+        entries_[*found].health.on_level(level, now);
+    }
+}
+
+const host_id* router::host(upstream_handle of) const
+{
+    const pick found = find(of);
+    return found ? &entries_[*found].where.host : nullptr;
+}
+
+std::vector<upstream_state> router::state() const
+{
+    std::vector<upstream_state> states;
+    states.reserve(entries_.size());
+    for (const entry& each : entries_)
+    {
+        const std::chrono::duration<double> latency(each.health.latency(false));
+        states.push_back(
+            {each.handle,
+             each.where.host,
+             each.health.in_flight(),
+             std::chrono::duration_cast<duration>(latency),
+             each.health.ejected(),
+             each.where.leaving});
+    }
+    return states;
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/policy/router_by_time_test.cpp
+++ b/nutmegusher/policy/router_by_time_test.cpp
@@ -79,6 +79,29 @@
     EXPECT_GT(counts[0], 600);
 }
 
+// Two upstreams of 72 slots and one that is a third slower: at eight tenths a
+// call still finds a slot free at once in the faster ones.
+TEST_F(by_time, a_slow_one_is_spared_until_large_ones_are_nearly_full)
+{
+    const std::array<candidate, 3> alike{
+        candidate{host_id("slow"), network_distance::same_data_center},
+        candidate{host_id("fast-1"), network_distance::same_data_center},
+        candidate{host_id("fast-2"), network_distance::same_data_center}};
+    route.update(alike, now);
+    const auto states = route.state();
+    const auto slow = states[0].handle;
+    int to_slow = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        route.on_load(slow, {20, 0, 72, 2600ms}, now);
+        route.on_load(states[1].handle, {58, 0, 72, 1900ms}, now);
+        route.on_load(states[2].handle, {58, 0, 72, 1900ms}, now);
+        const bool is_slow = route.choose({}, {}, now, engine) == slow;
+        to_slow += is_slow ? 1 : 0;
+    }
+    EXPECT_EQ(to_slow, 0);
+}
+
 // One upstream of three fails half of its calls at once, and has the shortest
 // queue for it; calls come at 500 a second.
 class one_fails : public by_time
