Log a request that was read and got no answer, and what a stop leaves behind

Event 403 names a request whose connection ends without an answer though its caller is there; event 102 says how many requests and calls were in flight and how many connections open at the very end of the process, not at the last look before it. With these a cut at the end of a stop (102 with 'in_flight', then 403) differs from a lost session (403 without 102, or a refusal with a reason) and from a request that was never counted (neither).

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -99,6 +99,8 @@
     event_description{event::answer_broken, "answer_broken", severity::warning},
     event_description{
         event::request_unknown, "request_unknown", severity::warning},
+    event_description{
+        event::request_unanswered, "request_unanswered", severity::error},
     event_description{event::claim_refused, "claim_refused", severity::info},
     event_description{
         event::claim_unreachable, "claim_unreachable", severity::warning},
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -64,6 +64,7 @@
     request_refused = 400,
     answer_broken = 401,
     request_unknown = 402,
+    request_unanswered = 403,
     claim_refused = 500,
     claim_unreachable = 501,
     outcome_not_recorded = 502,
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -154,6 +154,7 @@
     asio::awaitable<void> wait_until_served();
     asio::awaitable<bool> stop_workers();
     [[nodiscard]] asio::awaitable<std::size_t> in_flight();
+    [[nodiscard]] asio::awaitable<std::size_t> open_connections();
 
     controllers shared;
     std::unique_ptr<extension> added;
@@ -476,6 +477,23 @@
     co_return count;
 }
 
+asio::awaitable<std::size_t> daemon::state::open_connections()
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        auto& own = listening[i];
+        const auto ask = [&own]() -> asio::awaitable<std::size_t>
+        {
+            co_return (own.callers ? own.callers->connections() : 0) +
+                (own.upstream ? own.upstream->connections() : 0);
+        };
+        count += co_await asio::co_spawn(
+            workers[i]->context, ask(), asio::use_awaitable);
+    }
+    co_return count;
+}
+
 asio::awaitable<void> daemon::state::wait_until_served()
 {
     asio::steady_timer timer(first().context);
@@ -590,7 +608,11 @@
     {
         control->stop();
     }
-    log_event(event::process_stopped, {{"cut", !clean}});
+    const std::uint64_t left = co_await in_flight();
+    const std::uint64_t open = co_await open_connections();
+    log_event(
+        event::process_stopped,
+        {{"cut", !clean || left > 0}, {"in_flight", left}, {"open", open}});
     for (auto& each : workers)
     {
         each->context.stop();
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -115,6 +115,10 @@
     ~beast_exchange() override
     {
         stop_watch();
+        if (read_at_ && !finished_ && !peer_has_closed(stream_.socket()))
+        {
+            log_unanswered();
+        }
     }
 
     beast_exchange(const beast_exchange&) = delete;
@@ -127,6 +131,7 @@
         if (!failed)
         {
             head_ = to_request_head(parser_.get().base());
+            read_at_ = host_clock().now();
             keep_alive_ = parser_.get().keep_alive();
         }
         co_return failed;
@@ -295,6 +300,18 @@
     }
 
 private:
+    void log_unanswered() const
+    {
+        using milliseconds = std::chrono::duration<double, std::milli>;
+        const std::string_view path(head_.path);
+        const milliseconds age = host_clock().now() - *read_at_;
+        log_event(
+            event::request_unanswered,
+            {{"method", head_.method},
+             {"path", path.substr(0, path.find('?'))},
+             {"age_ms", age.count()}});
+    }
+
     static caller_failure to_failure(boost::system::error_code code)
     {
         if (code == beast::error::timeout)
@@ -349,6 +366,7 @@
     http::response<http::buffer_body> response_;
     std::optional<http::response_serializer<http::buffer_body>> serializer_;
     std::shared_ptr<disconnect_watch> watch_;
+    std::optional<time_point> read_at_;
     bool keep_alive_ = false;
     bool continued_ = false;
     bool broken_ = false;
