Test that a stopping daemon answers what kept connections bring, red

200 kept connections of a daemon that is sent SIGTERM, each used once, at random moments until the process is gone.

--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -44,6 +44,8 @@
     bool relay_to_upstreams = false;
     // Daemons that stop accept connections for so long.
     std::uint32_t accept_ms = 0;
+    // Threads of each daemon.
+    std::uint32_t threads = 2;
     // A relay stands before each control host.
     bool relay_to_control = false;
 };
--- a/testing/deployment_plan.cpp
+++ b/testing/deployment_plan.cpp
@@ -151,6 +151,7 @@
     const auto peers = block_.address(daemon_ip(index), peers_port);
     std::string text =
         host_section(daemon_name(index), what.data_center) +
+        "threads = " + std::to_string(options_.threads) + "\n" +
         "\n[listen]\ncallers = " + daemon_callers(index) +
         "\nupstream = " + daemon_upstream(index) + "\npeers = " + peers +
         "\noperators = " + daemon_operators(index) +
--- /dev/null
+++ b/testing/stop_test.cpp
@@ -0,0 +1,203 @@
+// A daemon that stops answers every request that it has passed on, also of
+// callers that keep using their connections until it is gone.
+#include "testing/async_http_client.hpp"
+#include "testing/proof_fixture.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <set>
+
+namespace nutmegusher::test_support
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr milliseconds request_timeout(5000);
+constexpr std::chrono::seconds stop_bound(30);
+constexpr unsigned status_ok = 200;
+
+// What callers saw of the requests that they sent during one stop.
+struct stop_tally
+{
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+    // Tokens of the requests whose connections ended without an answer.
+    std::set<std::string> unanswered;
+};
+
+// Callers of one daemon that keep their connections open.
+class kept_callers
+{
+public:
+    kept_callers(std::string daemon, std::string prefix)
+        : daemon_(parse_endpoint(daemon))
+        , prefix_(std::move(prefix))
+    {
+    }
+
+    // Opens so many connections, each with a first request.
+    void open(std::size_t connections)
+    {
+        for (std::size_t i = 0; i < connections; ++i)
+        {
+            asio::co_spawn(context_, first_call(), asio::detached);
+        }
+        context_.run();
+        context_.restart();
+    }
+
+    // Sends requests at random moments until no connection is accepted.
+    stop_tally send_until_gone(std::uint64_t seed)
+    {
+        random_engine random(seed);
+        asio::co_spawn(context_, send_all(random), asio::detached);
+        context_.run();
+        return std::move(tally_);
+    }
+
+private:
+    // Long enough that no connection is used by two first calls.
+    static constexpr double first_service_ms = 300.0;
+    static constexpr double mean_gap_ms = 12.0;
+    static constexpr double longest_service_ms = 40.0;
+
+    [[nodiscard]] http_request make_request(double service_ms)
+    {
+        http_request request;
+        request.target = "/balances/view";
+        request.headers = {
+            {"x-token", prefix_ + "-" + std::to_string(++last_)},
+            {"x-service-ms", std::to_string(service_ms)},
+            {"nutmeg-customer", "zakat"},
+            {"nutmeg-timeout-ms", std::to_string(request_timeout.count())}};
+        return request;
+    }
+
+    asio::awaitable<void> first_call()
+    {
+        const auto request = make_request(first_service_ms);
+        co_await client_.call(daemon_, request, request_timeout);
+    }
+
+    asio::awaitable<void> send_all(random_engine& random)
+    {
+        asio::steady_timer timer(context_);
+        while (!gone_)
+        {
+            const double gap_ms =
+                -std::log(1.0 - uniform_unit(random)) * mean_gap_ms;
+            timer.expires_after(std::chrono::duration_cast<duration>(
+                std::chrono::duration<double, std::milli>(gap_ms)));
+            co_await timer.async_wait(asio::use_awaitable);
+            const double service_ms = uniform_unit(random) * longest_service_ms;
+            asio::co_spawn(context_, call(service_ms), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> call(double service_ms)
+    {
+        const auto request = make_request(service_ms);
+        const auto result =
+            co_await client_.call(daemon_, request, request_timeout);
+        if (result)
+        {
+            ++(result->status == status_ok ? tally_.answered : tally_.refused);
+        }
+        else if (result.error() == http_failure::connect_failed)
+        {
+            gone_ = true;
+        }
+        else
+        {
+            tally_.unanswered.insert(request.headers.front().value);
+        }
+    }
+
+    tcp_endpoint daemon_;
+    std::string prefix_;
+    asio::io_context context_{1};
+    async_http_client client_{context_};
+    std::size_t last_ = 0;
+    bool gone_ = false;
+    stop_tally tally_;
+};
+
+class stopping : public proof
+{
+protected:
+    void start_with(std::uint32_t threads)
+    {
+        deployment_options options;
+        options.threads = threads;
+        options.upstreams = {{""}, {"balances"}, {"balances"}};
+        start(options, association_classes(), {offered_view(1)});
+    }
+
+    // Stops the first daemon while callers use their connections; the requests
+    // that were passed on and not answered.
+    std::vector<std::string> lost_in_a_stop(std::uint64_t seed)
+    {
+        kept_callers callers(
+            here->daemon_callers(0), "stop-" + std::to_string(seed));
+        callers.open(kept_connections);
+        here->daemon(0).signal(SIGTERM);
+        const auto tally = callers.send_until_gone(seed);
+        const auto ended = here->daemon(0).wait_exit(stop_bound);
+        EXPECT_TRUE(ended);
+        EXPECT_EQ(ended->code, 0);
+        EXPECT_GT(tally.answered, 0U);
+        const auto run = here->executions_by_token("balances");
+        std::vector<std::string> lost;
+        std::ranges::copy_if(
+            tally.unanswered,
+            std::back_inserter(lost),
+            [&run](const std::string& token)
+            {
+                return run.contains(token);
+            });
+        return lost;
+    }
+
+    void expect_nothing_lost()
+    {
+        for (std::uint64_t seed = 1; seed <= stops; ++seed)
+        {
+            EXPECT_EQ(lost_in_a_stop(seed), std::vector<std::string>())
+                << "seed " << seed << '\n'
+                << here->logs();
+            ASSERT_TRUE(here->restart_daemon(0));
+            ASSERT_TRUE(here->wait_served(offered_view(1)));
+        }
+    }
+
+    // More than there are requests in a stop, so that each of them can come on
+    // a connection that was idle when the stop began.
+    static constexpr std::size_t kept_connections = 200;
+    static constexpr std::uint64_t stops = 6;
+};
+
+// A request on a kept connection was passed on and then cut, because the end
+// of a stop rested on one look at what was in flight.
+TEST_F(stopping, answers_what_kept_connections_bring_until_it_ends)
+{
+    start_with(1);
+    expect_nothing_lost();
+}
+
+TEST_F(stopping, answers_what_kept_connections_bring_to_each_thread)
+{
+    start_with(4);
+    expect_nothing_lost();
+}
+
+} // namespace
+} // namespace nutmegusher::test_support
