--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -28,6 +28,8 @@
         event::process_stopped, "process_stopped", severity::info},
     event_description{
         event::settings_refused, "settings_refused", severity::error},
+    event_description{
+        event::process_stop_step, "process_stop_step", severity::info},
     event_description{
         event::configuration_in_force,
         "configuration_in_force",
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -37,6 +37,7 @@
     process_stopping = 101,
     process_stopped = 102,
     settings_refused = 103,
+    process_stop_step = 104,
     configuration_in_force = 200,
     control_unreachable = 201,
     control_reached = 202,
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -1,26 +1,18 @@
 #include "nutmegusher/node/daemon.hpp"
 
-#include "nutmegusher/node/control_part.hpp"
+#include "nutmegusher/node/daemon_state.hpp"
 #include "nutmegusher/node/entry_chain.hpp"
-#include "nutmegusher/node/http_server.hpp"
 #include "nutmegusher/node/json_messages.hpp"
-#include "nutmegusher/node/operator_api.hpp"
-#include "nutmegusher/node/sync_client.hpp"
 #include "nutmegusher/node/upstream_chain.hpp"
-#include "nutmegusher/node/worker.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <array>
 #include <csignal>
-#include <latch>
 #include <thread>
 #include <vector>
 
@@ -30,29 +22,12 @@
 namespace
 {
 
-constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
-
 // Waiting calls expire and stalls are noticed at this grain; well below the
 // shortest target of a class (tens of milliseconds).
 constexpr duration tick_interval = std::chrono::milliseconds(2);
 // The same while nothing runs or waits: 50 wake-ups a second in place of 500.
 constexpr duration idle_tick_interval = std::chrono::milliseconds(20);
 constexpr duration upstream_check_interval = std::chrono::milliseconds(500);
-// A graceful shutdown: first the others hear of it, then what is in flight
-// ends, then what is still open is closed.
-// While connections are accepted, other daemons' calls still run on the
-// upstream for this part of the time; the rest is for calls that it works on to
-// end. A daemon that is started again takes its upstream out for as long as it
-// takes no calls: 3.4 s without this, 2.1 s with it (mean of ten restarts, 2.5
-// s of accepting).
-constexpr int serving_part = 3;
-constexpr int accepting_parts = 5;
-constexpr duration leave_notice = std::chrono::milliseconds(500);
-constexpr duration drain_step = std::chrono::milliseconds(20);
-// A quarter lets requests arrive that cross the close, the rest is for the
-// peers to see the last bytes.
-constexpr duration longest_closing = std::chrono::milliseconds(1300);
-constexpr int closing_part = 15;
 constexpr std::size_t announcement_bytes = 4096;
 constexpr std::string_view control_prefix = "/control/";
 constexpr std::string_view announce_path = "/nutmegusher/announce";
@@ -76,20 +51,6 @@
     }
 }
 
-// The end of a graceful shutdown that takes at most `limit` as a whole.
-duration closing_time(duration limit)
-{
-    return std::min(longest_closing, limit / closing_part);
-}
-
-// The listeners of one worker.
-struct listeners
-{
-    std::unique_ptr<http_server> callers;
-    std::unique_ptr<http_server> upstream;
-    std::unique_ptr<wire::server> peers;
-};
-
 http_server_options options_for(const settings& from)
 {
     http_server_options options;
@@ -101,75 +62,6 @@
 
 } // namespace
 
-struct daemon::state
-{
-    state(
-        const settings& from, incarnation run, std::unique_ptr<extension> extra)
-        : shared(from, run)
-        , added(std::move(extra))
-    {
-        for (std::size_t i = 0; i < from.host.threads; ++i)
-        {
-            workers.push_back(std::make_unique<worker>(shared, i));
-        }
-        listening.resize(workers.size());
-        sync = std::make_unique<sync_client>(first());
-        shared.sync_soon = [this]
-        {
-            asio::post(
-                first().context,
-                [this]
-                {
-                    sync->sync_now();
-                });
-        };
-    }
-
-    // The worker that also does what is done once a process.
-    worker& first()
-    {
-        return *workers.front();
-    }
-
-    leaf::result<void> open();
-    leaf::result<void> open_worker(std::size_t index);
-    operator_sources make_sources();
-
-    void attach_extension();
-    asio::awaitable<void> serve_caller(worker& here, caller_exchange& exchange);
-    asio::awaitable<void>
-    serve_operators(worker& here, caller_exchange& exchange);
-    asio::awaitable<void>
-    serve_peer(worker& here, std::shared_ptr<wire::server_stream> stream);
-    asio::awaitable<void>
-    serve_own_upstream(worker& here, caller_exchange& exchange);
-    asio::awaitable<void> take_announcement(caller_exchange& exchange);
-    void apply(upstream_change change, const service_name& service);
-
-    asio::awaitable<void> run_ticks();
-    asio::awaitable<void> watch_upstream();
-    asio::awaitable<void> wait_for_signal();
-    void close_after_answers();
-    asio::awaitable<void> shut_down();
-    asio::awaitable<void> wait_until_served();
-    asio::awaitable<bool> stop_workers();
-    [[nodiscard]] asio::awaitable<std::size_t> in_flight();
-    [[nodiscard]] asio::awaitable<std::size_t> open_connections();
-
-    controllers shared;
-    std::unique_ptr<extension> added;
-    std::vector<std::unique_ptr<worker>> workers;
-    std::vector<listeners> listening;
-    std::unique_ptr<sync_client> sync;
-    std::unique_ptr<control_part> control;
-    std::unique_ptr<http_server> operators;
-    std::unique_ptr<http_server> collectors;
-    operator_sources sources;
-    std::optional<asio::signal_set> signals;
-    bool shutting_down = false;
-    time_point stop_begun;
-};
-
 leaf::result<void> daemon::state::open()
 {
     if (shared.configured.control)
@@ -458,167 +350,6 @@
     co_await shut_down();
 }
 
-// Each worker's servers are asked on its own thread.
-asio::awaitable<std::size_t> daemon::state::in_flight()
-{
-    std::size_t count = shared.ledger.size();
-    for (std::size_t i = 0; i < workers.size(); ++i)
-    {
-        auto& own = listening[i];
-        const auto ask = [&own]() -> asio::awaitable<std::size_t>
-        {
-            co_return own.peers->open_streams() +
-                (own.callers ? own.callers->in_flight() : 0) +
-                (own.upstream ? own.upstream->in_flight() : 0);
-        };
-        count += co_await asio::co_spawn(
-            workers[i]->context, ask(), asio::use_awaitable);
-    }
-    co_return count;
-}
-
-asio::awaitable<std::size_t> daemon::state::open_connections()
-{
-    std::size_t count = 0;
-    for (std::size_t i = 0; i < workers.size(); ++i)
-    {
-        auto& own = listening[i];
-        const auto ask = [&own]() -> asio::awaitable<std::size_t>
-        {
-            co_return (own.callers ? own.callers->connections() : 0) +
-                (own.upstream ? own.upstream->connections() : 0);
-        };
-        count += co_await asio::co_spawn(
-            workers[i]->context, ask(), asio::use_awaitable);
-    }
-    co_return count;
-}
-
-asio::awaitable<void> daemon::state::wait_until_served()
-{
-    asio::steady_timer timer(first().context);
-    const auto limit = shared.configured.shutdown.limit;
-    const auto until = stop_begun + limit - closing_time(limit);
-    while (co_await in_flight() > 0 && host_clock().now() < until)
-    {
-        timer.expires_after(drain_step);
-        co_await timer.async_wait(as_tuple_awaitable);
-    }
-}
-
-// True: nothing was cut.
-asio::awaitable<bool> daemon::state::stop_workers()
-{
-    const bool clean = co_await in_flight() == 0;
-    const auto limit = closing_time(shared.configured.shutdown.limit) * 3 / 4;
-    for (std::size_t i = 0; i < workers.size(); ++i)
-    {
-        auto& own = listening[i];
-        const auto stop = [&own, limit]() -> asio::awaitable<void>
-        {
-            co_await own.peers->stop_gracefully(limit);
-            if (own.callers)
-            {
-                own.callers->close_idle();
-            }
-            if (own.upstream)
-            {
-                own.upstream->stop_accepting();
-                own.upstream->close_idle();
-            }
-        };
-        co_await asio::co_spawn(
-            workers[i]->context, stop(), asio::use_awaitable);
-    }
-    co_return clean;
-}
-
-// Callers that have not yet heard of the stop find a listener; their
-// connections close after the answer.
-void daemon::state::close_after_answers()
-{
-    if (shared.configured.shutdown.accept_for <= duration::zero())
-    {
-        return;
-    }
-    for (std::size_t i = 0; i < workers.size(); ++i)
-    {
-        auto* const callers = listening[i].callers.get();
-        if (callers != nullptr)
-        {
-            asio::post(
-                workers[i]->context,
-                [callers]
-                {
-                    callers->close_after_answers();
-                });
-        }
-    }
-}
-
-asio::awaitable<void> daemon::state::shut_down()
-{
-    if (std::exchange(shutting_down, true))
-    {
-        co_return;
-    }
-    log_event(event::process_stopping, {});
-    stop_begun = host_clock().now();
-    shared.stopping = true;
-    close_after_answers();
-    asio::steady_timer timer(first().context);
-    const auto accept_for = shared.configured.shutdown.accept_for;
-    timer.expires_after(accept_for * serving_part / accepting_parts);
-    co_await timer.async_wait(as_tuple_awaitable);
-    shared.upstream.leave();
-    if (added)
-    {
-        added->leave();
-    }
-    sync->sync_now();
-    timer.expires_at(stop_begun + accept_for);
-    co_await timer.async_wait(as_tuple_awaitable);
-    for (std::size_t i = 0; i < workers.size(); ++i)
-    {
-        auto* const callers = listening[i].callers.get();
-        if (callers != nullptr)
-        {
-            asio::post(
-                workers[i]->context,
-                [callers]
-                {
-                    callers->stop_accepting();
-                });
-        }
-    }
-    const auto told = host_clock().now() - stop_begun;
-    timer.expires_after(std::max(leave_notice - told, duration::zero()));
-    co_await timer.async_wait(as_tuple_awaitable);
-    shared.admission.set_leaving(true);
-    if (control)
-    {
-        co_await control->hand_over();
-    }
-    co_await wait_until_served();
-    timer.expires_after(closing_time(shared.configured.shutdown.limit) / 4);
-    co_await timer.async_wait(as_tuple_awaitable);
-    sync->stop();
-    const bool clean = co_await stop_workers();
-    if (control)
-    {
-        control->stop();
-    }
-    const std::uint64_t left = co_await in_flight();
-    const std::uint64_t open = co_await open_connections();
-    log_event(
-        event::process_stopped,
-        {{"cut", !clean || left > 0}, {"in_flight", left}, {"open", open}});
-    for (auto& each : workers)
-    {
-        each->context.stop();
-    }
-}
-
 leaf::result<std::unique_ptr<daemon>>
 daemon::start(const settings& from, std::unique_ptr<extension> added)
 {
@@ -656,6 +387,8 @@
         threads.emplace_back(
             [&context]
             {
+                // A stop counts here after the last listener has closed.
+                const auto work = asio::make_work_guard(context);
                 context.run();
             });
     }
--- /dev/null
+++ b/nutmegusher/node/daemon_state.hpp
@@ -0,0 +1,111 @@
+// What one process consists of; shared by the files that implement `daemon`.
+#ifndef NUTMEGUSHER_NODE_DAEMON_STATE_HPP
+#define NUTMEGUSHER_NODE_DAEMON_STATE_HPP
+
+#include "nutmegusher/node/control_part.hpp"
+#include "nutmegusher/node/daemon.hpp"
+#include "nutmegusher/node/http_server.hpp"
+#include "nutmegusher/node/operator_api.hpp"
+#include "nutmegusher/node/stop_sequence.hpp"
+#include "nutmegusher/node/sync_client.hpp"
+#include "nutmegusher/node/worker.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace nutmegusher::node
+{
+
+inline constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+
+// The listeners of one worker.
+struct listeners
+{
+    std::unique_ptr<http_server> callers;
+    std::unique_ptr<http_server> upstream;
+    std::unique_ptr<wire::server> peers;
+};
+
+struct daemon::state
+{
+    state(
+        const settings& from, incarnation run, std::unique_ptr<extension> extra)
+        : shared(from, run)
+        , added(std::move(extra))
+    {
+        for (std::size_t i = 0; i < from.host.threads; ++i)
+        {
+            workers.push_back(std::make_unique<worker>(shared, i));
+        }
+        listening.resize(workers.size());
+        sync = std::make_unique<sync_client>(first());
+        shared.sync_soon = [this]
+        {
+            asio::post(
+                first().context,
+                [this]
+                {
+                    sync->sync_now();
+                });
+        };
+    }
+
+    // The worker that also does what is done once a process.
+    worker& first()
+    {
+        return *workers.front();
+    }
+
+    leaf::result<void> open();
+    leaf::result<void> open_worker(std::size_t index);
+    operator_sources make_sources();
+
+    void attach_extension();
+    asio::awaitable<void> serve_caller(worker& here, caller_exchange& exchange);
+    asio::awaitable<void>
+    serve_operators(worker& here, caller_exchange& exchange);
+    asio::awaitable<void>
+    serve_peer(worker& here, std::shared_ptr<wire::server_stream> stream);
+    asio::awaitable<void>
+    serve_own_upstream(worker& here, caller_exchange& exchange);
+    asio::awaitable<void> take_announcement(caller_exchange& exchange);
+    void apply(upstream_change change, const service_name& service);
+
+    asio::awaitable<void> run_ticks();
+    asio::awaitable<void> watch_upstream();
+    asio::awaitable<void> wait_for_signal();
+
+    // daemon_stop.cpp.
+    asio::awaitable<void> shut_down();
+    // Closes the sources of work that the step is about.
+    asio::awaitable<void> enter(stop_step step);
+    asio::awaitable<void> close_callers();
+    asio::awaitable<void> close_peers();
+    asio::awaitable<void> close_upstream();
+    asio::awaitable<void> give_up();
+    asio::awaitable<void> on_each_worker(void (*action)(listeners&));
+    [[nodiscard]] asio::awaitable<stop_census> count_open();
+    void end(const stop_sequence& stop, const stop_census& left);
+
+    controllers shared;
+    std::unique_ptr<extension> added;
+    std::vector<std::unique_ptr<worker>> workers;
+    std::vector<listeners> listening;
+    std::unique_ptr<sync_client> sync;
+    std::unique_ptr<control_part> control;
+    std::unique_ptr<http_server> operators;
+    std::unique_ptr<http_server> collectors;
+    operator_sources sources;
+    std::optional<asio::signal_set> signals;
+    bool shutting_down = false;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/node/entry_call.hpp
+++ b/nutmegusher/node/entry_call.hpp
@@ -42,7 +42,8 @@
     std::string body;
     bool body_complete = false;
     std::uint32_t tries = 0;
-    // The caller has closed its connection.
+    // No further try is of use: the caller has closed its connection, or gets a
+    // final answer now.
     std::shared_ptr<bool> caller_gone = std::make_shared<bool>(false);
     bool answered = false;
     // Set where it was given up on.
--- a/nutmegusher/node/entry_chain.cpp
+++ b/nutmegusher/node/entry_chain.cpp
@@ -237,6 +237,14 @@
                     const refusal refused{call_reason::bad_request};
                     co_await call.refuse(refused);
                 }
+                if (got.error() == caller_failure::given_up)
+                {
+                    const refusal refused{
+                        call_reason::leaving,
+                        call_outcome::not_run,
+                        come_back_elsewhere};
+                    co_await call.refuse(refused);
+                }
                 co_return false;
             }
             if (*got == 0)
--- a/nutmegusher/node/forward_try.cpp
+++ b/nutmegusher/node/forward_try.cpp
@@ -174,18 +174,19 @@
         // The watch outlives this try: the caller may leave between two.
         std::weak_ptr<bool> gone = call_.caller_gone;
         std::weak_ptr<forward_try*> weak = alive_;
-        call_.exchange.on_disconnect(
-            [gone, weak]
+        const auto end = [gone, weak]
+        {
+            if (const auto flag = gone.lock())
+            {
+                *flag = true;
+            }
+            if (const auto self = weak.lock())
             {
-                if (const auto flag = gone.lock())
-                {
-                    *flag = true;
-                }
-                if (const auto self = weak.lock())
-                {
-                    (*self)->stream_->cancel();
-                }
-            });
+                (*self)->stream_->cancel();
+            }
+        };
+        call_.exchange.on_disconnect(end);
+        call_.exchange.on_give_up(end);
     }
     watch_for_slowness();
     if (!bodiless)
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace nutmegusher::node
 {
@@ -28,6 +29,8 @@
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 
 constexpr unsigned http_11 = 11;
+// Most requests fit in one read.
+constexpr std::size_t first_read_bytes = 1024;
 
 wire::request_head to_request_head(const http::request_header<>& from)
 {
@@ -78,6 +81,21 @@
 
 } // namespace
 
+namespace
+{
+
+// How far a server is on its way to the end.
+enum class intake : std::uint8_t
+{
+    open,
+    closing_after_answers,
+    closed
+};
+
+class beast_exchange;
+
+} // namespace
+
 struct http_server::state
 {
     state(asio::io_context& context, http_handler handler)
@@ -89,10 +107,14 @@
     tcp::acceptor acceptor;
     http_handler handler;
     http_server_options options;
+    intake taking = intake::open;
+    // Nothing of a request was read on these.
     std::set<beast::tcp_stream*> idle;
+    // A head is being read on these.
+    std::set<beast::tcp_stream*> reading;
+    std::set<beast_exchange*> in_work;
     std::size_t connections = 0;
     std::size_t in_flight = 0;
-    bool stopping = false;
 };
 
 namespace
@@ -104,9 +126,11 @@
     beast_exchange(
         beast::tcp_stream& stream,
         beast::flat_buffer& buffer,
-        std::uint32_t header_bytes)
+        std::uint32_t header_bytes,
+        const intake& taking)
         : stream_(stream)
         , buffer_(buffer)
+        , taking_(taking)
     {
         parser_.header_limit(header_bytes);
         parser_.body_limit(boost::none);
@@ -160,8 +184,15 @@
         {
             body.data = into.data();
             body.size = into.size();
+            is_reading_ = true;
             auto [failed, size] = co_await http::async_read_some(
                 stream_, buffer_, parser_, as_tuple_awaitable);
+            is_reading_ = false;
+            if (given_up_)
+            {
+                broken_ = true;
+                co_return caller_failure::given_up;
+            }
             if (failed && failed != http::error::need_buffer)
             {
                 broken_ = true;
@@ -178,10 +209,10 @@
     asio::awaitable<bool>
     answer(wire::response_head head, std::string_view body) override
     {
-        stop_watch();
+        begin();
         http::response<http::span_body<const char>> message;
         message.version(http_11);
-        fill_head(message, head, may_keep());
+        fill_head(message, head, told_to_keep_);
         const bool bodiless = is_head_request();
         message.body() = {body.data(), body.size()};
         message.content_length(body.size());
@@ -209,9 +240,9 @@
     asio::awaitable<bool> begin_answer(
         wire::response_head head, std::optional<std::uint64_t> length) override
     {
-        stop_watch();
+        begin();
         response_.version(http_11);
-        fill_head(response_, head, may_keep());
+        fill_head(response_, head, told_to_keep_);
         if (length)
         {
             response_.content_length(*length);
@@ -288,10 +319,31 @@
             });
     }
 
+    void on_give_up(std::function<void()> end) override
+    {
+        give_up_ = std::move(end);
+    }
+
+    [[nodiscard]] std::function<void()> give_up()
+    {
+        given_up_ = true;
+        if (is_reading_)
+        {
+            stream_.cancel();
+        }
+        return std::exchange(give_up_, nullptr);
+    }
+
+    // No answer was begun, and none will be: the handler has returned.
+    [[nodiscard]] bool is_unanswered() const
+    {
+        return given_up_ && !begun_;
+    }
+
     // The whole answer was written and the connection can serve another.
     [[nodiscard]] bool reusable() const
     {
-        return finished_ && may_keep();
+        return finished_ && told_to_keep_;
     }
 
     void close_after_answer()
@@ -333,7 +385,17 @@
 
     [[nodiscard]] bool may_keep() const
     {
-        return keep_alive_ && !broken_ && parser_.is_done();
+        return keep_alive_ && !broken_ && parser_.is_done() &&
+               taking_ == intake::open;
+    }
+
+    // The answer's head says whether the connection is kept.
+    void begin()
+    {
+        stop_watch();
+        begun_ = true;
+        give_up_ = nullptr;
+        told_to_keep_ = may_keep();
     }
 
     asio::awaitable<bool> send_continue()
@@ -361,13 +423,19 @@
 
     beast::tcp_stream& stream_;
     beast::flat_buffer& buffer_;
+    const intake& taking_;
     http::request_parser<http::buffer_body> parser_;
     wire::request_head head_;
     http::response<http::buffer_body> response_;
     std::optional<http::response_serializer<http::buffer_body>> serializer_;
     std::shared_ptr<disconnect_watch> watch_;
+    std::function<void()> give_up_;
     std::optional<time_point> read_at_;
     bool keep_alive_ = false;
+    bool told_to_keep_ = false;
+    bool begun_ = false;
+    bool is_reading_ = false;
+    bool given_up_ = false;
     bool continued_ = false;
     bool broken_ = false;
     bool finished_ = false;
@@ -395,38 +463,65 @@
     std::size_t& counter_;
 };
 
-// Lets `stop_accepting` close a connection that waits for a request.
-class idle_mark
+// Keeps an entry in a set for as long as it lives.
+template <class Value>
+class listed
 {
 public:
-    idle_mark(std::set<beast::tcp_stream*>& idle, beast::tcp_stream& stream)
-        : idle_(idle)
-        , stream_(stream)
+    listed(std::set<Value*>& all, Value& value)
+        : all_(all)
+        , value_(value)
     {
-        idle_.insert(&stream_);
+        all_.insert(&value_);
     }
 
-    ~idle_mark()
+    ~listed()
     {
-        idle_.erase(&stream_);
+        all_.erase(&value_);
     }
 
-    idle_mark(const idle_mark&) = delete;
-    idle_mark& operator=(const idle_mark&) = delete;
+    listed(const listed&) = delete;
+    listed& operator=(const listed&) = delete;
 
 private:
-    std::set<beast::tcp_stream*>& idle_;
-    beast::tcp_stream& stream_;
+    std::set<Value*>& all_;
+    Value& value_;
 };
 
+// Waits for the first bytes of a request. False: none will come, or none may.
+template <class State>
+asio::awaitable<bool> wait_for_request(
+    State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    if (server.taking == intake::closed)
+    {
+        co_return false;
+    }
+    if (buffer.size() > 0)
+    {
+        co_return true;
+    }
+    const listed mark(server.idle, stream);
+    stream.expires_after(server.options.idle_limit);
+    auto [failed, size] = co_await stream.async_read_some(
+        buffer.prepare(first_read_bytes), as_tuple_awaitable);
+    buffer.commit(size);
+    co_return !failed;
+}
+
 template <class State>
 asio::awaitable<bool> serve_request(
     State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
-    beast_exchange exchange(stream, buffer, server.options.header_bytes);
+    if (!co_await wait_for_request(server, stream, buffer))
+    {
+        co_return false;
+    }
+    beast_exchange exchange(
+        stream, buffer, server.options.header_bytes, server.taking);
     boost::system::error_code failed;
     {
-        const idle_mark mark(server.idle, stream);
+        const listed mark(server.reading, stream);
         stream.expires_after(server.options.idle_limit);
         failed = co_await exchange.read_head();
     }
@@ -444,12 +539,15 @@
         co_return false;
     }
     const counted one(server.in_flight);
-    if (server.stopping)
+    const listed work(server.in_work, exchange);
+    co_await server.handler(exchange);
+    if (exchange.is_unanswered())
     {
-        exchange.close_after_answer();
+        wire::response_head head{
+            502, {{"nutmeg-outcome", "unknown"}, {"nutmeg-reason", "leaving"}}};
+        co_await exchange.answer(std::move(head), "");
     }
-    co_await server.handler(exchange);
-    co_return exchange.reusable() && !server.stopping;
+    co_return exchange.reusable();
 }
 
 template <class State>
@@ -478,7 +576,8 @@
         {
             continue;
         }
-        if (server->connections >= server->options.connections)
+        if (server->taking == intake::closed ||
+            server->connections >= server->options.connections)
         {
             continue; // closes it
         }
@@ -537,8 +636,7 @@
 
 http_server::~http_server()
 {
-    stop_accepting();
-    close_idle();
+    close_intake();
 }
 
 tcp::endpoint http_server::local_endpoint() const
@@ -549,22 +647,42 @@
 
 void http_server::close_after_answers()
 {
-    state_->stopping = true;
+    if (state_->taking == intake::open)
+    {
+        state_->taking = intake::closing_after_answers;
+    }
 }
 
-void http_server::stop_accepting()
+void http_server::close_intake()
 {
-    state_->stopping = true;
+    state_->taking = intake::closed;
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
+    for (auto* stream : state_->idle)
+    {
+        stream->cancel();
+    }
 }
 
-void http_server::close_idle()
+void http_server::give_up()
 {
-    for (auto* stream : state_->idle)
+    for (auto* stream : state_->reading)
     {
         stream->cancel();
     }
+    // Collected first: an exchange may end while one of them is called.
+    std::vector<std::function<void()>> ends;
+    for (auto* exchange : state_->in_work)
+    {
+        ends.push_back(exchange->give_up());
+    }
+    for (const auto& end : ends)
+    {
+        if (end)
+        {
+            end();
+        }
+    }
 }
 
 std::size_t http_server::connections() const
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -32,7 +32,9 @@
 {
     disconnected,
     malformed,
-    too_slow
+    too_slow,
+    // The process ends: see `caller_exchange::on_give_up`.
+    given_up
 };
 
 // One request and its answer on a caller's connection.
@@ -67,6 +69,11 @@
     // Calls `gone` once if the caller closes its connection before the answer
     // begins. Requires: the request's body was read to its end.
     virtual void on_disconnect(std::function<void()> gone) = 0;
+
+    // Calls `end` once if the process ends before the answer has begun: the
+    // handler must give its final answer at once. The last call counts. One
+    // that reads the body gets `given_up` from there.
+    virtual void on_give_up(std::function<void()> end) = 0;
 };
 
 using http_handler = std::function<asio::awaitable<void>(caller_exchange&)>;
@@ -107,13 +114,18 @@
     // Each connection closes after its next answer; new ones are accepted.
     void close_after_answers();
 
-    // Accepts no new connection; each open one closes after its next answer.
-    void stop_accepting();
+    // From now on no connection brings a further request: none is accepted,
+    // and those on which nothing of a request was read are closed. A request
+    // that was read, in part or whole, is served; then its connection closes.
+    // Once `connections` is 0 it stays so.
+    void close_intake();
 
-    // Closes the connections that wait for a request. Call it a little after
-    // `stop_accepting`, so that a request that is on its way isn't cut.
-    void close_idle();
+    // Has each request in work answered at once: see `on_give_up`. Closes the
+    // connections on which a head hasn't come whole.
+    // Requires: `close_intake` was called.
+    void give_up();
 
+    // Open connections, each of which waits for a request or owes an answer.
     [[nodiscard]] std::size_t connections() const;
 
     // Requests that are being handled.
--- /dev/null
+++ b/nutmegusher/node/http_server_test.cpp
@@ -0,0 +1,330 @@
+#include "nutmegusher/node/http_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace nutmegusher::node
+{
+namespace
+{
+
+using tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds test_limit(10'000);
+
+std::string request_for(const std::string& path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
+}
+
+// A caller with one connection; blocks.
+class caller
+{
+public:
+    explicit caller(const tcp::endpoint& to)
+        : socket_(context_)
+    {
+        socket_.connect(to);
+    }
+
+    void send(std::string_view text)
+    {
+        boost::system::error_code ignored;
+        asio::write(socket_, asio::buffer(text), ignored);
+    }
+
+    // All that comes until the connection ends; empty: no answer.
+    std::string receive_all()
+    {
+        std::string text;
+        std::array<char, 1024> piece{};
+        boost::system::error_code failed;
+        while (!failed)
+        {
+            const auto got = socket_.read_some(asio::buffer(piece), failed);
+            text.append(piece.data(), got);
+        }
+        return text;
+    }
+
+    // One answer without a body.
+    std::string receive_head()
+    {
+        std::string text;
+        boost::system::error_code ignored;
+        asio::read_until(
+            socket_, asio::dynamic_buffer(text), "\r\n\r\n", ignored);
+        return text;
+    }
+
+private:
+    asio::io_context context_;
+    tcp::socket socket_;
+};
+
+class http_server_end : public ::testing::Test
+{
+protected:
+    void serve(http_handler handler)
+    {
+        const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+        server = std::move(
+            http_server::listen(context, any, std::move(handler), {}).value());
+        thread = std::thread(
+            [this]
+            {
+                context.run();
+            });
+    }
+
+    ~http_server_end() override
+    {
+        context.stop();
+        thread.join();
+    }
+
+    // Runs on the server's thread.
+    template <class Action>
+    auto there(Action action)
+    {
+        std::promise<decltype(action())> result;
+        asio::post(
+            context,
+            [&]
+            {
+                if constexpr (std::is_void_v<decltype(action())>)
+                {
+                    action();
+                    result.set_value();
+                }
+                else
+                {
+                    result.set_value(action());
+                }
+            });
+        return result.get_future().get();
+    }
+
+    void close_intake()
+    {
+        there(
+            [this]
+            {
+                server->close_intake();
+            });
+    }
+
+    void give_up()
+    {
+        there(
+            [this]
+            {
+                server->give_up();
+            });
+    }
+
+    std::size_t connections()
+    {
+        return there(
+            [this]
+            {
+                return server->connections();
+            });
+    }
+
+    bool wait_for(const std::function<bool()>& holds)
+    {
+        const auto until = host_clock().now() + test_limit;
+        while (!holds() && host_clock().now() < until)
+        {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return holds();
+    }
+
+    bool wait_handled(std::size_t count)
+    {
+        return wait_for(
+            [this, count]
+            {
+                return handled == count;
+            });
+    }
+
+    // Answers after `held` is false.
+    asio::awaitable<void> answer_when_released(caller_exchange& exchange)
+    {
+        ++handled;
+        asio::steady_timer timer(context);
+        bool given_up = false;
+        exchange.on_give_up(
+            [&given_up]
+            {
+                given_up = true;
+            });
+        while (held && !given_up)
+        {
+            timer.expires_after(milliseconds(1));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        wire::response_head head{given_up ? 503U : 200U, {}};
+        co_await exchange.answer(std::move(head), "");
+    }
+
+    void serve_when_released()
+    {
+        serve(
+            [this](caller_exchange& exchange)
+            {
+                return answer_when_released(exchange);
+            });
+    }
+
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work =
+        asio::make_work_guard(context);
+    std::unique_ptr<http_server> server;
+    std::atomic<bool> held = false;
+    std::atomic<std::size_t> handled = 0;
+    std::thread thread;
+};
+
+// Requests cross the close at every moment of its reading.
+TEST_F(http_server_end, a_request_that_was_read_has_an_answer)
+{
+    std::mutex mutex;
+    std::set<std::string> passed_on;
+    serve(
+        [&](caller_exchange& exchange) -> asio::awaitable<void>
+        {
+            {
+                const std::scoped_lock lock(mutex);
+                passed_on.insert(exchange.head().path);
+            }
+            wire::response_head head{200, {}};
+            co_await exchange.answer(std::move(head), "");
+        });
+    constexpr std::size_t callers = 64;
+    std::vector<std::unique_ptr<caller>> all;
+    all.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        all.push_back(std::make_unique<caller>(server->local_endpoint()));
+    }
+    EXPECT_TRUE(wait_for(
+        [this]
+        {
+            return connections() == callers;
+        }));
+    std::thread closing(
+        [this]
+        {
+            std::this_thread::sleep_for(std::chrono::microseconds(300));
+            close_intake();
+        });
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        all[i]->send(request_for("/" + std::to_string(i)));
+    }
+    closing.join();
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        const auto answer = all[i]->receive_all();
+        const std::scoped_lock lock(mutex);
+        EXPECT_EQ(answer.empty(), !passed_on.contains("/" + std::to_string(i)));
+    }
+    EXPECT_TRUE(wait_for(
+        [this]
+        {
+            return connections() == 0;
+        }));
+}
+
+// Half a head is a request that has begun to be read.
+TEST_F(http_server_end, a_head_that_has_begun_is_served)
+{
+    serve_when_released();
+    caller one(server->local_endpoint());
+    const auto request = request_for("/");
+    one.send(request.substr(0, 10));
+    std::this_thread::sleep_for(milliseconds(20));
+    close_intake();
+    EXPECT_EQ(connections(), 1U);
+    one.send(request.substr(10));
+    EXPECT_NE(one.receive_all().find("200 OK"), std::string::npos);
+    EXPECT_EQ(connections(), 0U);
+}
+
+TEST_F(http_server_end, an_answer_during_the_close_says_so)
+{
+    held = true;
+    serve_when_released();
+    caller one(server->local_endpoint());
+    one.send(request_for("/"));
+    EXPECT_TRUE(wait_handled(1));
+    close_intake();
+    held = false;
+    EXPECT_NE(one.receive_all().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(http_server_end, takes_no_connection_after_the_close)
+{
+    serve_when_released();
+    const auto address = server->local_endpoint();
+    caller idle(address);
+    close_intake();
+    EXPECT_EQ(idle.receive_all(), "");
+    EXPECT_THROW(caller{address}, boost::system::system_error);
+}
+
+TEST_F(http_server_end, what_is_owed_is_answered_when_it_gives_up)
+{
+    held = true;
+    serve_when_released();
+    caller one(server->local_endpoint());
+    one.send(request_for("/"));
+    EXPECT_TRUE(wait_handled(1));
+    close_intake();
+    give_up();
+    EXPECT_NE(one.receive_all().find("503"), std::string::npos);
+    EXPECT_EQ(connections(), 0U);
+}
+
+TEST_F(http_server_end, a_body_that_has_not_come_is_given_up_on)
+{
+    std::optional<caller_failure> seen;
+    serve(
+        [&](caller_exchange& exchange) -> asio::awaitable<void>
+        {
+            ++handled;
+            std::array<std::byte, 16> piece;
+            const auto got = co_await exchange.read_some(piece);
+            seen = got ? std::nullopt : std::optional(got.error());
+        });
+    caller one(server->local_endpoint());
+    one.send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9\r\n\r\n");
+    EXPECT_TRUE(wait_handled(1));
+    close_intake();
+    give_up();
+    EXPECT_NE(one.receive_all().find("502"), std::string::npos);
+    EXPECT_EQ(seen, caller_failure::given_up);
+}
+
+} // namespace
+} // namespace nutmegusher::node
--- a/nutmegusher/node/peer_call.hpp
+++ b/nutmegusher/node/peer_call.hpp
@@ -14,11 +14,13 @@
 namespace nutmegusher::node
 {
 
-// Set when the peer gave the call up. The callback that is set at the time
-// stops what the call waits for.
+// Set when nobody waits for the call any more, or nobody may. The callback that
+// is set at the time stops what the call waits for.
 struct cancellation
 {
     bool requested = false;
+    // The caller is still there and gets a final answer: the process ends.
+    bool is_answer_owed = false;
     std::function<void()> stop;
 };
 
--- /dev/null
+++ b/nutmegusher/node/stop_sequence.cpp
@@ -0,0 +1,131 @@
+#include "nutmegusher/node/stop_sequence.hpp"
+
+#include <algorithm>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr duration look_interval = std::chrono::milliseconds(20);
+
+stop_step next(stop_step step)
+{
+    switch (step)
+    {
+    case stop_step::announced:
+        return stop_step::leaving;
+    case stop_step::leaving:
+        return stop_step::closing_callers;
+    case stop_step::closing_callers:
+        return stop_step::closing_peers;
+    case stop_step::closing_peers:
+        return stop_step::closing_upstream;
+    default:
+        return stop_step::ended;
+    }
+}
+
+} // namespace
+
+std::string_view to_string(stop_step step)
+{
+    switch (step)
+    {
+    case stop_step::announced:
+        return "announced";
+    case stop_step::leaving:
+        return "leaving";
+    case stop_step::closing_callers:
+        return "closing_callers";
+    case stop_step::closing_peers:
+        return "closing_peers";
+    case stop_step::closing_upstream:
+        return "closing_upstream";
+    case stop_step::giving_up:
+        return "giving_up";
+    case stop_step::ended:
+        break;
+    }
+    return "ended";
+}
+
+stop_sequence stop_sequence::begin(stop_times times, time_point now)
+{
+    return {times, now};
+}
+
+stop_sequence::stop_sequence(stop_times times, time_point now)
+    : times_(times)
+    , begun_(now)
+{
+}
+
+void stop_sequence::advance(time_point now, const stop_census& open)
+{
+    if (step_ == stop_step::ended)
+    {
+        return;
+    }
+    if (is_done(now, open))
+    {
+        step_ = next(step_);
+        return;
+    }
+    const bool is_late = now - begun_ >= times_.give_up_after;
+    if (is_late && step_ != stop_step::giving_up)
+    {
+        step_ = stop_step::giving_up;
+        has_given_up_ = true;
+    }
+}
+
+time_point stop_sequence::next_look(time_point now) const
+{
+    switch (step_)
+    {
+    case stop_step::announced:
+        return std::max(now, begun_ + times_.leave_after);
+    case stop_step::leaving:
+        return std::max(now, begun_ + times_.close_callers_after);
+    default:
+        return now + look_interval;
+    }
+}
+
+bool stop_sequence::is_done(time_point now, const stop_census& open)
+{
+    switch (step_)
+    {
+    case stop_step::announced:
+        return now - begun_ >= times_.leave_after;
+    case stop_step::leaving:
+        return now - begun_ >= times_.close_callers_after;
+    case stop_step::closing_callers:
+        return open.callers == 0 && now - begun_ >= times_.close_peers_after;
+    case stop_step::closing_peers:
+        return are_sessions_done(now, open);
+    case stop_step::closing_upstream:
+        return open.upstream == 0;
+    case stop_step::giving_up:
+        return open.is_empty() || now - begun_ >= times_.end_after;
+    case stop_step::ended:
+        break;
+    }
+    return true;
+}
+
+// A peer that is silent holds its session open, and owes nothing.
+bool stop_sequence::are_sessions_done(time_point now, const stop_census& open)
+{
+    if (open.peer_sessions == 0)
+    {
+        return true;
+    }
+    no_calls_since_ = open.peer_calls > 0 ? time_point::max()
+                                          : std::min(no_calls_since_, now);
+    return open.peer_calls == 0 && now - no_calls_since_ >= times_.session_end;
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/stop_sequence_test.cpp
@@ -0,0 +1,302 @@
+#include "nutmegusher/node/stop_sequence.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace nutmegusher::node
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr time_point begin_time{std::chrono::seconds(100)};
+constexpr duration step_time = milliseconds(1);
+
+stop_times times_of_two_seconds()
+{
+    stop_times times;
+    times.leave_after = milliseconds(300);
+    times.close_callers_after = milliseconds(500);
+    times.close_peers_after = milliseconds(600);
+    times.give_up_after = milliseconds(1800);
+    times.end_after = milliseconds(2000);
+    times.session_end = milliseconds(120);
+    return times;
+}
+
+// One kind of connections: each is idle or owes an answer.
+struct modelled_source
+{
+    std::size_t idle = 0;
+    // When each request in work has its answer.
+    std::vector<time_point> in_work;
+    bool is_closed = false;
+    // Requests that were read, and those that have their answers.
+    std::size_t read = 0;
+    std::size_t answered = 0;
+
+    [[nodiscard]] std::size_t open() const
+    {
+        return idle + in_work.size();
+    }
+
+    // A request on a kept connection, or on a new one. Not read where the
+    // source is closed: there is no idle connection, and none is accepted.
+    void bring(time_point answer_at)
+    {
+        if (is_closed)
+        {
+            return;
+        }
+        idle -= idle > 0 ? 1 : 0;
+        in_work.push_back(answer_at);
+        ++read;
+    }
+
+    void close()
+    {
+        is_closed = true;
+        idle = 0;
+    }
+
+    void give_up(time_point answer_at)
+    {
+        for (auto& each : in_work)
+        {
+            each = std::min(each, answer_at);
+        }
+    }
+
+    // Returns how many requests have ended by now.
+    std::size_t run(time_point now)
+    {
+        const auto ended = std::erase_if(
+            in_work,
+            [now](time_point at)
+            {
+                return at <= now;
+            });
+        answered += ended;
+        idle += is_closed ? 0 : ended;
+        return ended;
+    }
+};
+
+// A process with callers, other daemons and an upstream that all keep
+// bringing requests until they can't.
+class modelled_process
+{
+public:
+    modelled_process(std::uint64_t seed, duration longest_work)
+        : random_(seed)
+        , longest_work_(longest_work)
+        , stop_(stop_sequence::begin(times_of_two_seconds(), begin_time))
+    {
+        callers_.idle = uniform_below(random_, 200);
+        peers_.idle = uniform_below(random_, 20);
+        upstream_.idle = uniform_below(random_, 10);
+        rate_ = uniform_unit(random_);
+    }
+
+    void run_to_the_end()
+    {
+        auto next_look = now_;
+        stop_step entered = stop_step::ended;
+        while (stop_.step() != stop_step::ended)
+        {
+            bring_work();
+            run_work();
+            if (now_ >= next_look)
+            {
+                if (entered != stop_.step())
+                {
+                    EXPECT_TRUE(
+                        entered == stop_step::ended || entered < stop_.step());
+                    entered = stop_.step();
+                    enter(entered);
+                    // What comes between the closing and the count.
+                    bring_work();
+                }
+                stop_.advance(now_, census());
+                next_look =
+                    entered == stop_.step() ? stop_.next_look(now_) : now_;
+            }
+            now_ += step_time;
+            ASSERT_LE(now_ - begin_time, milliseconds(2100));
+        }
+    }
+
+    void expect_everything_answered() const
+    {
+        for (const auto* each : {&callers_, &peers_, &upstream_})
+        {
+            EXPECT_EQ(each->read, each->answered);
+        }
+    }
+
+    [[nodiscard]] const stop_sequence& stop() const
+    {
+        return stop_;
+    }
+
+private:
+    [[nodiscard]] time_point answer_time()
+    {
+        const double part = std::pow(uniform_unit(random_), 4.0);
+        return now_ + step_time +
+               std::chrono::duration_cast<duration>(longest_work_ * part);
+    }
+
+    void bring_work()
+    {
+        for (auto* each : {&callers_, &peers_})
+        {
+            if (uniform_unit(random_) < rate_)
+            {
+                each->bring(answer_time());
+            }
+        }
+        // Sub-calls come while the upstream works for somebody.
+        const bool works = !callers_.in_work.empty() || !peers_.in_work.empty();
+        if (works && uniform_unit(random_) < rate_)
+        {
+            upstream_.bring(answer_time());
+        }
+    }
+
+    void run_work()
+    {
+        for (auto* each : {&callers_, &peers_, &upstream_})
+        {
+            each->run(now_);
+        }
+    }
+
+    void enter(stop_step step)
+    {
+        if (step >= stop_step::closing_callers)
+        {
+            callers_.close();
+        }
+        if (step >= stop_step::closing_peers)
+        {
+            peers_.close();
+        }
+        if (step >= stop_step::closing_upstream)
+        {
+            upstream_.close();
+        }
+        if (step == stop_step::giving_up)
+        {
+            const auto soon = now_ + milliseconds(100);
+            callers_.give_up(soon);
+            peers_.give_up(soon);
+            upstream_.give_up(soon);
+        }
+    }
+
+    [[nodiscard]] stop_census census() const
+    {
+        return {
+            callers_.open(),
+            peers_.in_work.size(),
+            peers_.open(),
+            upstream_.open()};
+    }
+
+    random_engine random_;
+    duration longest_work_;
+    stop_sequence stop_;
+    time_point now_ = begin_time;
+    modelled_source callers_;
+    modelled_source peers_;
+    modelled_source upstream_;
+    double rate_ = 0.0;
+};
+
+TEST(stop_sequence, leaves_nothing_unanswered_whatever_comes_when)
+{
+    for (std::uint64_t seed = 0; seed < 500; ++seed)
+    {
+        SCOPED_TRACE(seed);
+        modelled_process process(seed, milliseconds(400));
+        process.run_to_the_end();
+        process.expect_everything_answered();
+    }
+}
+
+TEST(stop_sequence, gives_up_at_its_limit_and_still_answers)
+{
+    std::size_t given_up = 0;
+    for (std::uint64_t seed = 0; seed < 500; ++seed)
+    {
+        SCOPED_TRACE(seed);
+        modelled_process process(seed, milliseconds(5000));
+        process.run_to_the_end();
+        process.expect_everything_answered();
+        given_up += process.stop().has_given_up() ? 1 : 0;
+    }
+    EXPECT_GT(given_up, 0U);
+}
+
+stop_sequence at_step(stop_step step)
+{
+    auto stop = stop_sequence::begin(times_of_two_seconds(), begin_time);
+    const auto late = begin_time + milliseconds(700);
+    while (stop.step() != step)
+    {
+        stop.advance(late, {});
+    }
+    return stop;
+}
+
+TEST(stop_sequence, waits_for_each_kind_of_work_after_it_is_closed)
+{
+    const auto now = begin_time + milliseconds(700);
+    auto callers = at_step(stop_step::closing_callers);
+    callers.advance(now, {.callers = 1});
+    EXPECT_EQ(callers.step(), stop_step::closing_callers);
+    callers.advance(now, {.peer_calls = 1, .peer_sessions = 1, .upstream = 1});
+    EXPECT_EQ(callers.step(), stop_step::closing_peers);
+    callers.advance(now, {.peer_calls = 1, .peer_sessions = 1});
+    EXPECT_EQ(callers.step(), stop_step::closing_peers);
+    callers.advance(now, {.upstream = 1});
+    EXPECT_EQ(callers.step(), stop_step::closing_upstream);
+    callers.advance(now, {.upstream = 1});
+    EXPECT_EQ(callers.step(), stop_step::closing_upstream);
+    callers.advance(now, {});
+    EXPECT_EQ(callers.step(), stop_step::ended);
+    EXPECT_FALSE(callers.has_given_up());
+}
+
+TEST(stop_sequence, a_silent_peer_holds_it_no_longer_than_a_session_may_take)
+{
+    auto stop = at_step(stop_step::closing_peers);
+    auto now = begin_time + milliseconds(700);
+    const stop_census silent{.peer_sessions = 1};
+    stop.advance(now, silent);
+    now += milliseconds(110);
+    stop.advance(now, {.peer_calls = 1, .peer_sessions = 1});
+    now += milliseconds(20);
+    stop.advance(now, silent);
+    EXPECT_EQ(stop.step(), stop_step::closing_peers);
+    stop.advance(now + milliseconds(120), silent);
+    EXPECT_EQ(stop.step(), stop_step::closing_upstream);
+}
+
+TEST(stop_sequence, takes_one_step_for_each_count)
+{
+    auto stop = stop_sequence::begin(times_of_two_seconds(), begin_time);
+    const auto late = begin_time + milliseconds(1700);
+    stop.advance(late, {});
+    EXPECT_EQ(stop.step(), stop_step::leaving);
+    stop.advance(late, {});
+    EXPECT_EQ(stop.step(), stop_step::closing_callers);
+}
+
+} // namespace
+} // namespace nutmegusher::node
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -45,6 +45,8 @@
 // level has had the time to fall, and early enough to be on time still (the
 // users' shortest aim of a class that is turned away first is 1.5 s).
 constexpr duration come_back_after_shedding = std::chrono::milliseconds(700);
+// After the end of this process a caller's next connection reaches another one.
+constexpr duration come_back_elsewhere = std::chrono::milliseconds(100);
 // Daemons that may turn one call away, unsent, before its caller hears of it:
 // a queue behind one of them is no reason to refuse, behind three it is.
 constexpr std::size_t most_refusals = 3;
@@ -145,7 +147,12 @@
             co_await pause.async_wait(asio::use_awaitable);
             view_ = state_.process.configuration.current();
         }
-        co_return !cancelled_->requested;
+        if (cancelled_->requested)
+        {
+            co_await end_cancelled();
+            co_return false;
+        }
+        co_return true;
     }
 
     [[nodiscard]] std::string_view field(std::string_view name) const
@@ -226,6 +233,10 @@
                     const refusal refused{call_reason::bad_request};
                     co_await refuse(refused);
                 }
+                if (got.error() == node::caller_failure::given_up)
+                {
+                    co_await refuse(stopping());
+                }
                 co_return false;
             }
             if (*got == 0)
@@ -248,17 +259,38 @@
         exchange_.on_disconnect(
             [weak]
             {
-                const auto flag = weak.lock();
-                if (!flag)
-                {
-                    return;
-                }
-                flag->requested = true;
-                if (flag->stop)
-                {
-                    flag->stop();
-                }
+                cancel(weak, false);
             });
+        exchange_.on_give_up(
+            [weak]
+            {
+                cancel(weak, true);
+            });
+    }
+
+    static void
+    cancel(const std::weak_ptr<node::cancellation>& weak, bool is_answer_owed)
+    {
+        const auto flag = weak.lock();
+        if (!flag || flag->requested)
+        {
+            return;
+        }
+        flag->requested = true;
+        flag->is_answer_owed = is_answer_owed;
+        if (flag->stop)
+        {
+            flag->stop();
+        }
+    }
+
+    // The end of a request that was cancelled before it had its answer.
+    asio::awaitable<void> end_cancelled()
+    {
+        if (cancelled_->is_answer_owed)
+        {
+            co_await give_up(stopping());
+        }
     }
 
     // Refuses here what a service further down has no room for, before any
@@ -312,7 +344,12 @@
             entered_ = window.enter(rank);
         }
         window.leave(rank);
-        if (!entered_ && !cancelled_->requested)
+        if (cancelled_->requested)
+        {
+            co_await end_cancelled();
+            co_return false;
+        }
+        if (!entered_)
         {
             const refusal told{
                 call_reason::overload,
@@ -337,7 +374,8 @@
         const auto until =
             std::min(arrived_ + first_upstreams_limit, call_.terms.deadline);
         asio::steady_timer pause(here_.context);
-        while (!routes.known(service_) && host_clock().now() < until)
+        while (!routes.known(service_) && !cancelled_->requested &&
+               host_clock().now() < until)
         {
             pause.expires_after(first_upstreams_step);
             co_await pause.async_wait(asio::use_awaitable);
@@ -366,6 +404,7 @@
                 co_return;
             }
         }
+        co_await end_cancelled();
     }
 
     // True: the request has its final answer, or nobody waits for one.
@@ -386,11 +425,12 @@
         {
             take_word(to.handle, *feedback.word);
         }
-        if (cancelled_->requested)
+        if (cancelled_->requested && !cancelled_->is_answer_owed)
         {
             co_return true;
         }
-        if (result && !is_better_asked_elsewhere(*result, feedback))
+        if (result && (cancelled_->requested ||
+                       !is_better_asked_elsewhere(*result, feedback)))
         {
             co_await pass_on(*std::move(result));
             co_return true;
@@ -403,6 +443,11 @@
             co_return false;
         }
         note(result.error());
+        if (cancelled_->requested)
+        {
+            co_await end_cancelled();
+            co_return true;
+        }
         if (may_send_again(result.error()))
         {
             co_return false;
@@ -508,6 +553,15 @@
             may_have_run_ ? call_outcome::unknown : call_outcome::not_run};
     }
 
+    // This process ends; the daemons of other hosts serve.
+    [[nodiscard]] refusal stopping() const
+    {
+        return {
+            call_reason::leaving,
+            may_have_run_ ? call_outcome::unknown : call_outcome::not_run,
+            come_back_elsewhere};
+    }
+
     [[nodiscard]] static refusal no_routes()
     {
         return {
@@ -563,7 +617,7 @@
         log_event(
             event::request_refused,
             {{"request", call_.terms.id},
-             {"route", route_->name},
+             {"route", counted_as().str()},
              {"service", service_.str()},
              {"reason", node::to_string(told.reason)},
              {"outcome", node::to_string(told.result)},
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -93,15 +93,20 @@
         }
     }
 
-    asio::awaitable<void> stop_gracefully(duration limit)
+    void close_intake()
     {
-        const auto self = shared_from_this();
         error_code ignored;
         acceptor_.close(ignored);
         for (const auto& [key, one] : connections_)
         {
             one->stop_gracefully();
         }
+    }
+
+    asio::awaitable<void> stop_gracefully(duration limit)
+    {
+        const auto self = shared_from_this();
+        close_intake();
         const auto deadline = std::chrono::steady_clock::now() + limit;
         auto woken = wake::notified;
         while (woken == wake::notified && !connections_.empty())
@@ -242,6 +247,11 @@
     return state_->local_endpoint();
 }
 
+void server::close_intake()
+{
+    state_->close_intake();
+}
+
 boost::asio::awaitable<void> server::stop_gracefully(duration limit)
 {
     return state_->stop_gracefully(limit);
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -56,8 +56,13 @@
 
     [[nodiscard]] boost::asio::ip::tcp::endpoint local_endpoint() const;
 
-    // Stops accepting, tells the peers with GOAWAY, waits for the streams in
-    // flight, closes. What is unfinished after `limit` is cut.
+    // Stops accepting and tells the peers with GOAWAY. Streams that they opened
+    // before they knew are served; then each connection closes, and once
+    // `connections` is 0 it stays so.
+    void close_intake();
+
+    // `close_intake`, then waits for the streams in flight, closes. What is
+    // unfinished after `limit` is cut.
     [[nodiscard]] boost::asio::awaitable<void> stop_gracefully(duration limit);
 
     // Streams whose handler runs or whose response isn't sent yet.
--- a/testing/stop_test.cpp
+++ b/testing/stop_test.cpp
@@ -38,7 +38,7 @@
 class kept_callers
 {
 public:
-    kept_callers(std::string daemon, std::string prefix)
+    kept_callers(const std::string& daemon, std::string prefix)
         : daemon_(parse_endpoint(daemon))
         , prefix_(std::move(prefix))
     {
@@ -138,6 +138,7 @@
     {
         deployment_options options;
         options.threads = threads;
+        options.accept_ms = accept_ms;
         options.upstreams = {{""}, {"balances"}, {"balances"}};
         start(options, association_classes(), {offered_view(1)});
     }
@@ -182,6 +183,8 @@
     // More than there are requests in a stop, so that each of them can come on
     // a connection that was idle when the stop began.
     static constexpr std::size_t kept_connections = 200;
+    // Requests are served for so long after the signal.
+    static constexpr std::uint32_t accept_ms = 700;
     static constexpr std::uint64_t stops = 6;
 };
 
