--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -28,6 +28,8 @@
         event::process_stopped, "process_stopped", severity::info},
     event_description{
         event::settings_refused, "settings_refused", severity::error},
+    event_description{
+        event::process_stop_step, "process_stop_step", severity::info},
     event_description{
         event::configuration_in_force,
         "configuration_in_force",
@@ -99,6 +101,8 @@
     event_description{event::answer_broken, "answer_broken", severity::warning},
     event_description{
         event::request_unknown, "request_unknown", severity::warning},
+    event_description{
+        event::request_unanswered, "request_unanswered", severity::error},
     event_description{event::claim_refused, "claim_refused", severity::info},
     event_description{
         event::claim_unreachable, "claim_unreachable", severity::warning},
