See that an upstream has ended, and which requests were at work there

Observability first: until now nothing told an upstream that has ended from a connection that broke, which requests were at work at that moment, or that two requests are the same one. The hypotheses of the incident (nothing remembers a request; its own second try; other requests carry it on) differ in just that.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -87,6 +87,8 @@
         severity::warning},
     event_description{
         event::configuration_current, "configuration_current", severity::info},
+    event_description{
+        event::quarantine_not_kept, "quarantine_not_kept", severity::warning},
     event_description{
         event::upstream_announced, "upstream_announced", severity::info},
     event_description{
@@ -96,6 +98,8 @@
         event::upstream_pressed, "upstream_pressed", severity::info},
     event_description{
         event::run_was_overtaken, "run_was_overtaken", severity::warning},
+    event_description{
+        event::upstream_ended, "upstream_ended", severity::warning},
     event_description{
         event::request_refused, "request_refused", severity::info},
     event_description{event::answer_broken, "answer_broken", severity::warning},
@@ -103,6 +107,8 @@
         event::request_unknown, "request_unknown", severity::warning},
     event_description{
         event::request_unanswered, "request_unanswered", severity::error},
+    event_description{
+        event::request_quarantined, "request_quarantined", severity::error},
     event_description{event::claim_refused, "claim_refused", severity::info},
     event_description{
         event::claim_unreachable, "claim_unreachable", severity::warning},
--- a/nutmegusher/node/call.cpp
+++ b/nutmegusher/node/call.cpp
@@ -38,6 +38,7 @@
     reason_text{call_reason::overload_deeper, "overload-deeper", 503},
     reason_text{call_reason::leaving, "leaving", 503},
     reason_text{call_reason::no_upstream, "no-upstream", 503},
+    reason_text{call_reason::quarantined, "quarantined", 503},
     reason_text{call_reason::other_upstream, "other-upstream", 503},
     reason_text{call_reason::starting, "starting", 503},
     reason_text{call_reason::claims_unavailable, "claims-unavailable", 503},
--- a/nutmegusher/node/call.hpp
+++ b/nutmegusher/node/call.hpp
@@ -57,6 +57,7 @@
     overload_deeper, // a sub-call of it was refused for overload
     leaving,
     no_upstream,
+    quarantined,    // upstreams have ended while they ran it
     other_upstream, // the host that was asked serves another service now
     starting,
     claims_unavailable,
--- /dev/null
+++ b/nutmegusher/node/crash_watch.cpp
@@ -0,0 +1,375 @@
+#include "nutmegusher/node/crash_watch.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <string_view>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t digest_digits = 16;
+constexpr int hexadecimal = 16;
+constexpr duration expiry_interval = std::chrono::seconds(5);
+// Records in one message.
+constexpr std::size_t most_told_at_once = 64;
+// What comes from outside is no older than this.
+constexpr std::uint64_t longest_age_ms = 24ULL * 3600 * 1000;
+
+std::uint64_t to_age(time_point then, time_point now)
+{
+    const auto age = std::max(now - then, duration::zero());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(age).count());
+}
+
+time_point from_age(std::uint64_t age_ms, time_point now)
+{
+    return now - milliseconds(std::min(age_ms, longest_age_ms));
+}
+
+// In the order of `services_`, whatever the order of the request.
+std::vector<std::string> services_in(const messages::sync_request& request)
+{
+    std::vector<std::string> services(
+        request.services().begin(), request.services().end());
+    services.push_back(request.own().service());
+    std::ranges::sort(services);
+    return services;
+}
+
+} // namespace
+
+std::string digest_text(std::uint64_t digest)
+{
+    std::array<char, digest_digits + 1> text{};
+    std::snprintf(
+        text.data(),
+        text.size(),
+        "%016llx",
+        static_cast<unsigned long long>(digest));
+    return text.data();
+}
+
+std::optional<std::uint64_t> parse_digest(std::string_view text)
+{
+    std::uint64_t digest = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [rest, code] =
+        std::from_chars(text.data(), end, digest, hexadecimal);
+    if (text.size() != digest_digits || code != std::errc() || rest != end)
+    {
+        return std::nullopt;
+    }
+    return digest;
+}
+
+messages::crash_record to_message(const crash_record& from, time_point now)
+{
+    messages::crash_record made;
+    made.set_digest(from.digest);
+    made.set_service(from.service);
+    for (const auto& each : from.ends)
+    {
+        auto& end = *made.add_ends();
+        end.set_upstream(each.upstream);
+        end.set_ended_ago_ms(to_age(each.ended_at, now));
+        end.set_ran_ms(to_age(each.begun_at, each.ended_at));
+    }
+    if (from.cleared_at != time_point())
+    {
+        made.set_cleared_ago_ms(to_age(from.cleared_at, now));
+    }
+    return made;
+}
+
+crash_record from_message(const messages::crash_record& from, time_point now)
+{
+    crash_record made;
+    made.digest = from.digest();
+    made.service = from.service();
+    for (const auto& each : from.ends())
+    {
+        const auto ended_at = from_age(each.ended_ago_ms(), now);
+        made.ends.push_back(
+            {each.upstream(), from_age(each.ran_ms(), ended_at), ended_at});
+    }
+    if (from.has_cleared_ago_ms())
+    {
+        made.cleared_at = from_age(from.cleared_ago_ms(), now);
+    }
+    return made;
+}
+
+void add_records(
+    const crash_evidence& evidence,
+    std::uint64_t since,
+    std::span<const std::string> services,
+    time_point now,
+    google::protobuf::RepeatedPtrField<messages::crash_record>& to)
+{
+    for (const auto& each : evidence.changes_since(since))
+    {
+        const bool is_wanted =
+            services.empty() ||
+            std::ranges::find(services, each.service) != services.end();
+        if (is_wanted)
+        {
+            *to.Add() = to_message(each, now);
+        }
+    }
+}
+
+crash_judgement crash_watch::judge(std::uint64_t digest) const
+{
+    const std::scoped_lock lock(mutex_);
+    return evidence_.judge(digest, host_clock().now());
+}
+
+bool crash_watch::begin_suspect(std::uint64_t digest)
+{
+    const std::scoped_lock lock(mutex_);
+    if (suspects_.contains(digest))
+    {
+        return false;
+    }
+    suspects_.insert(digest);
+    return true;
+}
+
+void crash_watch::end_suspect(std::uint64_t digest)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = suspects_.find(digest);
+    if (found != suspects_.end())
+    {
+        suspects_.erase(found);
+    }
+}
+
+bool crash_watch::is_quarantined(std::uint64_t digest, time_point now) const
+{
+    return evidence_.judge(digest, now).suspicion ==
+           crash_suspicion::quarantined;
+}
+
+void crash_watch::note_quarantine(
+    const crash_record& told, bool was_quarantined)
+{
+    if (was_quarantined || !is_quarantined(told.digest, host_clock().now()))
+    {
+        return;
+    }
+    log_event(
+        event::request_quarantined,
+        {{"digest", digest_text(told.digest)},
+         {"service", told.service},
+         {"ends",
+          std::uint64_t{
+              evidence_.judge(told.digest, host_clock().now()).ends}}});
+}
+
+void crash_watch::tell(std::uint64_t digest)
+{
+    std::erase_if(
+        untold_,
+        [digest](const auto& item)
+        {
+            return item.second == digest;
+        });
+    untold_[++last_untold_] = digest;
+}
+
+void crash_watch::tell_all()
+{
+    for (const auto& each : evidence_.changes_since(0))
+    {
+        if (!each.ends.empty())
+        {
+            tell(each.digest);
+        }
+    }
+}
+
+void crash_watch::note_end(
+    std::uint64_t digest,
+    std::uint64_t upstream,
+    duration ran_for,
+    const service_name& service)
+{
+    const auto now = host_clock().now();
+    {
+        const std::scoped_lock lock(mutex_);
+        const bool before = is_quarantined(digest, now);
+        const crash_end end{upstream, now - ran_for, now};
+        evidence_.add_end(digest, end, service.str(), now);
+        tell(digest);
+        note_quarantine({digest, service.str(), {}, {}}, before);
+    }
+    on_news();
+}
+
+work_in_progress::ticket crash_watch::begin_run(std::uint64_t digest)
+{
+    const std::scoped_lock lock(mutex_);
+    return runs_.begin(digest, host_clock().now());
+}
+
+void crash_watch::complete_run(
+    work_in_progress::ticket of, std::uint64_t digest)
+{
+    bool is_news = false;
+    {
+        const std::scoped_lock lock(mutex_);
+        runs_.end(of);
+        is_news = evidence_.add_completion(digest, host_clock().now());
+        if (is_news)
+        {
+            tell(digest);
+        }
+    }
+    if (is_news)
+    {
+        on_news();
+    }
+}
+
+void crash_watch::leave_run(work_in_progress::ticket of)
+{
+    const std::scoped_lock lock(mutex_);
+    runs_.end(of);
+}
+
+void crash_watch::lose_run(work_in_progress::ticket of)
+{
+    const std::scoped_lock lock(mutex_);
+    runs_.lose(of, host_clock().now());
+}
+
+void crash_watch::on_upstream_ended(
+    std::uint64_t upstream, const std::string& id, const service_name& service)
+{
+    const auto now = host_clock().now();
+    {
+        const std::scoped_lock lock(mutex_);
+        if (ended_ == upstream)
+        {
+            return;
+        }
+        ended_ = upstream;
+        const auto at_work = runs_.take_all(now);
+        std::uint64_t suspected = 0;
+        for (const auto& each : at_work)
+        {
+            if (evidence_.has_completed_lately(each.digest, now))
+            {
+                continue;
+            }
+            ++suspected;
+            const bool before = is_quarantined(each.digest, now);
+            const crash_end end{upstream, each.begun_at, now};
+            evidence_.add_end(each.digest, end, service.str(), now);
+            tell(each.digest);
+            note_quarantine({each.digest, service.str(), {}, {}}, before);
+        }
+        log_event(
+            event::upstream_ended,
+            {{"upstream", id},
+             {"service", service.str()},
+             {"at_work", std::uint64_t{at_work.size()}},
+             {"suspected", suspected}});
+    }
+    on_news();
+}
+
+void crash_watch::fill(messages::sync_request& request) const
+{
+    const auto now = host_clock().now();
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [number, digest] : untold_)
+    {
+        const auto record = evidence_.find(digest);
+        if (record)
+        {
+            *request.add_crashes() = to_message(*record, now);
+        }
+        request.set_crashes_told(number);
+        if (request.crashes_size() >= static_cast<int>(most_told_at_once))
+        {
+            break;
+        }
+    }
+    // Another service is wanted: what was told of the others isn't enough.
+    const bool same = services_in(request) == services_;
+    request.set_known_crash_stamp(same ? known_stamp_ : 0);
+    request.set_crash_epoch(epoch_);
+}
+
+bool crash_watch::on_reply(
+    const messages::sync_request& request, const messages::sync_reply& reply)
+{
+    const auto now = host_clock().now();
+    const std::scoped_lock lock(mutex_);
+    untold_.erase(untold_.begin(), untold_.upper_bound(request.crashes_told()));
+    for (const auto& each : reply.crashes())
+    {
+        const auto record = from_message(each, now);
+        const bool before = is_quarantined(record.digest, now);
+        evidence_.merge(record, now);
+        note_quarantine(record, before);
+        const bool counts = evidence_.judge(record.digest, now).ends > 0;
+        if (!record.ends.empty() && !counts)
+        {
+            // It has completed here since.
+            tell(record.digest);
+        }
+    }
+    if (reply.crash_epoch() != epoch_)
+    {
+        // Another control host, or one that has forgotten.
+        epoch_ = reply.crash_epoch();
+        tell_all();
+    }
+    known_stamp_ = reply.crash_stamp();
+    services_ = services_in(request);
+    if (now >= next_expiry_)
+    {
+        evidence_.expire(now);
+        next_expiry_ = now + expiry_interval;
+    }
+    return !untold_.empty();
+}
+
+std::vector<crash_record> crash_watch::quarantined() const
+{
+    const std::scoped_lock lock(mutex_);
+    return evidence_.quarantined(host_clock().now());
+}
+
+bool crash_watch::release(std::uint64_t digest)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (!evidence_.release(digest, host_clock().now()))
+        {
+            return false;
+        }
+        tell(digest);
+    }
+    on_news();
+    return true;
+}
+
+std::size_t crash_watch::size() const
+{
+    const std::scoped_lock lock(mutex_);
+    return evidence_.size();
+}
+
+} // namespace nutmegusher::node
--- /dev/null
+++ b/nutmegusher/node/crash_watch.hpp
@@ -0,0 +1,124 @@
+// What this process knows of requests that end upstreams, for all its threads:
+// what its own upstream does to it, what others have told, and what is still to
+// be told.
+#ifndef NUTMEGUSHER_NODE_CRASH_WATCH_HPP
+#define NUTMEGUSHER_NODE_CRASH_WATCH_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/messages/sync.pb.h"
+#include "nutmegusher/policy/policy.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegusher::node
+{
+
+// Ages are counted from `now`.
+[[nodiscard]] messages::crash_record
+to_message(const crash_record& from, time_point now);
+[[nodiscard]] crash_record
+from_message(const messages::crash_record& from, time_point now);
+
+// Adds to `to` the records that have changed since the stamp and are about one
+// of the services; without services: all.
+void add_records(
+    const crash_evidence& evidence,
+    std::uint64_t since,
+    std::span<const std::string> services,
+    time_point now,
+    google::protobuf::RepeatedPtrField<messages::crash_record>& to);
+
+// As operators read and write a digest: 16 hexadecimal digits.
+[[nodiscard]] std::string digest_text(std::uint64_t digest);
+[[nodiscard]] std::optional<std::uint64_t> parse_digest(std::string_view text);
+
+class crash_watch
+{
+public:
+    crash_watch() = default;
+    crash_watch(const crash_watch&) = delete;
+    crash_watch& operator=(const crash_watch&) = delete;
+
+    // Where a request enters.
+    [[nodiscard]] crash_judgement judge(std::uint64_t digest) const;
+
+    // False where such a request is at work for this entry already: of one that
+    // is known from two ends or more, one at a time.
+    [[nodiscard]] bool begin_suspect(std::uint64_t digest);
+    void end_suspect(std::uint64_t digest);
+
+    // An upstream has ended under the request, as the daemon beside it told.
+    void note_end(
+        std::uint64_t digest,
+        std::uint64_t upstream,
+        duration ran_for,
+        const service_name& service);
+
+    // Beside the upstream: a run, and how it ended.
+    [[nodiscard]] work_in_progress::ticket begin_run(std::uint64_t digest);
+    void complete_run(work_in_progress::ticket of, std::uint64_t digest);
+    void leave_run(work_in_progress::ticket of);
+    void lose_run(work_in_progress::ticket of);
+
+    // The upstream of that name (`upstream`: hash of it and its start) has
+    // ended: whatever was at work there is suspected. Only the first call for
+    // an upstream counts.
+    void on_upstream_ended(
+        std::uint64_t upstream,
+        const std::string& id,
+        const service_name& service);
+
+    // With a control host. `fill` adds what it wasn't told yet; `on_reply`
+    // takes what it told, and counts what it was told in `request`. True:
+    // there is more to tell.
+    void fill(messages::sync_request& request) const;
+    bool on_reply(
+        const messages::sync_request& request,
+        const messages::sync_reply& reply);
+
+    // Something is to be told; called without the lock. Set before the workers
+    // run.
+    std::function<void()> on_news = [] {};
+
+    // For operators. `release`: false where nothing is known of it.
+    [[nodiscard]] std::vector<crash_record> quarantined() const;
+    bool release(std::uint64_t digest);
+    // Records, suspects included.
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    void note_quarantine(const crash_record& told, bool was_quarantined);
+    bool is_quarantined(std::uint64_t digest, time_point now) const;
+    void tell(std::uint64_t digest);
+    void tell_all();
+
+    mutable std::mutex mutex_;
+    crash_evidence evidence_;
+    work_in_progress runs_;
+    std::multiset<std::uint64_t> suspects_;
+    // The upstream that ended last.
+    std::uint64_t ended_ = 0;
+    // Digests of records to tell, by their number.
+    std::map<std::uint64_t, std::uint64_t> untold_;
+    std::uint64_t last_untold_ = 0;
+    // What the control host has told, and which run of it.
+    std::uint64_t known_stamp_ = 0;
+    std::uint64_t epoch_ = 0;
+    // The services that it told of.
+    std::vector<std::string> services_;
+    time_point next_expiry_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/node/daemon_state.hpp
+++ b/nutmegusher/node/daemon_state.hpp
@@ -54,6 +54,7 @@
                     sync->sync_now();
                 });
         };
+        shared.crashes.on_news = shared.sync_soon;
     }
 
     // The worker that also does what is done once a process.
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/node/upstream_client.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -8,6 +9,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <tuple>
@@ -41,6 +43,10 @@
 // upstream that sends more is out of step for good.
 constexpr int most_skipped_answers = 2;
 constexpr std::size_t most_idle = 256;
+// Whether an upstream has ended shows within so many connections and so long
+// after each.
+constexpr int most_probes = 3;
+constexpr duration probe_pause = std::chrono::milliseconds(5);
 constexpr std::uint32_t answer_header_bytes = 65536;
 // Room for a head and most of the users' answers (1.5 to 5 KB): without it
 // Beast reads 512 bytes at a time, and an answer of 1.5 KB took five reads with
@@ -144,6 +150,17 @@
         return nullptr;
     }
 
+    [[nodiscard]] bool has_open(const tcp::endpoint& address)
+    {
+        return std::ranges::any_of(
+            idle,
+            [&address](const idle_connection& each)
+            {
+                return each.address == address &&
+                       still_open(each.stream->socket());
+            });
+    }
+
     void
     put(std::unique_ptr<beast::tcp_stream> stream,
         const tcp::endpoint& address,
@@ -451,6 +468,35 @@
     return state_->idle.size();
 }
 
+asio::awaitable<bool> upstream_pool::is_listening(tcp::endpoint address)
+{
+    if (state_->has_open(address))
+    {
+        co_return true;
+    }
+    for (int i = 0; i < most_probes; ++i)
+    {
+        beast::tcp_stream probe(state_->context);
+        probe.expires_after(connect_limit);
+        auto [failed] =
+            co_await probe.async_connect(address, as_tuple_awaitable);
+        if (failed)
+        {
+            co_return false;
+        }
+        // A process that ends closes its listener and its connections one after
+        // the other: one that was taken meanwhile is closed at once.
+        asio::steady_timer pause(state_->context);
+        pause.expires_after(probe_pause);
+        co_await pause.async_wait(as_tuple_awaitable);
+        if (still_open(probe.socket()))
+        {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 asio::awaitable<outcome<std::unique_ptr<upstream_call>, upstream_failure>>
 upstream_pool::send(tcp::endpoint address, const upstream_request& request)
 {
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -104,6 +104,10 @@
     asio::awaitable<outcome<std::unique_ptr<upstream_call>, upstream_failure>>
     send(asio::ip::tcp::endpoint address, const upstream_request& request);
 
+    // Whether a process takes connections there: one is open that is kept for
+    // the next call, or a new one is taken. Sends nothing.
+    asio::awaitable<bool> is_listening(asio::ip::tcp::endpoint address);
+
     [[nodiscard]] std::size_t idle_connections() const;
 
 private:
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -107,6 +107,7 @@
             co_await give_up(*no);
             co_return;
         }
+        call_.terms.digest = digest_of_content();
         watch_caller();
         co_await wait_for_upstreams();
         if (!is_opened() || co_await wait_for_opening())
@@ -253,6 +254,17 @@
         }
     }
 
+    [[nodiscard]] std::uint64_t digest_of_content() const
+    {
+        request_digest digest(call_.head.method, call_.head.path);
+        digest.update(call_.terms.host);
+        digest.update("\n");
+        digest.update(service_.str());
+        digest.update("\n");
+        digest.update(call_.body);
+        return digest.value();
+    }
+
     void watch_caller()
     {
         std::weak_ptr<node::cancellation> weak = cancelled_;
--- a/nutmegusher/routed/peer_fields.cpp
+++ b/nutmegusher/routed/peer_fields.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view load_field = "nutmeg-load";
 constexpr std::string_view shed_field = "nutmeg-shed";
 constexpr std::string_view sub_call_field = "nutmeg-sub-call";
+constexpr std::string_view ended_field = "nutmeg-ended";
 constexpr std::string_view own_prefix = "nutmeg-";
 constexpr double level_scale = 1000;
 
@@ -72,8 +73,8 @@
     to.push_back({std::string(name), std::move(value)});
 }
 
-// "rank flags milliseconds-left target-milliseconds class", for example
-// "2 1 4980 1500 1234567890".
+// "rank flags milliseconds-left target-milliseconds class digest", for example
+// "2 1 4980 1500 1234567890 9876543210".
 std::string format_terms(const call_terms& terms)
 {
     const unsigned flags = (terms.repeatable ? repeatable_bit : 0) |
@@ -84,6 +85,7 @@
     text += ' ' + node::to_milliseconds(terms.time_left());
     text += ' ' + node::to_milliseconds(terms.target);
     text += ' ' + std::to_string(terms.work_class);
+    text += ' ' + std::to_string(terms.digest);
     return text;
 }
 
@@ -185,6 +187,8 @@
     {
         return std::nullopt;
     }
+    // Daemons of an earlier version don't tell it.
+    words.read(terms.digest);
     terms.id = *id;
     terms.service = service_name(*service);
     terms.host = wire::find_header(from, host_field).value_or("");
@@ -227,6 +231,27 @@
     return word;
 }
 
+void add_ended(const ended_upstream& ended, wire::headers& to)
+{
+    add(to,
+        ended_field,
+        std::to_string(ended.upstream) + ' ' +
+            node::to_milliseconds(ended.ran_for));
+}
+
+std::optional<ended_upstream> parse_ended(const wire::headers& from)
+{
+    field_words words(wire::find_header(from, ended_field).value_or(""));
+    ended_upstream ended;
+    std::uint32_t ran_for = 0;
+    if (!words.read(ended.upstream) || !words.read(ran_for))
+    {
+        return std::nullopt;
+    }
+    ended.ran_for = std::chrono::milliseconds(ran_for);
+    return ended;
+}
+
 wire::headers without_own_fields(const wire::headers& fields)
 {
     wire::headers kept;
--- a/nutmegusher/routed/peer_fields.hpp
+++ b/nutmegusher/routed/peer_fields.hpp
@@ -39,6 +39,13 @@
 [[nodiscard]] std::optional<upstream_word>
 parse_word(const wire::headers& from);
 
+// "nutmeg-ended: upstream ran-for-milliseconds".
+void add_ended(const ended_upstream& ended, wire::headers& to);
+
+// Nothing where none came, or a malformed one.
+[[nodiscard]] std::optional<ended_upstream>
+parse_ended(const wire::headers& from);
+
 // The fields of the caller or the upstream, without the daemons' own.
 [[nodiscard]] wire::headers without_own_fields(const wire::headers& fields);
 
--- a/nutmegusher/routed/routed_call.hpp
+++ b/nutmegusher/routed/routed_call.hpp
@@ -44,6 +44,8 @@
     time_point deadline;
     // `stable_hash` of the route's name.
     std::uint64_t work_class = 0;
+    // Of the request's content; the same wherever and whenever it comes.
+    std::uint64_t digest = 0;
 
     [[nodiscard]] duration time_left() const
     {
@@ -59,6 +61,14 @@
     std::string body;
 };
 
+// An upstream that has ended with the call at work.
+struct ended_upstream
+{
+    // Names it and its start.
+    std::uint64_t upstream = 0;
+    duration ran_for{0};
+};
+
 // How a call failed.
 struct failed_call
 {
@@ -66,6 +76,8 @@
     node::refusal told;
     // It reached the upstream, and may count as one of its tries.
     bool sent = false;
+    // Set where the call is suspected of the upstream's end.
+    std::optional<ended_upstream> ended = std::nullopt;
 };
 
 // The rest of an answer that is too long to be kept whole.
@@ -96,6 +108,11 @@
 // the users' largest class.
 inline constexpr std::size_t kept_answer_bytes = 256 * 1024;
 
+// When a caller may ask again about a request that isn't run any more, or that
+// is run one at a time.
+inline constexpr duration come_back_from_quarantine = std::chrono::minutes(1);
+inline constexpr duration come_back_as_suspect = std::chrono::seconds(1);
+
 using routed_result = outcome<routed_answer, failed_call>;
 
 // Set when the caller has gone.
--- a/nutmegusher/routed/upstream_side.cpp
+++ b/nutmegusher/routed/upstream_side.cpp
@@ -97,15 +97,70 @@
     bool released_ = false;
 };
 
+// A call that is at work on the upstream, for the evidence of what ends it.
+class watched_run
+{
+public:
+    watched_run(node::crash_watch& crashes, std::uint64_t digest)
+        : crashes_(crashes)
+        , digest_(digest)
+        , begun_(host_clock().now())
+        , ticket_(crashes.begin_run(digest))
+    {
+    }
+
+    watched_run(const watched_run&) = delete;
+    watched_run& operator=(const watched_run&) = delete;
+
+    ~watched_run()
+    {
+        if (!ended_)
+        {
+            crashes_.leave_run(ticket_);
+        }
+    }
+
+    void complete()
+    {
+        if (!std::exchange(ended_, true))
+        {
+            crashes_.complete_run(ticket_, digest_);
+        }
+    }
+
+    // Its connection broke; it is remembered, as the upstream may have ended.
+    void lose()
+    {
+        if (!std::exchange(ended_, true))
+        {
+            crashes_.lose_run(ticket_);
+        }
+    }
+
+    [[nodiscard]] duration elapsed() const
+    {
+        return host_clock().now() - begun_;
+    }
+
+private:
+    node::crash_watch& crashes_;
+    std::uint64_t digest_;
+    time_point begun_;
+    work_in_progress::ticket ticket_;
+    bool ended_ = false;
+};
+
 // The rest of a long answer; holds connection and slot.
 class upstream_rest final : public answer_rest
 {
 public:
     upstream_rest(
         std::unique_ptr<node::upstream_call> call,
-        std::unique_ptr<held_slot> slot)
+        std::unique_ptr<held_slot> slot,
+        std::unique_ptr<watched_run> run)
         : call_(std::move(call))
         , slot_(std::move(slot))
+        , run_(std::move(run))
     {
     }
 
@@ -115,10 +170,15 @@
         const auto got = co_await call_->read_some(into);
         if (!got)
         {
+            if (got.error() == node::upstream_failure::broken)
+            {
+                run_->lose();
+            }
             co_return std::nullopt;
         }
         if (*got == 0)
         {
+            run_->complete();
             slot_->set_result(call_result::ok);
             slot_->release();
         }
@@ -128,6 +188,7 @@
 private:
     std::unique_ptr<node::upstream_call> call_;
     std::unique_ptr<held_slot> slot_;
+    std::unique_ptr<watched_run> run_;
 };
 
 call_facts facts_of(const call_terms& terms, ticket_id ticket)
@@ -256,6 +317,8 @@
             co_return not_run(call_reason::deadline, duration::zero());
         }
         const auto request = make_request(*to);
+        run_ = std::make_unique<watched_run>(
+            state_.process.crashes, call_.terms.digest);
         auto sent = co_await here_.upstreams.send(to->address, request);
         if (!sent)
         {
@@ -278,9 +341,34 @@
         };
         auto result = co_await read_answer();
         cancelled_->stop = nullptr;
+        if (!result && is_lost_)
+        {
+            auto failed = result.error();
+            failed.ended = co_await find_end(*to);
+            co_return failed;
+        }
         co_return result;
     }
 
+    // The upstream's end, where it has ended and the call is suspected of it.
+    asio::awaitable<std::optional<ended_upstream>>
+    find_end(const upstream_report& to)
+    {
+        const auto ran_for = run_->elapsed();
+        run_->lose();
+        if (co_await here_.upstreams.is_listening(to.address))
+        {
+            co_return std::nullopt;
+        }
+        auto& crashes = state_.process.crashes;
+        const ended_upstream ended{
+            stable_hash(to.id, to.order.started), ran_for};
+        crashes.on_upstream_ended(ended.upstream, to.id, to.service);
+        state_.note_unreachable(to.id);
+        const bool is_suspected = crashes.judge(call_.terms.digest).ends > 0;
+        co_return is_suspected ? std::optional(ended) : std::nullopt;
+    }
+
     [[nodiscard]] node::upstream_request
     make_request(const upstream_report& to) const
     {
@@ -365,6 +453,10 @@
         case node::upstream_failure::cancelled:
             slot_->set_result(call_result::cancelled);
             break;
+        case node::upstream_failure::broken:
+            is_lost_ = true;
+            note_answer(true);
+            break;
         default:
             // Lost, broken off or no answer at all. Without this an upstream
             // that loses two answers in five got its whole share of what may
@@ -405,6 +497,7 @@
             }
             if (*got == 0)
             {
+                run_->complete();
                 slot_->set_result(call_result::ok);
                 co_return answer;
             }
@@ -412,7 +505,7 @@
                 reinterpret_cast<const char*>(piece.data()), *got);
         }
         answer.rest = std::make_unique<upstream_rest>(
-            std::move(upstream_), std::move(slot_));
+            std::move(upstream_), std::move(slot_), std::move(run_));
         co_return answer;
     }
 
@@ -423,6 +516,10 @@
     // Declared before the call: the slot is free when the connection is.
     std::unique_ptr<held_slot> slot_;
     std::unique_ptr<node::upstream_call> upstream_;
+    // Set while the upstream may be at work on the call.
+    std::unique_ptr<watched_run> run_;
+    // The connection to the upstream broke before the whole answer.
+    bool is_lost_ = false;
 };
 
 } // namespace
