Quarantine a request that upstreams end under, at all daemons

What callers saw: a service was gone.

Cause: nothing remembered a request beyond its own tries. Class: each attempt judged alone, where only all of them together show the cause.

Now the daemon beside the upstream suspects what was at work when it ended; records ride on the syncs with control hosts and on their exchange, are merged, and reach daemons that call or serve the service. After two ends an entry sends such a request no second time and has one in work; after three ends of three upstreams without a completion it is refused at once, 'quarantined', not run. Whatever completes anywhere is cleared. Control hosts keep what is in quarantine on their disks; operators list and release ('nutmegusherctl quarantine').

--- a/nutmegusher/ctl/control_commands.cpp
+++ b/nutmegusher/ctl/control_commands.cpp
@@ -76,6 +76,31 @@
     return exit_code::success;
 }
 
+exit_code show_quarantine(const command_context& context)
+{
+    return show(context, "/v1/quarantine");
+}
+
+void add_release_options(cxxopts::OptionAdder& add)
+{
+    add("digest",
+        "as `quarantine list` shows it",
+        cxxopts::value<std::string>());
+}
+
+exit_code release_request(const command_context& context)
+{
+    const json::object body{{"digest", context.text("digest")}};
+    const auto reply = context.client.post_once(
+        "/v1/quarantine/release", json::serialize(body));
+    if (!reply)
+    {
+        return report(context, reply.error());
+    }
+    context.where.out << "released; everywhere within a second\n";
+    return exit_code::success;
+}
+
 exit_code show_control(const command_context& context)
 {
     return show(context, "/v1/control");
--- a/nutmegusher/ctl/control_commands_test.cpp
+++ b/nutmegusher/ctl/control_commands_test.cpp
@@ -47,6 +47,22 @@
         R"({"old":"c2","new":"c4","address":"127.0.0.4:9"})");
 }
 
+TEST_F(ctl_test, quarantine_is_listed_and_released_by_digest)
+{
+    answer(
+        "/v1/quarantine",
+        200,
+        R"([{"digest": "00000000000000ab", "service": "s", "ends": 3}])");
+    EXPECT_EQ(command("quarantine list"), exit_code::success);
+    EXPECT_THAT(out.str(), HasSubstr("00000000000000ab"));
+
+    answer("/v1/quarantine/release", 200, R"({"released": true})");
+    EXPECT_EQ(
+        command("quarantine release --digest 00000000000000ab"),
+        exit_code::success);
+    EXPECT_EQ(queries.back().body, R"({"digest":"00000000000000ab"})");
+}
+
 TEST_F(ctl_test, lost_answer_to_a_replacement_is_not_resent)
 {
     answer("/v1/control/replace", exchange_failure::timed_out);
--- a/nutmegusher/node/control_part.cpp
+++ b/nutmegusher/node/control_part.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/node/control_part.hpp"
 
 #include "nutmegusher/node/control_logs.hpp"
+#include "nutmegusher/node/crash_store.hpp"
 #include "nutmegusher/node/json_messages.hpp"
 #include "nutmegusher/node/sync_server.hpp"
 
@@ -107,6 +108,28 @@
 
 } // namespace
 
+namespace
+{
+
+// Of its own, as a `file_disk` locks its folder.
+constexpr std::string_view crash_folder = "crashes";
+
+void keep(file_disk& disk, const std::vector<crash_record>& records)
+{
+    leaf::try_handle_all(
+        [&]
+        {
+            return save_crashes(
+                disk, records, host_clock().now(), wall_milliseconds());
+        },
+        [](const leaf::error_info&)
+        {
+            log_event(event::quarantine_not_kept, {});
+        });
+}
+
+} // namespace
+
 struct control_part::state
 {
     explicit state(worker& first)
@@ -126,6 +149,8 @@
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> working;
     std::unique_ptr<control_logs> logs;
+    // Used on `thread` once that runs.
+    std::optional<file_disk> crash_disk;
     std::unique_ptr<sync_server> syncs;
     std::thread thread;
 };
@@ -164,6 +189,16 @@
         }
         return leaders;
     };
+    source.keep_crashes = [this](std::vector<crash_record> records)
+    {
+        // The disk may take its time.
+        asio::post(
+            context,
+            [this, records = std::move(records)]
+            {
+                keep(*crash_disk, records);
+            });
+    };
     source.control_hosts = [this]
     {
         std::vector<messages::control_host> hosts;
@@ -270,6 +305,14 @@
         control_logs::create(made->context, make_control_settings(configured)));
     made->syncs = std::make_unique<sync_server>(
         configured.host.id, first.shared.run, made->make_source());
+    BOOST_LEAF_ASSIGN(
+        made->crash_disk,
+        file_disk::open(configured.control->data_folder / crash_folder));
+    BOOST_LEAF_AUTO(
+        kept,
+        load_crashes(
+            *made->crash_disk, host_clock().now(), wall_milliseconds()));
+    made->syncs->restore(kept);
     made->logs->on_revision(
         [syncs = made->syncs.get()](revision)
         {
@@ -356,6 +399,14 @@
     {
         return state_->replace(std::move(body));
     };
+    made.quarantined = [this]
+    {
+        return state_->syncs->quarantined();
+    };
+    made.release = [this](std::uint64_t digest)
+    {
+        return state_->syncs->release(digest);
+    };
     return made;
 }
 
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <array>
@@ -130,6 +132,26 @@
     co_return operator_answer{status_of(result.verdict()), to_json(result)};
 }
 
+json::value quarantined(const worker& here, const operator_sources& sources)
+{
+    const auto now = host_clock().now();
+    const auto records = sources.control.quarantined
+                             ? sources.control.quarantined()
+                             : here.shared.crashes.quarantined();
+    json::array all;
+    for (const auto& each : records)
+    {
+        const std::chrono::duration<double> age =
+            now - each.ends.back().ended_at;
+        all.push_back(json::object{
+            {"digest", digest_text(each.digest)},
+            {"service", each.service},
+            {"ends", each.ends.size()},
+            {"last_end_s_ago", age.count()}});
+    }
+    return all;
+}
+
 json::value dump(worker& here, const operator_sources& sources)
 {
     const auto& shared = here.shared;
@@ -157,6 +179,8 @@
         {"requests_running", shared.ledger.size()},
         {"routes", shared.routes.dump()},
         {"classes", shared.measured.dump()},
+        {"quarantine", quarantined(here, sources)},
+        {"crash_records", shared.crashes.size()},
         {"sync", sources.sync()}};
     if (const auto own = shared.upstream.record())
     {
@@ -172,6 +196,28 @@
     return object;
 }
 
+operator_answer
+release(worker& here, const operator_sources& sources, const std::string& body)
+{
+    boost::system::error_code failed;
+    const auto read = json::parse(body, failed);
+    const auto* const object = read.if_object();
+    const auto* const text =
+        object == nullptr ? nullptr : object->if_contains("digest");
+    const auto digest = text != nullptr && text->is_string()
+                            ? parse_digest(text->as_string())
+                            : std::nullopt;
+    if (failed || !digest)
+    {
+        return error_answer(422, "bad-digest");
+    }
+    const bool known = sources.control.release
+                           ? sources.control.release(*digest)
+                           : here.shared.crashes.release(*digest);
+    return known ? operator_answer{200, json::object{{"released", true}}}
+                 : error_answer(404, "no-such-digest");
+}
+
 operator_answer answer_if(const std::function<json::value()>& source)
 {
     return source ? operator_answer{200, source()}
@@ -193,6 +239,10 @@
         auto [status, value] = co_await settle_outcome(here, std::move(body));
         co_return operator_answer{status, std::move(value)};
     }
+    if (path == "/v1/quarantine/release")
+    {
+        co_return release(here, sources, body);
+    }
     if (path == "/v1/drain")
     {
         sources.drain();
@@ -228,6 +278,10 @@
     {
         co_return operator_answer{200, dump(here, sources)};
     }
+    if (path == "/v1/quarantine")
+    {
+        co_return operator_answer{200, quarantined(here, sources)};
+    }
     if (path == "/v1/history")
     {
         co_return answer_if(sources.control.history);
--- a/nutmegusher/node/operator_api.hpp
+++ b/nutmegusher/node/operator_api.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace nutmegusher::node
 {
@@ -33,6 +34,9 @@
     std::function<asio::awaitable<std::pair<unsigned, boost::json::value>>(
         std::string body)>
         replace;
+    // See `crash_watch`; of all services.
+    std::function<std::vector<crash_record>()> quarantined;
+    std::function<bool(std::uint64_t digest)> release;
 };
 
 struct operator_sources
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -126,7 +126,7 @@
     const bool is_current = answered && take_configuration(*reply, sent_at);
     if (answered)
     {
-        take_members(*reply);
+        take_members(request, *reply);
     }
     if (!answered && reply && reply->known_incarnation() > 0)
     {
@@ -200,7 +200,7 @@
     else if (is_needed)
     {
         leave_poll();
-        take_members(*reply);
+        take_members(request, *reply);
         schedule_.move_to(target.host, now, here_.random);
         note_reached(target.address, true);
     }
@@ -319,6 +319,7 @@
         *request.mutable_own() = *own;
     }
     view_.subscribe(request);
+    shared.crashes.fill(request);
     request.set_linearizable(!confirmed_);
     const auto wait =
         std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
@@ -350,11 +351,17 @@
     return host_clock().now() - current_at <= oldest_taken;
 }
 
-void sync_client::take_members(const messages::sync_reply& reply)
+void sync_client::take_members(
+    const messages::sync_request& request, const messages::sync_reply& reply)
 {
     take_control_hosts(reply);
     view_.apply(reply);
     update_routes();
+    const bool has_more = here_.shared.crashes.on_reply(request, reply);
+    if (has_more)
+    {
+        sync_now();
+    }
 }
 
 void sync_client::take_control_hosts(const messages::sync_reply& reply)
--- a/nutmegusher/node/sync_client.hpp
+++ b/nutmegusher/node/sync_client.hpp
@@ -67,7 +67,9 @@
     // one is taken only where a majority has confirmed it.
     bool
     take_configuration(const messages::sync_reply& reply, time_point sent_at);
-    void take_members(const messages::sync_reply& reply);
+    void take_members(
+        const messages::sync_request& request,
+        const messages::sync_reply& reply);
     void leave_poll();
     void note_age();
     // Some control host has told up to when it is current.
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -106,6 +106,7 @@
 
 sync_server::sync_server(host_id self, incarnation run, control_source source)
     : self_(std::move(self))
+    , crash_epoch_(stable_hash(self_.str(), run.value()))
     , source_(std::move(source))
     , registry_(
           self_, run.value(), host_clock().now(), make_lease_options(source_))
@@ -134,8 +135,18 @@
         std::string reply;
         {
             const std::scoped_lock lock(mutex_);
-            reply =
-                registry_.update(host_clock().now(), asked).SerializeAsString();
+            const auto now = host_clock().now();
+            auto update = registry_.update(now, asked);
+            const bool knows = asked.crash_epoch() == crash_epoch_;
+            add_records(
+                crashes_,
+                knows ? asked.known_crash_stamp() : 0,
+                {},
+                now,
+                *update.mutable_crashes());
+            update.set_crash_epoch(crash_epoch_);
+            update.set_crash_stamp(crashes_.stamp());
+            reply = update.SerializeAsString();
         }
         co_await write_all(*stream, reply);
         co_return;
@@ -168,6 +179,7 @@
                 registry_.known_incarnation(request.host()));
         }
         changed = registry_.counts().stamp != before;
+        changed = take_crashes(request.crashes()) || changed;
     }
     if (!reply.accepted())
     {
@@ -205,9 +217,94 @@
     }
     const std::scoped_lock lock(mutex_);
     registry_.answer(request, reply);
+    answer_crashes(request, reply);
     co_return reply;
 }
 
+std::vector<std::string>
+sync_server::crash_services(const messages::sync_request& request)
+{
+    std::vector<std::string> services(
+        request.services().begin(), request.services().end());
+    services.push_back(request.own().service());
+    return services;
+}
+
+std::uint64_t
+sync_server::known_crash_stamp(const messages::sync_request& request) const
+{
+    return request.crash_epoch() == crash_epoch_ ? request.known_crash_stamp()
+                                                 : 0;
+}
+
+bool sync_server::has_crash_news(const messages::sync_request& request) const
+{
+    const auto known = known_crash_stamp(request);
+    if (crashes_.stamp() <= known)
+    {
+        return false;
+    }
+    messages::sync_reply reply;
+    answer_crashes(request, reply);
+    return reply.crashes_size() > 0;
+}
+
+void sync_server::answer_crashes(
+    const messages::sync_request& request, messages::sync_reply& reply) const
+{
+    const auto services = crash_services(request);
+    add_records(
+        crashes_,
+        known_crash_stamp(request),
+        services,
+        host_clock().now(),
+        *reply.mutable_crashes());
+    reply.set_crash_epoch(crash_epoch_);
+    reply.set_crash_stamp(crashes_.stamp());
+}
+
+bool sync_server::take_crashes(
+    const google::protobuf::RepeatedPtrField<messages::crash_record>& told)
+{
+    const auto now = host_clock().now();
+    bool changed = false;
+    for (const auto& each : told)
+    {
+        changed = crashes_.merge(from_message(each, now), now) || changed;
+    }
+    if (changed)
+    {
+        keep_crashes();
+    }
+    return changed;
+}
+
+void sync_server::keep_crashes()
+{
+    auto records = crashes_.quarantined(host_clock().now());
+    std::set<std::uint64_t> digests;
+    for (const auto& each : records)
+    {
+        digests.insert(each.digest);
+    }
+    if (digests != kept_crashes_)
+    {
+        kept_crashes_ = std::move(digests);
+        source_.keep_crashes(std::move(records));
+    }
+}
+
+void sync_server::restore(std::span<const crash_record> kept)
+{
+    const auto now = host_clock().now();
+    const std::scoped_lock lock(mutex_);
+    for (const auto& each : kept)
+    {
+        crashes_.merge(each, now);
+        kept_crashes_.insert(each.digest);
+    }
+}
+
 bool sync_server::is_old(time_point now) const
 {
     return now - source_.known_current_at() > oldest_held;
@@ -221,7 +318,7 @@
         return true;
     }
     const std::scoped_lock lock(mutex_);
-    return registry_.has_news(request) || stopped_;
+    return registry_.has_news(request) || has_crash_news(request) || stopped_;
 }
 
 asio::awaitable<void> sync_server::wait_for_news(
@@ -280,6 +377,7 @@
             }
             const auto before = registry_.counts().stamp;
             registry_.expire(host_clock().now());
+            crashes_.expire(host_clock().now());
             changed = registry_.counts().stamp != before;
             std::erase_if(
                 waiters_,
@@ -316,7 +414,11 @@
     std::string body;
     {
         const std::scoped_lock lock(mutex_);
-        body = registry_.exchange(host_id(other.host())).SerializeAsString();
+        auto asked = registry_.exchange(host_id(other.host()));
+        const auto& position = crash_positions_[other.host()];
+        asked.set_crash_epoch(position.epoch);
+        asked.set_known_crash_stamp(position.stamp);
+        body = asked.SerializeAsString();
     }
     outcome<std::string, wire::stream_failure> answer =
         wire::stream_failure::not_connected;
@@ -337,6 +439,9 @@
         const auto before = registry_.counts().stamp;
         registry_.apply(host_clock().now(), host_id(other.host()), update);
         changed = registry_.counts().stamp != before;
+        changed = take_crashes(update.crashes()) || changed;
+        crash_positions_[other.host()] = {
+            update.crash_epoch(), update.crash_stamp()};
     }
     if (changed)
     {
@@ -353,6 +458,26 @@
     notify();
 }
 
+std::vector<crash_record> sync_server::quarantined() const
+{
+    const std::scoped_lock lock(mutex_);
+    return crashes_.quarantined(host_clock().now());
+}
+
+bool sync_server::release(std::uint64_t digest)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (!crashes_.release(digest, host_clock().now()))
+        {
+            return false;
+        }
+        keep_crashes();
+    }
+    notify();
+    return true;
+}
+
 rollout_tally sync_server::rollout() const
 {
     const std::scoped_lock lock(mutex_);
@@ -369,6 +494,7 @@
         {"upstreams", counts.upstreams},
         {"services", counts.services},
         {"stamp", counts.stamp},
+        {"crash_records", crashes_.size()},
         {"settled", counts.settled}};
 }
 
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -5,6 +5,7 @@
 
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/membership/membership.hpp"
+#include "nutmegusher/node/crash_watch.hpp"
 #include "nutmegusher/node/settings.hpp"
 #include "nutmegusher/wire/wire.hpp"
 
@@ -13,9 +14,11 @@
 #include <boost/json/value.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,6 +41,9 @@
     // What this host has is all that a majority had accepted at that moment of
     // its clock.
     std::function<time_point()> known_current_at;
+    // Keeps the requests in quarantine beyond this run.
+    std::function<void(std::vector<crash_record>)> keep_crashes =
+        [](const std::vector<crash_record>&) {};
 };
 
 // How old a control host's knowledge may be while it holds syncs; then it ends
@@ -71,6 +77,13 @@
 
     void stop();
 
+    // What was kept by an earlier run.
+    void restore(std::span<const crash_record> kept);
+
+    // See `crash_watch`.
+    [[nodiscard]] std::vector<crash_record> quarantined() const;
+    bool release(std::uint64_t digest);
+
     [[nodiscard]] rollout_tally rollout() const;
     [[nodiscard]] boost::json::value dump() const;
 
@@ -89,12 +102,40 @@
     bool begin_exchange(const std::string& host);
     void end_exchange(const std::string& host);
 
+    // The services whose crash records the daemon needs.
+    [[nodiscard]] static std::vector<std::string>
+    crash_services(const messages::sync_request& request);
+    [[nodiscard]] std::uint64_t
+    known_crash_stamp(const messages::sync_request& request) const;
+    [[nodiscard]] bool
+    has_crash_news(const messages::sync_request& request) const;
+    void answer_crashes(
+        const messages::sync_request& request,
+        messages::sync_reply& reply) const;
+    void keep_crashes();
+    // True: something of it was new.
+    bool take_crashes(
+        const google::protobuf::RepeatedPtrField<messages::crash_record>& told);
+
+    // What another control host has told of crashes.
+    struct crash_position
+    {
+        std::uint64_t epoch = 0;
+        std::uint64_t stamp = 0;
+    };
+
     const host_id self_;
+    // Names this run to others, as stamps are its own.
+    const std::uint64_t crash_epoch_;
     const control_source source_;
     mutable std::mutex mutex_;
     lease_registry registry_;
     std::vector<std::weak_ptr<waiter>> waiters_;
     std::set<std::string> exchanging_;
+    crash_evidence crashes_;
+    // Those that were kept last.
+    std::set<std::uint64_t> kept_crashes_;
+    std::map<std::string, crash_position> crash_positions_;
     bool stopped_ = false;
 };
 
--- a/nutmegusher/node/sync_server_test.cpp
+++ b/nutmegusher/node/sync_server_test.cpp
@@ -92,6 +92,12 @@
         request.set_known_stamp(known.stamp());
         request.set_registry_epoch(known.registry_epoch());
         request.set_wait_ms(std::chrono::milliseconds(hold).count());
+        co_return co_await send(std::move(request));
+    }
+
+    asio::awaitable<std::optional<messages::sync_reply>>
+    send(messages::sync_request request)
+    {
         const auto body = request.SerializeAsString();
         const auto text = co_await wire::call(
             sessions,
@@ -165,5 +171,90 @@
         std::chrono::milliseconds(hold - std::chrono::seconds(1)).count());
 }
 
+// A daemon that has seen an upstream end, and one that calls the service.
+class crash_syncs : public held_sync
+{
+protected:
+    using reply_future = std::future<std::optional<messages::sync_reply>>;
+
+    reply_future exchange(
+        const std::string& host,
+        const std::string& service,
+        const crash_watch& watch)
+    {
+        messages::sync_request request;
+        request.set_host(host);
+        request.set_incarnation(1);
+        request.add_services(service);
+        request.set_known_stamp(registry.stamp());
+        request.set_registry_epoch(registry.registry_epoch());
+        request.set_wait_ms(std::chrono::milliseconds(hold).count());
+        watch.fill(request);
+        last_request = request;
+        return asio::co_spawn(
+            context, send(std::move(request)), asio::use_future);
+    }
+
+    void see_end(crash_watch& watch, std::uint64_t upstream)
+    {
+        const auto run = watch.begin_run(digest);
+        watch.lose_run(run);
+        watch.on_upstream_ended(
+            upstream, "i-" + std::to_string(upstream), service_name("views"));
+    }
+
+    static constexpr std::uint64_t digest = 77;
+    messages::sync_reply registry;
+    messages::sync_request last_request;
+};
+
+TEST_F(crash_syncs, wake_the_daemons_that_call_the_service)
+{
+    crash_watch seeing;
+    crash_watch calling;
+    registry = exchange("d2", "views", calling).get().value();
+    calling.on_reply(last_request, registry);
+    auto held = exchange("d2", "views", calling);
+    const auto held_request = last_request;
+    ASSERT_EQ(
+        held.wait_for(std::chrono::milliseconds(200)),
+        std::future_status::timeout);
+    see_end(seeing, 1);
+    auto told = exchange("d1", "views", seeing);
+    ASSERT_EQ(held.wait_for(hold / 2), std::future_status::ready);
+    calling.on_reply(held_request, held.get().value());
+    EXPECT_EQ(calling.judge(digest).ends, 1U);
+    told.wait();
+}
+
+TEST_F(crash_syncs, tell_nothing_of_services_that_a_daemon_does_not_call)
+{
+    crash_watch seeing;
+    crash_watch calling;
+    see_end(seeing, 1);
+    exchange("d1", "views", seeing).wait();
+    registry = exchange("d2", "payouts", calling).get().value();
+    EXPECT_EQ(registry.crashes_size(), 0);
+    calling.on_reply(last_request, registry);
+    // It calls it from now on: what was told before matters too.
+    registry = exchange("d2", "views", calling).get().value();
+    EXPECT_EQ(registry.crashes_size(), 1);
+}
+
+TEST_F(crash_syncs, tell_a_daemon_that_starts)
+{
+    crash_watch seeing;
+    for (std::uint64_t upstream = 1; upstream <= 3; ++upstream)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        see_end(seeing, upstream);
+    }
+    exchange("d1", "views", seeing).wait();
+    crash_watch started;
+    registry = exchange("d2", "views", started).get().value();
+    started.on_reply(last_request, registry);
+    EXPECT_EQ(started.judge(digest).suspicion, crash_suspicion::quarantined);
+}
+
 } // namespace
 } // namespace nutmegusher::node
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -67,6 +67,58 @@
            name != names.caller_service && !name.starts_with("nutmeg-");
 }
 
+// Of requests that are known from so many ends of upstreams or more, one at a
+// time is in work here, and none is sent a second time.
+constexpr std::size_t ends_to_isolate = 2;
+
+// Keeps a request apart that is suspected to end upstreams.
+class suspect_mark
+{
+public:
+    suspect_mark(node::crash_watch& crashes, std::uint64_t digest)
+        : crashes_(crashes)
+        , digest_(digest)
+    {
+        const auto judged = crashes.judge(digest);
+        if (judged.suspicion == crash_suspicion::quarantined)
+        {
+            come_back_ = come_back_from_quarantine;
+        }
+        else if (judged.ends >= ends_to_isolate)
+        {
+            is_marked_ = crashes.begin_suspect(digest);
+            come_back_ = is_marked_ ? duration::zero() : come_back_as_suspect;
+        }
+    }
+
+    ~suspect_mark()
+    {
+        if (is_marked_)
+        {
+            crashes_.end_suspect(digest_);
+        }
+    }
+
+    suspect_mark(const suspect_mark&) = delete;
+    suspect_mark& operator=(const suspect_mark&) = delete;
+
+    [[nodiscard]] std::optional<refusal> refused() const
+    {
+        if (come_back_ == duration::zero())
+        {
+            return std::nullopt;
+        }
+        return refusal{
+            call_reason::quarantined, call_outcome::not_run, come_back_};
+    }
+
+private:
+    node::crash_watch& crashes_;
+    std::uint64_t digest_;
+    bool is_marked_ = false;
+    duration come_back_{0};
+};
+
 // One request, from its head to its answer.
 class routed_entry
 {
@@ -108,6 +160,12 @@
             co_return;
         }
         call_.terms.digest = digest_of_content();
+        const suspect_mark mark(state_.process.crashes, call_.terms.digest);
+        if (const auto no = mark.refused())
+        {
+            co_await give_up(*no);
+            co_return;
+        }
         watch_caller();
         co_await wait_for_upstreams();
         if (!is_opened() || co_await wait_for_opening())
@@ -404,6 +462,11 @@
                 co_await give_up(too_late());
                 co_return;
             }
+            if (is_quarantined())
+            {
+                co_await give_up(quarantined());
+                co_return;
+            }
             auto to = state_.process.routes.start(
                 service_, facts(), tried_, here_.random);
             if (!to)
@@ -531,6 +594,14 @@
     void note(const failed_call& failed)
     {
         sent_ += failed.sent ? 1 : 0;
+        if (failed.ended)
+        {
+            state_.process.crashes.note_end(
+                call_.terms.digest,
+                failed.ended->upstream,
+                failed.ended->ran_for,
+                service_);
+        }
         const bool ran = failed.told.result != call_outcome::not_run;
         may_have_run_ = may_have_run_ || ran;
         const bool turned_away = failed.told.reason == call_reason::overload;
@@ -542,10 +613,31 @@
         }
     }
 
+    [[nodiscard]] bool is_quarantined() const
+    {
+        const auto judged = state_.process.crashes.judge(call_.terms.digest);
+        return judged.suspicion == crash_suspicion::quarantined;
+    }
+
+    [[nodiscard]] refusal quarantined() const
+    {
+        return {
+            call_reason::quarantined,
+            may_have_run_ ? call_outcome::unknown : call_outcome::not_run,
+            come_back_from_quarantine};
+    }
+
+    // One that upstreams have ended under may end another one.
+    [[nodiscard]] bool may_end_another() const
+    {
+        return state_.process.crashes.judge(call_.terms.digest).ends >=
+               ends_to_isolate;
+    }
+
     [[nodiscard]] bool may_send_again(const failed_call& failed)
     {
         const bool ran = failed.told.result != call_outcome::not_run;
-        if (ran && !call_.terms.repeatable)
+        if (ran && (!call_.terms.repeatable || may_end_another()))
         {
             return false;
         }
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -179,7 +179,7 @@
         {
             const bool sent =
                 wire::find_header(head->fields, sent_field).has_value();
-            co_return failed_call{*refused, sent};
+            co_return failed_call{*refused, sent, parse_ended(head->fields)};
         }
         co_return co_await read_body(*std::move(head));
     }
@@ -334,6 +334,10 @@
     {
         head.fields.push_back({std::string(sent_field), "yes"});
     }
+    if (failed.ended)
+    {
+        add_ended(*failed.ended, head.fields);
+    }
     co_await stream.write_head(std::move(head), true);
 }
 
--- a/nutmegusher/routed/upstream_side.cpp
+++ b/nutmegusher/routed/upstream_side.cpp
@@ -316,6 +316,12 @@
         {
             co_return not_run(call_reason::deadline, duration::zero());
         }
+        const auto judged = state_.process.crashes.judge(call_.terms.digest);
+        if (judged.suspicion == crash_suspicion::quarantined)
+        {
+            co_return not_run(
+                call_reason::quarantined, come_back_from_quarantine);
+        }
         const auto request = make_request(*to);
         run_ = std::make_unique<watched_run>(
             state_.process.crashes, call_.terms.digest);
