Keep a stopping daemon's callers' listener open while calls may bring sub-calls

What callers see: a call of another daemon that is in work on the upstream of a stopping daemon fails when it makes a sub-call, as the listener where sub-calls come in like callers' requests is closed, and its kept connections with it since the end of a stop became a state.

Now the step 'finishing_calls' comes before the closing: callers are refused, not run; sub-calls are served until no call of other daemons is in work, or half of the time that is left has passed. Only where sub-calls come in that way.

Test: stop_sequence.keeps_callers_open_while_calls_may_bring_sub_calls; the step didn't exist before, so it can't fail on the code before. Not shown on processes: the tests' upstreams make their sub-calls on a listener of their own.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -26,14 +26,19 @@
 constexpr duration longest_closing = std::chrono::milliseconds(1300);
 constexpr int closing_part = 15;
 
-stop_times times_for(const shutdown_settings& from)
+// `sub_calls_as_callers`: the own upstream's come in at the callers' listener.
+stop_times times_for(const shutdown_settings& from, bool sub_calls_as_callers)
 {
     const auto closing = std::min(longest_closing, from.limit / closing_part);
     stop_times times;
     times.leave_after = from.accept_for * serving_part / accepting_parts;
     times.close_callers_after = from.accept_for;
-    times.close_peers_after = std::max(from.accept_for, leave_notice);
     times.give_up_after = from.limit - closing;
+    const auto patience = times.give_up_after - times.close_callers_after;
+    times.close_callers_by =
+        times.close_callers_after +
+        (sub_calls_as_callers ? patience / 2 : duration::zero());
+    times.close_peers_after = std::max(from.accept_for, leave_notice);
     times.end_after = from.limit;
     times.session_end = closing;
     return times;
@@ -99,8 +104,11 @@
         co_return;
     }
     log_event(event::process_stopping, {});
+    const auto& configured = shared.configured;
+    const bool sub_calls_as_callers = added && configured.listen.callers;
     auto stop = stop_sequence::begin(
-        times_for(shared.configured.shutdown), host_clock().now());
+        times_for(configured.shutdown, sub_calls_as_callers),
+        host_clock().now());
     asio::steady_timer timer(first().context);
     std::optional<stop_step> entered;
     stop_census open;
@@ -138,6 +146,9 @@
         }
         sync->sync_now();
         break;
+    case stop_step::finishing_calls:
+        shared.refuses_callers = true;
+        break;
     case stop_step::closing_callers:
         co_await close_callers();
         break;
--- a/nutmegusher/node/stop_sequence.cpp
+++ b/nutmegusher/node/stop_sequence.cpp
@@ -17,6 +17,8 @@
     case stop_step::announced:
         return stop_step::leaving;
     case stop_step::leaving:
+        return stop_step::finishing_calls;
+    case stop_step::finishing_calls:
         return stop_step::closing_callers;
     case stop_step::closing_callers:
         return stop_step::closing_peers;
@@ -37,6 +39,8 @@
         return "announced";
     case stop_step::leaving:
         return "leaving";
+    case stop_step::finishing_calls:
+        return "finishing_calls";
     case stop_step::closing_callers:
         return "closing_callers";
     case stop_step::closing_peers:
@@ -102,6 +106,8 @@
         return now - begun_ >= times_.leave_after;
     case stop_step::leaving:
         return now - begun_ >= times_.close_callers_after;
+    case stop_step::finishing_calls:
+        return open.peer_calls == 0 || now - begun_ >= times_.close_callers_by;
     case stop_step::closing_callers:
         return open.callers == 0 && now - begun_ >= times_.close_peers_after;
     case stop_step::closing_peers:
--- a/nutmegusher/node/stop_sequence.hpp
+++ b/nutmegusher/node/stop_sequence.hpp
@@ -31,6 +31,9 @@
     announced,
     // The upstream takes no new calls of other daemons.
     leaving,
+    // Callers are refused. Calls of other daemons that the upstream works on
+    // may still bring sub-calls, which come in like callers' requests.
+    finishing_calls,
     // No caller or operator brings a further request; each is answered.
     closing_callers,
     // No daemon brings a further call; each is answered.
@@ -50,6 +53,8 @@
 {
     duration leave_after{0};
     duration close_callers_after{0};
+    // Ends `finishing_calls`.
+    duration close_callers_by{0};
     duration close_peers_after{0};
     duration give_up_after{0};
     duration end_after{0};
--- a/nutmegusher/node/stop_sequence_test.cpp
+++ b/nutmegusher/node/stop_sequence_test.cpp
@@ -21,6 +21,7 @@
     stop_times times;
     times.leave_after = milliseconds(300);
     times.close_callers_after = milliseconds(500);
+    times.close_callers_by = milliseconds(550);
     times.close_peers_after = milliseconds(600);
     times.give_up_after = milliseconds(1800);
     times.end_after = milliseconds(2000);
@@ -273,6 +274,20 @@
     EXPECT_FALSE(callers.has_given_up());
 }
 
+// The upstream's sub-calls found no listener while it worked for others.
+TEST(stop_sequence, keeps_callers_open_while_calls_may_bring_sub_calls)
+{
+    auto stop = at_step(stop_step::finishing_calls);
+    const stop_census working{.callers = 3, .peer_calls = 1};
+    stop.advance(begin_time + milliseconds(540), working);
+    EXPECT_EQ(stop.step(), stop_step::finishing_calls);
+    auto done = stop;
+    done.advance(begin_time + milliseconds(540), {.callers = 3});
+    EXPECT_EQ(done.step(), stop_step::closing_callers);
+    stop.advance(begin_time + milliseconds(550), working);
+    EXPECT_EQ(stop.step(), stop_step::closing_callers);
+}
+
 TEST(stop_sequence, a_silent_peer_holds_it_no_longer_than_a_session_may_take)
 {
     auto stop = at_step(stop_step::closing_peers);
@@ -295,6 +310,8 @@
     stop.advance(late, {});
     EXPECT_EQ(stop.step(), stop_step::leaving);
     stop.advance(late, {});
+    EXPECT_EQ(stop.step(), stop_step::finishing_calls);
+    stop.advance(late, {});
     EXPECT_EQ(stop.step(), stop_step::closing_callers);
 }
 
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -45,6 +45,8 @@
     metrics measured;
     // A graceful shutdown has begun.
     std::atomic<bool> stopping = false;
+    // So far on that only the own upstream's sub-calls are served.
+    std::atomic<bool> refuses_callers = false;
     // Makes the next sync with a control host happen at once; set before the
     // workers run.
     std::function<void()> sync_soon = [] {};
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -102,6 +102,11 @@
         service_ = route_->choose(here_.random).service;
         call_.terms.service = service_;
         call_.terms.sub_call = state_.sub_calls.is_known(route_->hash);
+        if (state_.process.refuses_callers && !call_.terms.sub_call)
+        {
+            co_await give_up(stopping());
+            co_return;
+        }
         if (const auto no = turn_away())
         {
             co_await give_up(*no);
