Take only its own PING's answer for the end of a session

What callers would see: a request that ran twice. The daemon that stops refuses a stream by GOAWAY though its handler has begun; the daemon where the request entered takes that for proof that it didn't run, and sends it elsewhere, also one that may not be repeated.

Cause: a stopping server sends a notice and a PING, and fixes the last stream of the session when the PING is answered: only then can nothing cross any more. It took any PING's answer for this one. An answer to a PING of the ticks, sent before the stop, comes before the peer has read the notice; a request that follows it in the same read is begun, and is above the last stream that was fixed a moment before.

The PING of the stop now carries a mark of its own, and only an answer with this mark fixes the last stream. A peer gives the eight bytes back as they are (RFC 9113, 6.7), so daemons of before and after understand each other.

--- a/nutmegusher/wire/connection_frames.cpp
+++ b/nutmegusher/wire/connection_frames.cpp
@@ -2,6 +2,8 @@
 // coroutines in a later turn; no user code runs from here.
 #include "nutmegusher/wire/connection.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace nutmegusher::wire::internal
@@ -15,6 +17,16 @@
 
 constexpr unsigned first_final_status = 200;
 
+// In the PING that asks whether the peer knows of the shutdown; those of the
+// ticks hold zeros.
+constexpr std::array<std::uint8_t, 8> shutdown_mark{
+    's', 'h', 'u', 't', 'd', 'o', 'w', 'n'};
+
+bool has_shutdown_mark(const nghttp2_frame& frame)
+{
+    return std::ranges::equal(frame.ping.opaque_data, shutdown_mark);
+}
+
 stream_failure failure_of(const stream& closed, std::uint32_t code)
 {
     if (code == NGHTTP2_REFUSED_STREAM && !closed.head_complete)
@@ -118,7 +130,7 @@
     {
         going_away_ = true;
     }
-    if (type == NGHTTP2_PING && is_ack)
+    if (type == NGHTTP2_PING && is_ack && has_shutdown_mark(frame))
     {
         shutdown_confirmed();
     }
@@ -260,7 +272,8 @@
 {
     if (role_ == side::server && !final_goaway_sent_)
     {
-        nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+        nghttp2_submit_ping(
+            session_.get(), NGHTTP2_FLAG_NONE, shutdown_mark.data());
         schedule_flush();
     }
 }
--- a/nutmegusher/wire/server_stop_test.cpp
+++ b/nutmegusher/wire/server_stop_test.cpp
@@ -1,5 +1,8 @@
 #include "nutmegusher/wire/wire_test_support.hpp"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 namespace nutmegusher::wire
 {
 namespace
@@ -166,5 +169,109 @@
     run(context, stop_limit(context));
 }
 
+constexpr unsigned char headers_frame = 1;
+constexpr unsigned char ping_frame = 6;
+constexpr unsigned char goaway_frame = 7;
+
+struct raw_frame
+{
+    unsigned char type = 0;
+    std::string payload;
+};
+
+// GET / on the first stream, whole.
+std::string first_request()
+{
+    const std::string block("\x82\x86\x84\x41\4peer", 9);
+    const std::string head("\0\0\x9\1\5\0\0\0\1", 9);
+    return head + block;
+}
+
+std::string ping_answer(const raw_frame& ping)
+{
+    const std::string head("\0\0\x8\6\1\0\0\0\0", 9);
+    return head + ping.payload;
+}
+
+asio::awaitable<raw_frame> next_frame(tcp::socket& socket)
+{
+    std::array<unsigned char, 9> head{};
+    co_await asio::async_read(socket, asio::buffer(head), asio::use_awaitable);
+    raw_frame frame;
+    frame.type = head[3];
+    frame.payload.resize(head[0] << 16U | head[1] << 8U | head[2]);
+    co_await asio::async_read(
+        socket, asio::buffer(frame.payload), asio::use_awaitable);
+    co_return frame;
+}
+
+asio::awaitable<raw_frame>
+next_frame_of(tcp::socket& socket, unsigned char type)
+{
+    auto frame = co_await next_frame(socket);
+    while (frame.type != type)
+    {
+        frame = co_await next_frame(socket);
+    }
+    co_return frame;
+}
+
+// The answer to a PING of before the stop crosses the notice, with a request.
+asio::awaitable<void> late_ping_answer(asio::io_context& context)
+{
+    int handled = 0;
+    const auto serve = [&handled](std::shared_ptr<server_stream> stream)
+        -> asio::awaitable<void>
+    {
+        ++handled;
+        co_await echo(stream);
+    };
+    session_options quick;
+    quick.idle_ping_interval = std::chrono::milliseconds(5);
+    const auto server = listen_or_fail(context, serve, quick);
+    tcp::socket socket(context);
+    co_await socket.async_connect(
+        server->local_endpoint(), asio::use_awaitable);
+    const auto greeting = client_greeting();
+    co_await asio::async_write(
+        socket, asio::buffer(greeting), asio::use_awaitable);
+    const auto before = co_await next_frame_of(socket, ping_frame);
+
+    bool stopped = false;
+    asio::co_spawn(context, stop(*server, test_limit, stopped), asio::detached);
+    co_await next_frame_of(socket, goaway_frame);
+    const auto crossing = ping_answer(before) + first_request();
+    co_await asio::async_write(
+        socket, asio::buffer(crossing), asio::use_awaitable);
+
+    const auto asked = co_await next_frame_of(socket, ping_frame);
+    auto told = co_await next_frame(socket);
+    while (told.type != headers_frame && told.type != goaway_frame)
+    {
+        told = co_await next_frame(socket);
+    }
+    EXPECT_EQ(handled, 1);
+    EXPECT_EQ(told.type, headers_frame)
+        << "refused after stream " << int{told.payload.at(3)};
+
+    const auto confirmed = ping_answer(asked);
+    co_await asio::async_write(
+        socket, asio::buffer(confirmed), asio::use_awaitable);
+    const auto last = co_await next_frame_of(socket, goaway_frame);
+    EXPECT_EQ(last.payload[3], 1);
+    socket.close();
+    const auto has_stopped = [&stopped]
+    {
+        return stopped;
+    };
+    co_await until(has_stopped);
+}
+
+TEST(server, a_stop_refuses_no_request_that_it_runs)
+{
+    asio::io_context context(1);
+    run(context, late_ping_answer(context));
+}
+
 } // namespace
 } // namespace nutmegusher::wire
