Tell peers at the end of a server which requests it read

What callers would see: a request that no daemon ever read is answered 502 with the outcome 'unknown', where another daemon would have served it; one that may not be repeated is lost to its caller.

Cause: a server that stops waits a limited time for its sessions to confirm their end, then closes them, and at the end of the process it closes what is left. A peer that stood still or whose answer was on its way still takes the session for a good one, sends a request on it, and finds the connection closed. Nothing told it that the request wasn't read.

Closing a session on the server's side now names the last stream that was read in a GOAWAY before the connection closes, without waiting. The peer reads it before it learns of the close; its HTTP/2 layer fails the streams above as refused, and they are sent elsewhere. Where a write is under way, or the peer's receive buffer is full, nothing is told, and the outcome stays unknown as before.

--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -88,6 +88,24 @@
     }
 }
 
+void connection::dismiss()
+{
+    // What is half written can't be followed by anything else.
+    if (closed_ || writing_)
+    {
+        lose(stream_failure::cut);
+        return;
+    }
+    submit_final_goaway();
+    gather();
+    if (!closed_)
+    {
+        error_code ignored;
+        socket_.write_some(asio::buffer(out_), ignored);
+    }
+    lose(stream_failure::cut);
+}
+
 void connection::release()
 {
     released_ = true;
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -55,6 +55,9 @@
 
     // Ends everything now; open streams fail with `why`.
     void lose(stream_failure why);
+    // The same at a server's own end. The peer is told which streams were read,
+    // as far as its receive buffer takes it: it may send the others elsewhere.
+    void dismiss();
     // No new streams; closes when the last one is finished.
     void release();
     // Server: tells the peer to open no more streams, serves those that are
@@ -171,6 +174,7 @@
     void local_end(stream& target);
     void ask_for_shutdown_confirmation();
     void shutdown_confirmed();
+    void submit_final_goaway();
 
     asio::io_context& context_;
     tcp_socket socket_;
--- a/nutmegusher/wire/connection_frames.cpp
+++ b/nutmegusher/wire/connection_frames.cpp
@@ -285,6 +285,11 @@
     {
         return;
     }
+    submit_final_goaway();
+}
+
+void connection::submit_final_goaway()
+{
     final_goaway_sent_ = true;
     const auto last = nghttp2_session_get_last_proc_stream_id(session_.get());
     nghttp2_submit_goaway(
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -89,7 +89,7 @@
         const auto connections = std::exchange(connections_, {});
         for (const auto& [key, one] : connections)
         {
-            one->lose(stream_failure::cut);
+            one->dismiss();
         }
     }
 
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -57,7 +57,8 @@
     [[nodiscard]] boost::asio::ip::tcp::endpoint local_endpoint() const;
 
     // Stops accepting, tells the peers with GOAWAY, waits for the streams in
-    // flight, closes. What is unfinished after `limit` is cut.
+    // flight, closes. What is unfinished after `limit` is cut; what wasn't read
+    // by then is `refused` at a peer that hears of it late.
     [[nodiscard]] boost::asio::awaitable<void> stop_gracefully(duration limit);
 
     // Streams whose handler runs or whose response isn't sent yet.
--- a/nutmegusher/wire/server_stop_test.cpp
+++ b/nutmegusher/wire/server_stop_test.cpp
@@ -273,5 +273,118 @@
     run(context, late_ping_answer(context));
 }
 
+// A peer on a loop of its own, which may stand still while the server's runs.
+class paused_peer : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        listening = listen_or_fail(there, echo);
+        const auto made = spawn(
+            here,
+            client_session::connect(
+                here, listening->local_endpoint(), session_options{}));
+        ASSERT_TRUE(run_until(made, here, there));
+        session = *made->value();
+    }
+
+    template <class T>
+    using result = std::shared_ptr<std::optional<T>>;
+
+    template <class T>
+    static result<T> spawn(asio::io_context& on, asio::awaitable<T> action)
+    {
+        auto done = std::make_shared<std::optional<T>>();
+        const auto note = [done](const std::exception_ptr& thrown, T value)
+        {
+            EXPECT_FALSE(thrown);
+            done->emplace(std::move(value));
+        };
+        asio::co_spawn(on, std::move(action), note);
+        return done;
+    }
+
+    template <class T, class... Loops>
+    static bool run_until(const result<T>& done, Loops&... loops)
+    {
+        const auto limit = std::chrono::steady_clock::now() + test_limit;
+        while (!*done && std::chrono::steady_clock::now() < limit)
+        {
+            (run_a_little(loops), ...);
+        }
+        return done->has_value();
+    }
+
+    static void run_a_little(asio::io_context& loop)
+    {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(1));
+    }
+
+    // What becomes of a request that the peer sends now.
+    outcome<std::string, stream_failure> ask()
+    {
+        const auto opened = session->open(get("/"), true);
+        EXPECT_TRUE(opened);
+        const auto answer = spawn(here, finish(**opened));
+        EXPECT_TRUE(run_until(answer, here));
+        return answer->value();
+    }
+
+    static asio::awaitable<bool> stop_within(server& stopped, duration limit)
+    {
+        co_await stopped.stop_gracefully(limit);
+        co_return true;
+    }
+
+    asio::io_context here{1};
+    asio::io_context there{1};
+    std::unique_ptr<server> listening;
+    std::shared_ptr<client_session> session;
+};
+
+TEST_F(paused_peer, knows_that_a_request_after_the_stop_did_not_run)
+{
+    const auto stopped =
+        spawn(there, stop_within(*listening, std::chrono::milliseconds(20)));
+    ASSERT_TRUE(run_until(stopped, there));
+    const auto answer = ask();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error(), stream_failure::refused);
+}
+
+TEST_F(paused_peer, knows_that_a_request_that_nobody_read_did_not_run)
+{
+    const auto opened = session->open(get("/"), true);
+    ASSERT_TRUE(opened);
+    const auto answer = spawn(here, finish(**opened));
+    // It is sent, and the server's loop doesn't run any more.
+    run_a_little(here);
+    listening.reset();
+    ASSERT_TRUE(run_until(answer, here));
+    ASSERT_FALSE(answer->value());
+    EXPECT_EQ(answer->value().error(), stream_failure::refused);
+}
+
+// Its answer isn't written: nobody knows how far it ran.
+TEST_F(paused_peer, is_not_told_that_a_request_that_began_did_not_run)
+{
+    const auto opened = session->open(post("/"), false);
+    ASSERT_TRUE(opened);
+    const auto answer = spawn(here, finish(**opened));
+    const auto limit = std::chrono::steady_clock::now() + test_limit;
+    while (listening->open_streams() == 0 &&
+           std::chrono::steady_clock::now() < limit)
+    {
+        run_a_little(here);
+        run_a_little(there);
+    }
+    ASSERT_EQ(listening->open_streams(), 1U);
+    listening.reset();
+    ASSERT_TRUE(run_until(answer, here));
+    ASSERT_FALSE(answer->value());
+    EXPECT_EQ(answer->value().error(), stream_failure::cut);
+}
+
 } // namespace
 } // namespace nutmegusher::wire
