Don't send a call that was given up while its session was opened

What callers would see: their request runs on an upstream though they have gone, up to its deadline. At a stop, a request that is given up at that moment isn't answered: its call goes on until the process ends.

Cause: what ends a call is set when its stream is open. A cancellation that comes while the session is connected to the peer (250 ms at most) finds nothing to end, and nobody looks at it again. Only calls that ask first whether the peer is there looked, and counted as a failure of the upstream.

The cancellation is looked at after the last wait before the stream is opened; from there to where the end is set nothing is awaited. Such a call is told as cancelled and not run, which the router takes for neither good nor bad.

--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -55,6 +55,13 @@
     return {told, false};
 }
 
+failed_call given_up()
+{
+    const refusal told{
+        call_reason::cancelled, call_outcome::not_run, duration::zero()};
+    return {told, false};
+}
+
 // The rest of a long answer that comes over a stream.
 class stream_rest final : public answer_rest
 {
@@ -113,6 +120,11 @@
         {
             co_return not_sent();
         }
+        // Nothing ends a call that was given up before it is sent.
+        if (cancelled_->requested)
+        {
+            co_return given_up();
+        }
         const auto head = to_peer_head(call_);
         auto opened = (*session)->open(head, call_.body.empty());
         if (!opened)
@@ -147,7 +159,7 @@
         feedback_.silent =
             !proof && proof.error() == wire::stream_failure::silent;
         note_loss();
-        co_return proof && !cancelled_->requested;
+        co_return proof.has_value();
     }
 
     void note_loss()
