--- a/nutmegusher/wire/server_stop_test.cpp
+++ b/nutmegusher/wire/server_stop_test.cpp
@@ -1,5 +1,8 @@
 #include "nutmegusher/wire/wire_test_support.hpp"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 namespace nutmegusher::wire
 {
 namespace
@@ -166,5 +169,222 @@
     run(context, stop_limit(context));
 }
 
+constexpr unsigned char headers_frame = 1;
+constexpr unsigned char ping_frame = 6;
+constexpr unsigned char goaway_frame = 7;
+
+struct raw_frame
+{
+    unsigned char type = 0;
+    std::string payload;
+};
+
+// GET / on the first stream, whole.
+std::string first_request()
+{
+    const std::string block("\x82\x86\x84\x41\4peer", 9);
+    const std::string head("\0\0\x9\1\5\0\0\0\1", 9);
+    return head + block;
+}
+
+std::string ping_answer(const raw_frame& ping)
+{
+    const std::string head("\0\0\x8\6\1\0\0\0\0", 9);
+    return head + ping.payload;
+}
+
+asio::awaitable<raw_frame> next_frame(tcp::socket& socket)
+{
+    std::array<unsigned char, 9> head{};
+    co_await asio::async_read(socket, asio::buffer(head), asio::use_awaitable);
+    raw_frame frame;
+    frame.type = head[3];
+    frame.payload.resize(head[0] << 16U | head[1] << 8U | head[2]);
+    co_await asio::async_read(
+        socket, asio::buffer(frame.payload), asio::use_awaitable);
+    co_return frame;
+}
+
+asio::awaitable<raw_frame>
+next_frame_of(tcp::socket& socket, unsigned char type)
+{
+    auto frame = co_await next_frame(socket);
+    while (frame.type != type)
+    {
+        frame = co_await next_frame(socket);
+    }
+    co_return frame;
+}
+
+// The answer to a PING of before the stop crosses the notice, with a request.
+asio::awaitable<void> late_ping_answer(asio::io_context& context)
+{
+    int handled = 0;
+    const auto serve = [&handled](std::shared_ptr<server_stream> stream)
+        -> asio::awaitable<void>
+    {
+        ++handled;
+        co_await echo(stream);
+    };
+    session_options quick;
+    quick.idle_ping_interval = std::chrono::milliseconds(5);
+    const auto server = listen_or_fail(context, serve, quick);
+    tcp::socket socket(context);
+    co_await socket.async_connect(
+        server->local_endpoint(), asio::use_awaitable);
+    const auto greeting = client_greeting();
+    co_await asio::async_write(
+        socket, asio::buffer(greeting), asio::use_awaitable);
+    const auto before = co_await next_frame_of(socket, ping_frame);
+
+    bool stopped = false;
+    asio::co_spawn(context, stop(*server, test_limit, stopped), asio::detached);
+    co_await next_frame_of(socket, goaway_frame);
+    const auto crossing = ping_answer(before) + first_request();
+    co_await asio::async_write(
+        socket, asio::buffer(crossing), asio::use_awaitable);
+
+    const auto asked = co_await next_frame_of(socket, ping_frame);
+    auto told = co_await next_frame(socket);
+    while (told.type != headers_frame && told.type != goaway_frame)
+    {
+        told = co_await next_frame(socket);
+    }
+    EXPECT_EQ(handled, 1);
+    EXPECT_EQ(told.type, headers_frame)
+        << "refused after stream " << int{told.payload.at(3)};
+
+    const auto confirmed = ping_answer(asked);
+    co_await asio::async_write(
+        socket, asio::buffer(confirmed), asio::use_awaitable);
+    const auto last = co_await next_frame_of(socket, goaway_frame);
+    EXPECT_EQ(last.payload[3], 1);
+    socket.close();
+    const auto has_stopped = [&stopped]
+    {
+        return stopped;
+    };
+    co_await until(has_stopped);
+}
+
+TEST(server, a_stop_refuses_no_request_that_it_runs)
+{
+    asio::io_context context(1);
+    run(context, late_ping_answer(context));
+}
+
+// A peer on a loop of its own, which may stand still while the server's runs.
+class paused_peer : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        listening = listen_or_fail(there, echo);
+        const auto made = spawn(
+            here,
+            client_session::connect(
+                here, listening->local_endpoint(), session_options{}));
+        ASSERT_TRUE(run_until(made, here, there));
+        session = *made->value();
+    }
+
+    template <class T>
+    using result = std::shared_ptr<std::optional<T>>;
+
+    template <class T>
+    static result<T> spawn(asio::io_context& on, asio::awaitable<T> action)
+    {
+        auto done = std::make_shared<std::optional<T>>();
+        const auto note = [done](const std::exception_ptr& thrown, T value)
+        {
+            EXPECT_FALSE(thrown);
+            done->emplace(std::move(value));
+        };
+        asio::co_spawn(on, std::move(action), note);
+        return done;
+    }
+
+    template <class T, class... Loops>
+    static bool run_until(const result<T>& done, Loops&... loops)
+    {
+        const auto limit = std::chrono::steady_clock::now() + test_limit;
+        while (!*done && std::chrono::steady_clock::now() < limit)
+        {
+            (run_a_little(loops), ...);
+        }
+        return done->has_value();
+    }
+
+    static void run_a_little(asio::io_context& loop)
+    {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(1));
+    }
+
+    // What becomes of a request that the peer sends now.
+    outcome<std::string, stream_failure> ask()
+    {
+        const auto opened = session->open(get("/"), true);
+        EXPECT_TRUE(opened);
+        const auto answer = spawn(here, finish(**opened));
+        EXPECT_TRUE(run_until(answer, here));
+        return answer->value();
+    }
+
+    static asio::awaitable<bool> stop_within(server& stopped, duration limit)
+    {
+        co_await stopped.stop_gracefully(limit);
+        co_return true;
+    }
+
+    asio::io_context here{1};
+    asio::io_context there{1};
+    std::unique_ptr<server> listening;
+    std::shared_ptr<client_session> session;
+};
+
+TEST_F(paused_peer, knows_that_a_request_after_the_stop_did_not_run)
+{
+    const auto stopped =
+        spawn(there, stop_within(*listening, std::chrono::milliseconds(20)));
+    ASSERT_TRUE(run_until(stopped, there));
+    const auto answer = ask();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error(), stream_failure::refused);
+}
+
+TEST_F(paused_peer, knows_that_a_request_that_nobody_read_did_not_run)
+{
+    const auto opened = session->open(get("/"), true);
+    ASSERT_TRUE(opened);
+    const auto answer = spawn(here, finish(**opened));
+    // It is sent, and the server's loop doesn't run any more.
+    run_a_little(here);
+    listening.reset();
+    ASSERT_TRUE(run_until(answer, here));
+    ASSERT_FALSE(answer->value());
+    EXPECT_EQ(answer->value().error(), stream_failure::refused);
+}
+
+// Its answer isn't written: nobody knows how far it ran.
+TEST_F(paused_peer, is_not_told_that_a_request_that_began_did_not_run)
+{
+    const auto opened = session->open(post("/"), false);
+    ASSERT_TRUE(opened);
+    const auto answer = spawn(here, finish(**opened));
+    const auto limit = std::chrono::steady_clock::now() + test_limit;
+    while (listening->open_streams() == 0 &&
+           std::chrono::steady_clock::now() < limit)
+    {
+        run_a_little(here);
+        run_a_little(there);
+    }
+    ASSERT_EQ(listening->open_streams(), 1U);
+    listening.reset();
+    ASSERT_TRUE(run_until(answer, here));
+    ASSERT_FALSE(answer->value());
+    EXPECT_EQ(answer->value().error(), stream_failure::cut);
+}
+
 } // namespace
 } // namespace nutmegusher::wire
