Show that giving up misses requests and the hand-over, red

http_server_end, on, each by itself and deterministic in one run: - a_head_that_comes_while_it_gives_up_is_answered: fails at hop 2, a head that was read and whose handler hasn't begun is in no set of the server; connections() is 1 after 2 s. - a_request_that_asks_after_the_giving_up_is_told_too: on_give_up after give_up is never called; no 503. - a_body_that_is_asked_for_after_it_gave_up_is_not_awaited: connections() is 1 after 2 s. stopping_control.hands_its_leadership_over_beside_a_slow_operator: half a head on the operators' listener holds closing_callers until the limit, and giving_up skips hand_over; the process ends as the leader of group 2. stopping_control.hands_its_leadership_over passes.

--- a/nutmegusher/node/http_server_test.cpp
+++ b/nutmegusher/node/http_server_test.cpp
@@ -326,5 +326,157 @@
     EXPECT_EQ(seen, caller_failure::given_up);
 }
 
+// A request that is read while the process gives up, at each moment of its
+// reading, ends too.
+TEST_F(http_server_end, a_head_that_comes_while_it_gives_up_is_answered)
+{
+    held = true;
+    serve_when_released();
+    constexpr int most_hops = 6;
+    for (int hops = 0; hops <= most_hops; ++hops)
+    {
+        SCOPED_TRACE(hops);
+        if (hops > 0)
+        {
+            const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+            server = there(
+                [&]
+                {
+                    return std::move(
+                        http_server::listen(
+                            context,
+                            any,
+                            [this](caller_exchange& exchange)
+                            {
+                                return answer_when_released(exchange);
+                            },
+                            {})
+                            .value());
+                });
+        }
+        held = true;
+        caller one(server->local_endpoint());
+        EXPECT_TRUE(wait_for(
+            [this]
+            {
+                return connections() == 1;
+            }));
+        // The bytes are there before the next look at the sockets; then the
+        // server closes and gives up so many handlers later.
+        std::function<void(int)> go = [&](int left)
+        {
+            if (left > 0)
+            {
+                asio::post(
+                    context,
+                    [&go, left]
+                    {
+                        go(left - 1);
+                    });
+                return;
+            }
+            server->close_intake();
+            server->give_up();
+        };
+        there(
+            [&]
+            {
+                one.send(request_for("/"));
+                std::this_thread::sleep_for(milliseconds(20));
+                go(hops);
+            });
+        const auto until = host_clock().now() + milliseconds(2000);
+        while (connections() > 0 && host_clock().now() < until)
+        {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        EXPECT_EQ(connections(), 0U) << "owed, and never told to end";
+        held = false;
+        EXPECT_TRUE(wait_for(
+            [this]
+            {
+                return connections() == 0;
+            }));
+    }
+}
+
+// As `forward_try` does: it awaits a connection first.
+TEST_F(http_server_end, a_request_that_asks_after_the_giving_up_is_told_too)
+{
+    held = true;
+    std::atomic<bool> told = false;
+    serve(
+        [&](caller_exchange& exchange) -> asio::awaitable<void>
+        {
+            ++handled;
+            asio::steady_timer timer(context);
+            while (held)
+            {
+                timer.expires_after(milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            exchange.on_give_up(
+                [&told]
+                {
+                    told = true;
+                });
+            const auto until = host_clock().now() + milliseconds(2000);
+            while (!told && host_clock().now() < until)
+            {
+                timer.expires_after(milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            wire::response_head head{told ? 503U : 200U, {}};
+            co_await exchange.answer(std::move(head), "");
+        });
+    caller one(server->local_endpoint());
+    one.send(request_for("/"));
+    EXPECT_TRUE(wait_handled(1));
+    close_intake();
+    give_up();
+    held = false;
+    EXPECT_NE(one.receive_all().find("503"), std::string::npos);
+    EXPECT_TRUE(told);
+}
+
+// A body whose reading begins after the giving up.
+TEST_F(http_server_end, a_body_that_is_asked_for_after_it_gave_up_is_not_awaited)
+{
+    held = true;
+    std::optional<caller_failure> seen;
+    serve(
+        [&](caller_exchange& exchange) -> asio::awaitable<void>
+        {
+            ++handled;
+            asio::steady_timer timer(context);
+            while (held)
+            {
+                timer.expires_after(milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            std::array<std::byte, 16> piece;
+            const auto got = co_await exchange.read_some(piece);
+            seen = got ? std::nullopt : std::optional(got.error());
+        });
+    caller one(server->local_endpoint());
+    one.send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9\r\n\r\n");
+    EXPECT_TRUE(wait_handled(1));
+    close_intake();
+    give_up();
+    held = false;
+    const auto until = host_clock().now() + milliseconds(2000);
+    while (connections() > 0 && host_clock().now() < until)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    EXPECT_EQ(connections(), 0U);
+    one.send("123456789");
+    EXPECT_TRUE(wait_for(
+        [this]
+        {
+            return connections() == 0;
+        }));
+}
+
 } // namespace
 } // namespace nutmegusher::node
--- a/testing/deployment.hpp
+++ b/testing/deployment.hpp
@@ -44,6 +44,8 @@
     bool relay_to_upstreams = false;
     // Daemons that stop accept connections for so long.
     std::uint32_t accept_ms = 0;
+    // When control hosts are killed after the signal; 0: the default.
+    std::uint32_t control_killed_after_ms = 0;
     // Threads of each daemon.
     std::uint32_t threads = 2;
     // A relay stands before each control host.
--- a/testing/deployment_plan.cpp
+++ b/testing/deployment_plan.cpp
@@ -137,12 +137,17 @@
         initial += (to == 0 ? "" : ", ") + control_name(to) + "=" +
                    control_address(to);
     }
+    const std::string shutdown =
+        options_.control_killed_after_ms == 0
+            ? ""
+            : "\n[shutdown]\nkilled_after_ms = " +
+                  std::to_string(options_.control_killed_after_ms) + "\n";
     return host_section(control_name(index), "dc-1") +
            "\n[listen]\npeers = " + control_peers(index) +
            "\noperators = " + control_operators(index) +
            "\n\n[control_hosts]\naddresses = " + control_addresses() +
            "\n\n[control]\ndata_folder = " + data_folder +
-           "\ninitial = " + initial + "\n";
+           "\ninitial = " + initial + "\n" + shutdown;
 }
 
 std::string deployment_plan::daemon_settings(std::size_t index) const
--- a/testing/stop_test.cpp
+++ b/testing/stop_test.cpp
@@ -5,13 +5,16 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <cmath>
 #include <csignal>
 #include <set>
+#include <thread>
 
 namespace nutmegusher::test_support
 {
@@ -202,5 +205,77 @@
     expect_nothing_lost();
 }
 
+class stopping_control : public proof
+{
+protected:
+    void start_control()
+    {
+        deployment_options options;
+        options.upstreams = {{"balances"}};
+        options.control_killed_after_ms = 6000;
+        start(options, association_classes(), {offered_view(1)});
+    }
+
+    std::size_t logged(std::size_t index, const std::string& event) const
+    {
+        const auto log = here->file("c" + std::to_string(index) + ".log");
+        std::size_t count = 0;
+        for (auto at = log.find(event); at != std::string::npos;
+             at = log.find(event, at + 1))
+        {
+            ++count;
+        }
+        return count;
+    }
+
+    std::size_t led_by(std::size_t index) const
+    {
+        return logged(index, "control_leader_elected") -
+               logged(index, "control_stepped_down");
+    }
+
+    std::size_t a_leader() const
+    {
+        std::size_t index = 0;
+        while (index + 1 < here->control_count() && led_by(index) == 0)
+        {
+            ++index;
+        }
+        return index;
+    }
+
+    void expect_handed_over(std::size_t index)
+    {
+        EXPECT_GT(led_by(index), 0U);
+        here->control(index).signal(SIGTERM);
+        const auto ended = here->control(index).wait_exit(stop_bound);
+        ASSERT_TRUE(ended);
+        EXPECT_EQ(ended->code, 0);
+        EXPECT_EQ(led_by(index), 0U)
+            << here->file("c" + std::to_string(index) + ".log");
+    }
+};
+
+TEST_F(stopping_control, hands_its_leadership_over)
+{
+    start_control();
+    expect_handed_over(a_leader());
+}
+
+// An operator's connection on which half a head has come holds the step of the
+// callers until the limit; the leadership goes elsewhere all the same.
+TEST_F(stopping_control, hands_its_leadership_over_beside_a_slow_operator)
+{
+    start_control();
+    const auto index = a_leader();
+    asio::io_context context;
+    asio::ip::tcp::socket slow(context);
+    slow.connect(parse_endpoint(here->control_operators(index)));
+    const std::string_view half = "GET /v1/control HTTP/1.1\r\n";
+    asio::write(slow, asio::buffer(half));
+    std::this_thread::sleep_for(milliseconds(100));
+    expect_handed_over(index);
+}
+
 } // namespace
 } // namespace nutmegusher::test_support
