Tell every request that a process gives up, whenever it was read

What callers would see: at the limit of a stop a request whose head was read a moment before gets no answer; the process ends with it.

Cause: giving up went through the requests that were in work at that moment, a look once more. One whose handler hadn't begun, or asked for the notice later, or began to read its body later, was in no list.

That a server gives up is a state now: whoever asks for the notice, or for a body, gets it at once from then on.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -29,6 +30,9 @@
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 
 constexpr unsigned http_11 = 11;
+// For the rest of a head of which a part was read, when nothing else is waited
+// for any more.
+constexpr duration last_head_limit = std::chrono::milliseconds(50);
 // Most requests fit in one read.
 constexpr std::size_t first_read_bytes = 1024;
 
@@ -89,7 +93,9 @@
 {
     open,
     closing_after_answers,
-    closed
+    closed,
+    // Closed, and what is in work gets its final answer now.
+    giving_up
 };
 
 class beast_exchange;
@@ -182,13 +188,18 @@
         auto& body = parser_.get().body();
         while (!parser_.is_done())
         {
+            if (is_given_up())
+            {
+                broken_ = true;
+                co_return caller_failure::given_up;
+            }
             body.data = into.data();
             body.size = into.size();
             is_reading_ = true;
             auto [failed, size] = co_await http::async_read_some(
                 stream_, buffer_, parser_, as_tuple_awaitable);
             is_reading_ = false;
-            if (given_up_)
+            if (failed && is_given_up())
             {
                 broken_ = true;
                 co_return caller_failure::given_up;
@@ -321,12 +332,16 @@
 
     void on_give_up(std::function<void()> end) override
     {
+        if (is_given_up())
+        {
+            end();
+            return;
+        }
         give_up_ = std::move(end);
     }
 
     [[nodiscard]] std::function<void()> give_up()
     {
-        given_up_ = true;
         if (is_reading_)
         {
             stream_.cancel();
@@ -337,7 +352,7 @@
     // No answer was begun, and none will be: the handler has returned.
     [[nodiscard]] bool is_unanswered() const
     {
-        return given_up_ && !begun_;
+        return is_given_up() && !begun_;
     }
 
     // The whole answer was written and the connection can serve another.
@@ -389,6 +404,11 @@
                taking_ == intake::open;
     }
 
+    [[nodiscard]] bool is_given_up() const
+    {
+        return taking_ == intake::giving_up;
+    }
+
     // The answer's head says whether the connection is kept.
     void begin()
     {
@@ -435,7 +455,6 @@
     bool told_to_keep_ = false;
     bool begun_ = false;
     bool is_reading_ = false;
-    bool given_up_ = false;
     bool continued_ = false;
     bool broken_ = false;
     bool finished_ = false;
@@ -493,7 +512,7 @@
 asio::awaitable<bool> wait_for_request(
     State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
-    if (server.taking == intake::closed)
+    if (server.taking >= intake::closed)
     {
         co_return false;
     }
@@ -522,7 +541,9 @@
     boost::system::error_code failed;
     {
         const listed mark(server.reading, stream);
-        stream.expires_after(server.options.idle_limit);
+        stream.expires_after(
+            server.taking == intake::giving_up ? last_head_limit
+                                               : server.options.idle_limit);
         failed = co_await exchange.read_head();
     }
     stream.expires_never();
@@ -576,7 +597,7 @@
         {
             continue;
         }
-        if (server->taking == intake::closed ||
+        if (server->taking >= intake::closed ||
             server->connections >= server->options.connections)
         {
             continue; // closes it
@@ -655,7 +676,7 @@
 
 void http_server::close_intake()
 {
-    state_->taking = intake::closed;
+    state_->taking = std::max(state_->taking, intake::closed);
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
     for (auto* stream : state_->idle)
@@ -666,6 +687,7 @@
 
 void http_server::give_up()
 {
+    state_->taking = intake::giving_up;
     for (auto* stream : state_->reading)
     {
         stream->cancel();
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -71,8 +71,9 @@
     virtual void on_disconnect(std::function<void()> gone) = 0;
 
     // Calls `end` once if the process ends before the answer has begun: the
-    // handler must give its final answer at once. The last call counts. One
-    // that reads the body gets `given_up` from there.
+    // handler must give its final answer at once. The last call counts; at once
+    // where that is so already. One that reads the body gets `given_up` from
+    // there.
     virtual void on_give_up(std::function<void()> end) = 0;
 };
 
