Hand leadership over before anything is waited for in a stop

What operators would see: a stopping control host that leads stays the leader until its process is gone, and changes wait for an election, where one slow request on its operators' listener holds the stop to its limit.

Cause: the hand-over came with the step after the callers', and giving up went past it. It follows the closing of the callers now, before the wait for them.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -151,12 +151,14 @@
         break;
     case stop_step::closing_callers:
         co_await close_callers();
-        break;
-    case stop_step::closing_peers:
         if (control)
         {
+            // Before anything is waited for, so that a slow operator doesn't
+            // hold it up.
             co_await control->hand_over();
         }
+        break;
+    case stop_step::closing_peers:
         co_await close_peers();
         break;
     case stop_step::closing_upstream:
