Make the poll of a control host once its session is open

What callers would see: a daemon that stops, or whose upstream leaves or begins to serve, is known as what it was for up to a second longer. At a stop other daemons go on sending calls there and are refused, and each call needs a repeat.

Cause: the request was made before the session to the control host was opened. News of that time wake nobody, as there is no poll yet that could be ended; the poll that follows tells of the state before, and the control host holds it for as long as it may, 1 s. Where the daemon had moved to another control host meanwhile, the poll that nobody wanted any more was sent and waited for as well.

The request is now made after the last wait before it is sent, and no poll is sent that has been left. Those of the other control hosts are made so too.

--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -106,16 +106,24 @@
 {
     const auto at = parse_endpoint(target.address);
     news_ = false;
-    const auto request = make_request(true);
     const auto sent_at = host_clock().now();
     opinions_.asked(sent_at);
     schedule_.asked(sent_at);
+    messages::sync_request request;
     std::optional<messages::sync_reply> reply;
     polling_ = true;
     poll_left_ = false;
+    session_pointer session;
     if (at)
     {
-        reply = co_await exchange(*at, request, poll_);
+        session = co_await session_with(*at);
+    }
+    if (session && !poll_left_)
+    {
+        // With what has happened while the session was opened.
+        news_ = false;
+        request = make_request(true);
+        reply = co_await exchange(*session, request, poll_);
     }
     polling_ = false;
     if (poll_left_ || (!reply && news_))
@@ -183,10 +191,15 @@
         co_return;
     }
     ++others_asked_;
-    const auto request = make_request(false);
     const auto sent_at = host_clock().now();
     std::unique_ptr<wire::client_stream> open;
-    const auto reply = co_await exchange(*at, request, open);
+    std::optional<messages::sync_reply> reply;
+    const auto session = co_await session_with(*at);
+    if (session)
+    {
+        const auto request = make_request(false);
+        reply = co_await exchange(*session, request, open);
+    }
     --others_asked_;
     const auto now = host_clock().now();
     // The poll, or another question, may have brought newer knowledge.
@@ -245,18 +258,24 @@
          {"revision", here_.shared.configuration.current()->at().value()}});
 }
 
-asio::awaitable<std::optional<messages::sync_reply>> sync_client::exchange(
-    const endpoint& at,
-    const messages::sync_request& request,
-    std::unique_ptr<wire::client_stream>& open)
+asio::awaitable<sync_client::session_pointer>
+sync_client::session_with(endpoint at)
 {
-    const auto session = co_await here_.peers.get(at);
+    const auto session = co_await here_.peers.get(std::move(at));
     if (!session)
     {
-        co_return std::nullopt;
+        co_return nullptr;
     }
+    co_return *session;
+}
+
+asio::awaitable<std::optional<messages::sync_reply>> sync_client::exchange(
+    wire::client_session& session,
+    const messages::sync_request& request,
+    std::unique_ptr<wire::client_stream>& open)
+{
     const wire::request_head head{"POST", "/control/sync", {}};
-    auto opened = (*session)->open(head, false);
+    auto opened = session.open(head, false);
     if (!opened)
     {
         co_return std::nullopt;
--- a/nutmegusher/node/sync_client.hpp
+++ b/nutmegusher/node/sync_client.hpp
@@ -54,11 +54,15 @@
     [[nodiscard]] boost::json::value dump() const;
 
 private:
+    using session_pointer = std::shared_ptr<wire::client_session>;
+
     asio::awaitable<void> sync_with(const control_host& target);
     asio::awaitable<void> ask_other(control_host target);
+    // Null where there is none.
+    asio::awaitable<session_pointer> session_with(endpoint at);
     // The stream is in `open` while the answer is waited for.
     asio::awaitable<std::optional<messages::sync_reply>> exchange(
-        const endpoint& at,
+        wire::client_session& session,
         const messages::sync_request& request,
         std::unique_ptr<wire::client_stream>& open);
     // `may_wait`: the control host may hold it until there is news.
--- a/nutmegusher/node/sync_client_test.cpp
+++ b/nutmegusher/node/sync_client_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
@@ -21,8 +22,42 @@
 // Far above what any step takes; a test that reaches it has failed.
 constexpr seconds test_limit{20};
 
+using tcp = asio::ip::tcp;
+
 const endpoint any_port(asio::ip::address_v4::loopback(), 0);
 
+// The body of the first request in what a session's client has sent; empty
+// until it has come whole.
+std::string first_body(std::string_view sent)
+{
+    constexpr std::size_t preface_bytes = 24;
+    constexpr std::size_t head_bytes = 9;
+    std::string body;
+    sent.remove_prefix(std::min(sent.size(), preface_bytes));
+    while (sent.size() >= head_bytes)
+    {
+        const auto octet = [&sent](std::size_t at)
+        {
+            return static_cast<unsigned char>(sent[at]);
+        };
+        const std::size_t size = octet(0) << 16U | octet(1) << 8U | octet(2);
+        const bool is_data = octet(3) == 0;
+        const bool ends = (octet(4) & 1U) != 0;
+        sent.remove_prefix(head_bytes);
+        if (sent.size() < size)
+        {
+            break;
+        }
+        body += is_data ? sent.substr(0, size) : std::string_view();
+        sent.remove_prefix(size);
+        if (is_data && ends)
+        {
+            return body;
+        }
+    }
+    return {};
+}
+
 class control_hosts_as_told : public testing::Test
 {
 protected:
@@ -72,6 +107,30 @@
         return done();
     }
 
+    // What was heard of the upstream on the daemon's host.
+    void announce()
+    {
+        announcement said;
+        said.service = service_name("members");
+        said.state = messages::upstream_serving;
+        shared_->upstream.announce(said, host_clock().now());
+        client_->sync_now();
+    }
+
+    // The only control host ends; the test listens in its place.
+    tcp::acceptor replace_control_host()
+    {
+        const auto address = servers_.front()->local_endpoint();
+        servers_.front().reset();
+        tcp::acceptor acceptor(context_);
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(address);
+        acceptor.listen();
+        acceptor.non_blocking(true);
+        return acceptor;
+    }
+
     [[nodiscard]] std::uint64_t runs() const
     {
         return shared_->configuration.current()->at().value();
@@ -246,5 +305,59 @@
         }));
 }
 
+// News of the upstream come while the session is opened: a poll without them is
+// held.
+TEST_F(control_hosts_as_told, the_poll_tells_what_happened_while_it_connected)
+{
+    std::size_t held = 0;
+    const auto answer = [&](std::size_t,
+                            messages::sync_request request,
+                            stream_pointer stream) -> asio::awaitable<void>
+    {
+        if (request.wait_ms() == 0)
+        {
+            co_await send(stream, reply_of(1));
+            co_return;
+        }
+        ++held;
+        co_await pause(test_limit);
+    };
+    start(1, answer);
+    ASSERT_TRUE(run_until(
+        [&]
+        {
+            return held == 1;
+        }));
+    auto acceptor = replace_control_host();
+    tcp::socket session(acceptor.get_executor());
+    ASSERT_TRUE(run_until(
+        [&]
+        {
+            boost::system::error_code none_yet;
+            if (!session.is_open())
+            {
+                acceptor.accept(session, none_yet);
+            }
+            return session.is_open();
+        }));
+    announce();
+    const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+    asio::write(session, asio::buffer(settings));
+    session.non_blocking(true);
+    std::string sent;
+    messages::sync_request request;
+    ASSERT_TRUE(run_until(
+        [&]
+        {
+            std::array<char, 4096> piece{};
+            boost::system::error_code failed;
+            const auto got = session.read_some(asio::buffer(piece), failed);
+            sent.append(piece.data(), got);
+            return request.ParseFromString(first_body(sent)) &&
+                   !request.host().empty();
+        }));
+    EXPECT_EQ(request.own().service(), "members");
+}
+
 } // namespace
 } // namespace nutmegusher::node
