--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -62,7 +62,8 @@
     void close_intake();
 
     // `close_intake`, then waits for the streams in flight, closes. What is
-    // unfinished after `limit` is cut.
+    // unfinished after `limit` is cut; what wasn't read by then is `refused` at
+    // a peer that hears of it late.
     [[nodiscard]] boost::asio::awaitable<void> stop_gracefully(duration limit);
 
     // Streams whose handler runs or whose response isn't sent yet.
