--- a/nutmegusher/policy/crash_evidence.hpp
+++ b/nutmegusher/policy/crash_evidence.hpp
@@ -13,9 +13,9 @@
 // that holds it.
 //
 //     crash_evidence evidence;
-//     evidence.add_end(digest, {upstream, ran_for, now}, service, now);
-//     if (evidence.judge(digest, now).suspicion ==
-//     crash_suspicion::quarantined)
+//     evidence.add_end(digest, {upstream, begun_at, now}, service, now);
+//     const auto judged = evidence.judge(digest, now);
+//     if (judged.suspicion == crash_suspicion::quarantined)
 //         ... // refuse: it has not run
 //
 // For one thread; reads no clock.
--- a/nutmegusher/policy/crash_evidence_test.cpp
+++ b/nutmegusher/policy/crash_evidence_test.cpp
@@ -219,6 +219,21 @@
     EXPECT_EQ(judged(evidence, 194, 200s), crash_suspicion::suspected);
 }
 
+TEST(crash_evidence, many_single_ends_do_not_push_out_one_with_several)
+{
+    crash_evidence_options options;
+    options.most_records = 8;
+    crash_evidence evidence(options);
+    add(evidence, 1, 1, 0s);
+    add(evidence, 1, 2, 1s);
+    for (std::uint64_t digest = 100; digest < 200; ++digest)
+    {
+        add(evidence, digest, digest, 2s);
+    }
+    EXPECT_EQ(evidence.judge(1, start + 3s).ends, 2U);
+    EXPECT_EQ(evidence.size(), 8U);
+}
+
 TEST(crash_evidence, completions_are_bounded_and_forgotten)
 {
     crash_evidence_options options;
