Take a signal that comes while the process starts for a stop

What operators would see: a process that is stopped at its start is killed by the signal, with what its first workers have read by then.

Cause: the signals were taken over when the loop of the first worker ran; the other workers serve from before. They are now taken over before anything is opened. Found by reading; no test shows it.

--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -64,6 +64,8 @@
 
 leaf::result<void> daemon::state::open()
 {
+    // Before anything is read: a signal that comes meanwhile is a stop, too.
+    signals.emplace(first().context, SIGTERM, SIGINT);
     if (shared.configured.control)
     {
         BOOST_LEAF_ASSIGN(control, control_part::start(first()));
@@ -345,7 +347,6 @@
 
 asio::awaitable<void> daemon::state::wait_for_signal()
 {
-    signals.emplace(first().context, SIGTERM, SIGINT);
     co_await signals->async_wait(as_tuple_awaitable);
     co_await shut_down();
 }
