End no stop with a session or a call that nobody counts

What callers would see: a call that another daemon brings after the last count is cut; and the outcome of a call that may not be repeated, whose session was lost, isn't recorded.

Cause: my first form of the mend left the step of other daemons where no call had come for a while, with sessions that hadn't confirmed their end: a look at counters again. And it left it where no session was open, though such a call runs on without one.

The step 'ending_sessions' ends what hasn't confirmed with a GOAWAY that names the last stream that is served; later ones aren't read and are refused at the peer. Both steps wait for calls. Trials of stop_sequence.waits_for_a_call_whose_ session_is_gone and ends_with_no_session_that_may_bring_a_call failed on the code before; the test of a silent peer now expects the new step, with the same times, and server.the_end_of_its_sessions_leaves_those_with_work is new.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -65,6 +65,11 @@
     own.peers->close_intake();
 }
 
+void end_sessions_of(listeners& own)
+{
+    own.peers->end_sessions();
+}
+
 void close_upstream_of(listeners& own)
 {
     if (own.upstream)
@@ -105,7 +110,9 @@
     }
     log_event(event::process_stopping, {});
     const auto& configured = shared.configured;
-    const bool sub_calls_as_callers = added && configured.listen.callers;
+    // Streams of other control hosts are no calls, and seldom none.
+    const bool sub_calls_as_callers =
+        added && configured.listen.callers && !control;
     auto stop = stop_sequence::begin(
         times_for(configured.shutdown, sub_calls_as_callers),
         host_clock().now());
@@ -161,6 +168,9 @@
     case stop_step::closing_peers:
         co_await close_peers();
         break;
+    case stop_step::ending_sessions:
+        co_await on_each_worker(end_sessions_of);
+        break;
     case stop_step::closing_upstream:
         co_await close_upstream();
         break;
@@ -206,6 +216,7 @@
 {
     co_await close_callers();
     co_await close_peers();
+    co_await on_each_worker(end_sessions_of);
     co_await close_upstream();
     co_await on_each_worker(give_up_of);
     operators->give_up();
--- a/nutmegusher/node/stop_sequence.cpp
+++ b/nutmegusher/node/stop_sequence.cpp
@@ -23,6 +23,8 @@
     case stop_step::closing_callers:
         return stop_step::closing_peers;
     case stop_step::closing_peers:
+        return stop_step::ending_sessions;
+    case stop_step::ending_sessions:
         return stop_step::closing_upstream;
     default:
         return stop_step::ended;
@@ -45,6 +47,8 @@
         return "closing_callers";
     case stop_step::closing_peers:
         return "closing_peers";
+    case stop_step::ending_sessions:
+        return "ending_sessions";
     case stop_step::closing_upstream:
         return "closing_upstream";
     case stop_step::giving_up:
@@ -111,7 +115,9 @@
     case stop_step::closing_callers:
         return open.callers == 0 && now - begun_ >= times_.close_peers_after;
     case stop_step::closing_peers:
-        return are_sessions_done(now, open);
+        return have_peers_had_time(now, open);
+    case stop_step::ending_sessions:
+        return open.peer_sessions == 0 && open.peer_calls == 0;
     case stop_step::closing_upstream:
         return open.upstream == 0;
     case stop_step::giving_up:
@@ -122,16 +128,17 @@
     return true;
 }
 
-// A peer that is silent holds its session open, and owes nothing.
-bool stop_sequence::are_sessions_done(time_point now, const stop_census& open)
+// Idle sessions wait for their peers, which may be silent.
+bool stop_sequence::have_peers_had_time(time_point now, const stop_census& open)
 {
-    if (open.peer_sessions == 0)
+    if (open.peer_calls > 0)
     {
-        return true;
+        no_calls_since_ = time_point::max();
+        return false;
     }
-    no_calls_since_ = open.peer_calls > 0 ? time_point::max()
-                                          : std::min(no_calls_since_, now);
-    return open.peer_calls == 0 && now - no_calls_since_ >= times_.session_end;
+    no_calls_since_ = std::min(no_calls_since_, now);
+    return open.peer_sessions == 0 ||
+           now - no_calls_since_ >= times_.session_end;
 }
 
 } // namespace nutmegusher::node
--- a/nutmegusher/node/stop_sequence.hpp
+++ b/nutmegusher/node/stop_sequence.hpp
@@ -36,8 +36,11 @@
     finishing_calls,
     // No caller or operator brings a further request; each is answered.
     closing_callers,
-    // No daemon brings a further call; each is answered.
+    // Daemons are told to bring no further call; each is answered.
     closing_peers,
+    // Sessions of daemons that haven't confirmed that are ended: what these
+    // still send isn't read, and they are told so.
+    ending_sessions,
     // The own upstream brings no further request; each is answered.
     closing_upstream,
     // The limit has come: everything is closed, and what is still owed is
@@ -58,7 +61,8 @@
     duration close_peers_after{0};
     duration give_up_after{0};
     duration end_after{0};
-    // How long an idle session may take to confirm its end.
+    // How long an idle session may take to confirm its end before
+    // `ending_sessions`.
     duration session_end{0};
 };
 
@@ -108,7 +112,8 @@
     stop_sequence(stop_times times, time_point now);
 
     [[nodiscard]] bool is_done(time_point now, const stop_census& open);
-    [[nodiscard]] bool are_sessions_done(time_point now, const stop_census&);
+    [[nodiscard]] bool
+    have_peers_had_time(time_point now, const stop_census& open);
 
     stop_times times_;
     time_point begun_;
--- a/nutmegusher/node/stop_sequence_test.cpp
+++ b/nutmegusher/node/stop_sequence_test.cpp
@@ -266,6 +266,8 @@
     callers.advance(now, {.peer_calls = 1, .peer_sessions = 1});
     EXPECT_EQ(callers.step(), stop_step::closing_peers);
     callers.advance(now, {.upstream = 1});
+    EXPECT_EQ(callers.step(), stop_step::ending_sessions);
+    callers.advance(now, {.upstream = 1});
     EXPECT_EQ(callers.step(), stop_step::closing_upstream);
     callers.advance(now, {.upstream = 1});
     EXPECT_EQ(callers.step(), stop_step::closing_upstream);
@@ -288,7 +290,7 @@
     EXPECT_EQ(stop.step(), stop_step::closing_callers);
 }
 
-TEST(stop_sequence, a_silent_peer_holds_it_no_longer_than_a_session_may_take)
+TEST(stop_sequence, a_silent_peer_is_waited_for_no_longer_than_it_may_take)
 {
     auto stop = at_step(stop_step::closing_peers);
     auto now = begin_time + milliseconds(700);
@@ -300,9 +302,33 @@
     stop.advance(now, silent);
     EXPECT_EQ(stop.step(), stop_step::closing_peers);
     stop.advance(now + milliseconds(120), silent);
+    EXPECT_EQ(stop.step(), stop_step::ending_sessions);
+}
+
+// A peer that hadn't confirmed the end brought a call after the last count.
+TEST(stop_sequence, ends_with_no_session_that_may_bring_a_call)
+{
+    auto stop = at_step(stop_step::closing_peers);
+    auto now = begin_time + milliseconds(700);
+    while (now < begin_time + milliseconds(1790))
+    {
+        stop.advance(now, {.peer_sessions = 1});
+        now += milliseconds(20);
+    }
+    EXPECT_EQ(stop.step(), stop_step::ending_sessions);
+    stop.advance(now, {});
     EXPECT_EQ(stop.step(), stop_step::closing_upstream);
 }
 
+// One that may not be repeated runs on so that its outcome becomes known.
+TEST(stop_sequence, waits_for_a_call_whose_session_is_gone)
+{
+    auto stop = at_step(stop_step::closing_peers);
+    const auto now = begin_time + milliseconds(700);
+    stop.advance(now, {.peer_calls = 1});
+    EXPECT_EQ(stop.step(), stop_step::closing_peers);
+}
+
 TEST(stop_sequence, takes_one_step_for_each_count)
 {
     auto stop = stop_sequence::begin(times_of_two_seconds(), begin_time);
--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -126,6 +126,17 @@
     schedule_flush();
 }
 
+void connection::stop_unconfirmed()
+{
+    if (closed_ || final_goaway_sent_)
+    {
+        return;
+    }
+    going_away_ = true;
+    submit_final_goaway();
+    flush();
+}
+
 void connection::wait_readable()
 {
     const auto readable = [self = shared_from_this()](const error_code& error)
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -63,6 +63,9 @@
     // Server: tells the peer to open no more streams, serves those that are
     // open, closes.
     void stop_gracefully();
+    // The same without the peer's confirmation: what it sends from now on isn't
+    // read, and it is told so.
+    void stop_unconfirmed();
 
     [[nodiscard]] asio::io_context& context() const
     {
@@ -208,6 +211,8 @@
     // No new streams: GOAWAY was received or sent.
     bool going_away_ = false;
     bool final_goaway_sent_ = false;
+    // The last stream that is served, from then on.
+    std::int32_t last_stream_ = 0;
     bool released_ = false;
     bool lingering_ = false;
     stream_failure failure_ = stream_failure::cut;
--- a/nutmegusher/wire/connection_frames.cpp
+++ b/nutmegusher/wire/connection_frames.cpp
@@ -50,6 +50,11 @@
     {
         return 0;
     }
+    if (final_goaway_sent_ && frame.hd.stream_id > last_stream_)
+    {
+        // The GOAWAY waits for a write, and refuses it.
+        return 0;
+    }
     const auto limit =
         handlers_for_each_stream * options_.max_concurrent_streams;
     if (handlers_ + begun_.size() >= limit)
@@ -291,9 +296,14 @@
 void connection::submit_final_goaway()
 {
     final_goaway_sent_ = true;
-    const auto last = nghttp2_session_get_last_proc_stream_id(session_.get());
+    last_stream_ = nghttp2_session_get_last_proc_stream_id(session_.get());
     nghttp2_submit_goaway(
-        session_.get(), NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+        session_.get(),
+        NGHTTP2_FLAG_NONE,
+        last_stream_,
+        NGHTTP2_NO_ERROR,
+        nullptr,
+        0);
 }
 
 } // namespace nutmegusher::wire::internal
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -116,6 +116,14 @@
         close();
     }
 
+    void end_sessions()
+    {
+        for (const auto& [key, one] : connections_)
+        {
+            one->stop_unconfirmed();
+        }
+    }
+
     [[nodiscard]] tcp::endpoint local_endpoint() const
     {
         error_code ignored;
@@ -257,6 +265,11 @@
     return state_->stop_gracefully(limit);
 }
 
+void server::end_sessions()
+{
+    state_->end_sessions();
+}
+
 std::size_t server::open_streams() const
 {
     return state_->open_streams();
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -66,6 +66,11 @@
     // a peer that hears of it late.
     [[nodiscard]] boost::asio::awaitable<void> stop_gracefully(duration limit);
 
+    // Ends the sessions of peers that haven't confirmed their end: what these
+    // send from now on isn't read, and they are told so. Streams that were read
+    // are served. Requires: no connection is accepted any more.
+    void end_sessions();
+
     // Streams whose handler runs or whose response isn't sent yet.
     [[nodiscard]] std::size_t open_streams() const;
 
--- a/nutmegusher/wire/server_stop_test.cpp
+++ b/nutmegusher/wire/server_stop_test.cpp
@@ -386,5 +386,44 @@
     EXPECT_EQ(answer->value().error(), stream_failure::cut);
 }
 
+asio::awaitable<void> end_of_sessions(asio::io_context& context)
+{
+    gate watched;
+    const auto server = listen_or_fail(context, behind(watched));
+    const auto busy = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    const auto idle = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(busy && idle);
+    const auto begun = (*busy)->open(get("/"), true);
+    EXPECT_TRUE(begun);
+    const auto entered = [&watched]
+    {
+        return watched.entered == 1;
+    };
+    co_await until(entered);
+    server->end_sessions();
+    const auto late = (*idle)->open(get("/"), true);
+    EXPECT_TRUE(late);
+    const auto refused = co_await finish(**late);
+    EXPECT_FALSE(refused);
+    EXPECT_EQ(refused.error(), stream_failure::refused);
+    watched.open = true;
+    const auto answer = co_await finish(**begun);
+    EXPECT_TRUE(answer);
+    EXPECT_EQ(watched.entered, 1);
+    const auto all_closed = [&server]
+    {
+        return server->connections() == 0;
+    };
+    co_await until(all_closed);
+}
+
+TEST(server, the_end_of_its_sessions_leaves_those_with_work)
+{
+    asio::io_context context(1);
+    run(context, end_of_sessions(context));
+}
+
 } // namespace
 } // namespace nutmegusher::wire
