Let an answer that came before the body was read arrive whole

What callers would see: an upload that is refused, or answered, before it was read ends in 'connection reset', and the answer is lost or cut.

Cause: the connection was closed with unread bytes, on which TCP resets it and drops what the caller hasn't received yet.

The sending side is shut, and what still comes is dropped until the caller has closed or a second has passed.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -33,6 +34,8 @@
 // For the rest of a head of which a part was read, when nothing else is waited
 // for any more.
 constexpr duration last_head_limit = std::chrono::milliseconds(50);
+// How long a caller may go on sending after its answer.
+constexpr duration linger_limit = std::chrono::seconds(1);
 // Most requests fit in one read.
 constexpr std::size_t first_read_bytes = 1024;
 
@@ -349,6 +352,12 @@
         return std::exchange(give_up_, nullptr);
     }
 
+    // The caller still sends what nobody will read.
+    [[nodiscard]] bool has_unread_body() const
+    {
+        return !parser_.is_done();
+    }
+
     // No answer was begun, and none will be: the handler has returned.
     [[nodiscard]] bool is_unanswered() const
     {
@@ -528,13 +537,22 @@
     co_return !failed;
 }
 
+// What becomes of a connection after a request.
+enum class after_request : std::uint8_t
+{
+    keep,
+    close,
+    // Close, though the caller still sends.
+    linger
+};
+
 template <class State>
-asio::awaitable<bool> serve_request(
+asio::awaitable<after_request> serve_request(
     State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
     if (!co_await wait_for_request(server, stream, buffer))
     {
-        co_return false;
+        co_return after_request::close;
     }
     beast_exchange exchange(
         stream, buffer, server.options.header_bytes, server.taking);
@@ -554,10 +572,11 @@
             {{"nutmeg-outcome", "not-run"}, {"nutmeg-reason", "too-large"}}};
         exchange.close_after_answer();
         co_await exchange.answer(std::move(head), "");
+        co_return after_request::linger;
     }
     if (failed)
     {
-        co_return false;
+        co_return after_request::close;
     }
     const counted one(server.in_flight);
     const listed work(server.in_work, exchange);
@@ -568,7 +587,27 @@
             502, {{"nutmeg-outcome", "unknown"}, {"nutmeg-reason", "leaving"}}};
         co_await exchange.answer(std::move(head), "");
     }
-    co_return exchange.reusable();
+    if (exchange.reusable())
+    {
+        co_return after_request::keep;
+    }
+    co_return exchange.has_unread_body() ? after_request::linger
+                                         : after_request::close;
+}
+
+// Closing with unread bytes makes TCP drop what the caller hasn't received yet.
+template <class State>
+asio::awaitable<void> linger(State& server, beast::tcp_stream& stream)
+{
+    std::array<char, 4096> dropped;
+    stream.expires_after(linger_limit);
+    bool open = true;
+    while (open && server.taking != intake::giving_up)
+    {
+        auto [failed, size] = co_await stream.async_read_some(
+            asio::buffer(dropped), as_tuple_awaitable);
+        open = !failed;
+    }
 }
 
 template <class State>
@@ -579,10 +618,16 @@
     boost::system::error_code ignored;
     stream->socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
-    while (co_await serve_request(*server, *stream, buffer))
+    auto after = after_request::keep;
+    while (after == after_request::keep)
     {
+        after = co_await serve_request(*server, *stream, buffer);
     }
     stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (after == after_request::linger)
+    {
+        co_await linger(*server, *stream);
+    }
     stream->close();
 }
 
--- a/nutmegusher/node/http_server_test.cpp
+++ b/nutmegusher/node/http_server_test.cpp
@@ -342,16 +342,16 @@
             server = there(
                 [&]
                 {
-                    return std::move(
-                        http_server::listen(
-                            context,
-                            any,
-                            [this](caller_exchange& exchange)
-                            {
-                                return answer_when_released(exchange);
-                            },
-                            {})
-                            .value());
+                    return std::move(http_server::listen(
+                                         context,
+                                         any,
+                                         [this](caller_exchange& exchange)
+                                         {
+                                             return answer_when_released(
+                                                 exchange);
+                                         },
+                                         {})
+                                         .value());
                 });
         }
         held = true;
@@ -440,7 +440,8 @@
 }
 
 // A body whose reading begins after the giving up.
-TEST_F(http_server_end, a_body_that_is_asked_for_after_it_gave_up_is_not_awaited)
+TEST_F(
+    http_server_end, a_body_that_is_asked_for_after_it_gave_up_is_not_awaited)
 {
     held = true;
     std::optional<caller_failure> seen;
@@ -478,5 +479,31 @@
         }));
 }
 
+// The connection was closed with unread bytes, and TCP dropped the answer.
+TEST_F(http_server_end, an_answer_before_the_body_was_read_arrives_whole)
+{
+    const std::string large(1024 * 1024, 'x');
+    serve(
+        [&](caller_exchange& exchange) -> asio::awaitable<void>
+        {
+            wire::response_head head{413, {}};
+            co_await exchange.answer(std::move(head), large);
+        });
+    constexpr std::size_t body_bytes = 4 * 1024 * 1024;
+    caller one(server->local_endpoint());
+    std::thread sending(
+        [&one]
+        {
+            one.send(
+                "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: " +
+                std::to_string(body_bytes) + "\r\n\r\n");
+            one.send(std::string(body_bytes, 'y'));
+        });
+    std::this_thread::sleep_for(milliseconds(50));
+    const auto answer = one.receive_all();
+    sending.join();
+    EXPECT_GT(answer.size(), large.size());
+}
+
 } // namespace
 } // namespace nutmegusher::node
