--- a/testing/stop_test.cpp
+++ b/testing/stop_test.cpp
@@ -277,5 +277,27 @@
     expect_handed_over(index);
 }
 
+// A control host whose stop was held up by a slow operator answered each poll
+// at once, and its daemons polled it without a pause.
+TEST_F(stopping_control, is_not_polled_without_a_pause_beside_a_slow_operator)
+{
+    start_control();
+    const auto before = here->daemon(0).processor_time();
+    for (std::size_t i = 0; i < here->control_count(); ++i)
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket slow(context);
+        slow.connect(parse_endpoint(here->control_operators(i)));
+        const std::string_view half = "GET /v1/control HTTP/1.1\r\n";
+        asio::write(slow, asio::buffer(half));
+        std::this_thread::sleep_for(milliseconds(100));
+        here->control(i).signal(SIGTERM);
+        ASSERT_TRUE(here->control(i).wait_exit(stop_bound));
+        ASSERT_TRUE(here->restart_control(i));
+        ASSERT_TRUE(here->wait_served(offered_view(1)));
+    }
+    EXPECT_LT(here->daemon(0).processor_time() - before, milliseconds(1000));
+}
+
 } // namespace
 } // namespace nutmegusher::test_support
