Answer calls of other daemons that a process gives up

What callers would see: at the limit of a stop a call that waits or runs at the stopping daemon ends with a lost connection at the entry, outcome unknown, where it may not have run.

Cause: giving up told callers' requests and the own upstream's, and left other daemons' calls to the end of the process. Their handlers are now told as if the peer had cancelled, and what they know of the call's execution goes back.

server.what_it_gives_up_may_still_be_answered; the function is new. An answer that is being streamed at that moment is still cut.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -32,13 +32,12 @@
     const auto closing = std::min(longest_closing, from.limit / closing_part);
     stop_times times;
     times.leave_after = from.accept_for * serving_part / accepting_parts;
-    times.close_callers_after = from.accept_for;
+    times.close_callers_after = std::max(from.accept_for, leave_notice);
     times.give_up_after = from.limit - closing;
     const auto patience = times.give_up_after - times.close_callers_after;
     times.close_callers_by =
         times.close_callers_after +
         (sub_calls_as_callers ? patience / 2 : duration::zero());
-    times.close_peers_after = std::max(from.accept_for, leave_notice);
     times.end_after = from.limit;
     times.session_end = closing;
     return times;
--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -126,6 +126,14 @@
     schedule_flush();
 }
 
+void connection::give_up()
+{
+    for (const auto& [id, one] : streams_)
+    {
+        one->post_cancelled(context_);
+    }
+}
+
 void connection::stop_unconfirmed()
 {
     if (closed_ || final_goaway_sent_)
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -67,6 +67,9 @@
     // read, and it is told so.
     void stop_unconfirmed();
 
+    // Server: the handlers of open streams are told to end.
+    void give_up();
+
     [[nodiscard]] asio::io_context& context() const
     {
         return context_;
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -124,6 +124,14 @@
         }
     }
 
+    void give_up()
+    {
+        for (const auto& [key, one] : connections_)
+        {
+            one->give_up();
+        }
+    }
+
     [[nodiscard]] tcp::endpoint local_endpoint() const
     {
         error_code ignored;
@@ -270,6 +278,11 @@
     state_->end_sessions();
 }
 
+void server::give_up()
+{
+    state_->give_up();
+}
+
 std::size_t server::open_streams() const
 {
     return state_->open_streams();
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -71,6 +71,10 @@
     // are served. Requires: no connection is accepted any more.
     void end_sessions();
 
+    // Has each stream in work end: its handler is told as if the peer had
+    // cancelled it, and may still answer.
+    void give_up();
+
     // Streams whose handler runs or whose response isn't sent yet.
     [[nodiscard]] std::size_t open_streams() const;
 
--- a/nutmegusher/wire/server_stop_test.cpp
+++ b/nutmegusher/wire/server_stop_test.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/wire/wire_test_support.hpp"
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace nutmegusher::wire
@@ -425,5 +426,52 @@
     run(context, end_of_sessions(context));
 }
 
+asio::awaitable<void> answers_of_given_up(asio::io_context& context)
+{
+    int entered = 0;
+    const auto serve =
+        [&context, &entered](
+            std::shared_ptr<server_stream> stream) -> asio::awaitable<void>
+    {
+        const auto ended = std::make_shared<bool>(false);
+        stream->on_cancelled(
+            [ended]
+            {
+                *ended = true;
+            });
+        ++entered;
+        asio::steady_timer pause(context);
+        while (!*ended)
+        {
+            pause.expires_after(std::chrono::milliseconds(1));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        response_head head{503, {}};
+        co_await stream->write_head(std::move(head), true);
+    };
+    const auto server = listen_or_fail(context, serve);
+    const auto session = co_await client_session::connect(
+        context, server->local_endpoint(), session_options{});
+    EXPECT_TRUE(session);
+    const auto stream = (*session)->open(get("/"), true);
+    EXPECT_TRUE(stream);
+    const auto begun = [&entered]
+    {
+        return entered == 1;
+    };
+    co_await until(begun);
+    server->give_up();
+    const auto head = co_await (*stream)->read_head();
+    EXPECT_TRUE(head);
+    EXPECT_EQ(head->status, 503U);
+}
+
+// Calls of other daemons were cut at the limit of a stop.
+TEST(server, what_it_gives_up_may_still_be_answered)
+{
+    asio::io_context context(1);
+    run(context, answers_of_given_up(context));
+}
+
 } // namespace
 } // namespace nutmegusher::wire
