Serve kept connections for half a second where nothing is accepted for longer

Cause: callers were closed as soon as nothing is accepted. They are now closed half a second after the signal at the earliest, as before; so is the operators' listener. Native admission of other daemons' calls ends there as well, as before. No look is later than the limit any more.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -19,7 +19,8 @@
 // s of accepting).
 constexpr int serving_part = 3;
 constexpr int accepting_parts = 5;
-// Others hear within this that the upstream takes no more calls.
+// Others hear within this that the upstream takes no more calls, and callers
+// that the process stops.
 constexpr duration leave_notice = std::chrono::milliseconds(500);
 // What is left of the limit when requests are given up: their answers take a
 // moment to be written.
@@ -79,6 +80,7 @@
 
 void give_up_of(listeners& own)
 {
+    own.peers->give_up();
     if (own.callers)
     {
         own.callers->give_up();
--- a/nutmegusher/node/stop_sequence.cpp
+++ b/nutmegusher/node/stop_sequence.cpp
@@ -91,12 +91,13 @@
 
 time_point stop_sequence::next_look(time_point now) const
 {
+    const auto last_look = std::max(now, begun_ + times_.give_up_after);
     switch (step_)
     {
     case stop_step::announced:
-        return std::max(now, begun_ + times_.leave_after);
+        return std::clamp(begun_ + times_.leave_after, now, last_look);
     case stop_step::leaving:
-        return std::max(now, begun_ + times_.close_callers_after);
+        return std::clamp(begun_ + times_.close_callers_after, now, last_look);
     default:
         return now + look_interval;
     }
@@ -111,9 +112,10 @@
     case stop_step::leaving:
         return now - begun_ >= times_.close_callers_after;
     case stop_step::finishing_calls:
-        return open.peer_calls == 0 || now - begun_ >= times_.close_callers_by;
+        return open.peer_calls + open.upstream_calls == 0 ||
+               now - begun_ >= times_.close_callers_by;
     case stop_step::closing_callers:
-        return open.callers == 0 && now - begun_ >= times_.close_peers_after;
+        return open.callers == 0;
     case stop_step::closing_peers:
         return have_peers_had_time(now, open);
     case stop_step::ending_sessions:
--- a/nutmegusher/node/stop_sequence.hpp
+++ b/nutmegusher/node/stop_sequence.hpp
@@ -31,8 +31,8 @@
     announced,
     // The upstream takes no new calls of other daemons.
     leaving,
-    // Callers are refused. Calls of other daemons that the upstream works on
-    // may still bring sub-calls, which come in like callers' requests.
+    // Callers are refused. Calls that the upstream works on may still bring
+    // sub-calls, which come in like callers' requests.
     finishing_calls,
     // No caller or operator brings a further request; each is answered.
     closing_callers,
@@ -58,7 +58,6 @@
     duration close_callers_after{0};
     // Ends `finishing_calls`.
     duration close_callers_by{0};
-    duration close_peers_after{0};
     duration give_up_after{0};
     duration end_after{0};
     // How long an idle session may take to confirm its end before
@@ -73,6 +72,8 @@
     std::size_t callers = 0;
     // Calls of other daemons that are in work.
     std::size_t peer_calls = 0;
+    // Calls that the own upstream works on, whoever made them.
+    std::size_t upstream_calls = 0;
     // Sessions of other daemons.
     std::size_t peer_sessions = 0;
     // Connections of the own upstream.
--- a/nutmegusher/node/stop_sequence_test.cpp
+++ b/nutmegusher/node/stop_sequence_test.cpp
@@ -22,7 +22,6 @@
     times.leave_after = milliseconds(300);
     times.close_callers_after = milliseconds(500);
     times.close_callers_by = milliseconds(550);
-    times.close_peers_after = milliseconds(600);
     times.give_up_after = milliseconds(1800);
     times.end_after = milliseconds(2000);
     times.session_end = milliseconds(120);
@@ -203,10 +202,10 @@
     [[nodiscard]] stop_census census() const
     {
         return {
-            callers_.open(),
-            peers_.in_work.size(),
-            peers_.open(),
-            upstream_.open()};
+            .callers = callers_.open(),
+            .peer_calls = peers_.in_work.size(),
+            .peer_sessions = peers_.open(),
+            .upstream = upstream_.open()};
     }
 
     random_engine random_;
@@ -286,6 +285,9 @@
     auto done = stop;
     done.advance(begin_time + milliseconds(540), {.callers = 3});
     EXPECT_EQ(done.step(), stop_step::closing_callers);
+    stop.advance(
+        begin_time + milliseconds(540), {.callers = 3, .upstream_calls = 1});
+    EXPECT_EQ(stop.step(), stop_step::finishing_calls);
     stop.advance(begin_time + milliseconds(550), working);
     EXPECT_EQ(stop.step(), stop_step::closing_callers);
 }
--- a/testing/stop_test.cpp
+++ b/testing/stop_test.cpp
@@ -137,7 +137,7 @@
 class stopping : public proof
 {
 protected:
-    void start_with(std::uint32_t threads)
+    void start_with(std::uint32_t threads, std::uint32_t accept_ms = 0)
     {
         deployment_options options;
         options.threads = threads;
@@ -186,8 +186,6 @@
     // More than there are requests in a stop, so that each of them can come on
     // a connection that was idle when the stop began.
     static constexpr std::size_t kept_connections = 200;
-    // Requests are served for so long after the signal.
-    static constexpr std::uint32_t accept_ms = 700;
     static constexpr std::uint64_t stops = 6;
 };
 
@@ -205,6 +203,12 @@
     expect_nothing_lost();
 }
 
+TEST_F(stopping, answers_what_kept_connections_bring_while_it_accepts)
+{
+    start_with(1, 700);
+    expect_nothing_lost();
+}
+
 class stopping_control : public proof
 {
 protected:
