Count all calls that the own upstream works on before callers are closed

What callers would see: a request that its entry runs on the own upstream fails when that makes a sub-call, as the stopping daemon's listener is closed; and a sub-call of a route that nobody has called there is refused.

Cause: only other daemons' calls were counted, and only routes known to be sub-calls were served.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -205,7 +205,10 @@
 
 asio::awaitable<void> daemon::state::close_peers()
 {
-    shared.admission.set_leaving(true);
+    if (control)
+    {
+        control->end_syncs();
+    }
     co_await on_each_worker(close_peers_of);
 }
 
--- a/nutmegusher/node/extension.hpp
+++ b/nutmegusher/node/extension.hpp
@@ -59,6 +59,9 @@
 
     // A graceful shutdown has begun.
     virtual void leave() = 0;
+
+    // Calls that the own upstream works on; safe from every thread.
+    [[nodiscard]] virtual std::size_t calls_in_work() const = 0;
 };
 
 } // namespace nutmegusher::node
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -154,7 +154,8 @@
         service_ = route_->choose(here_.random).service;
         call_.terms.service = service_;
         call_.terms.sub_call = state_.sub_calls.is_known(route_->hash);
-        if (state_.process.refuses_callers && !call_.terms.sub_call)
+        if (state_.process.refuses_callers &&
+            state_.sub_calls.is_ruled_out(route_->hash))
         {
             co_await give_up(stopping());
             co_return;
--- a/nutmegusher/routed/extension.cpp
+++ b/nutmegusher/routed/extension.cpp
@@ -78,6 +78,11 @@
         state_->slots.set_leaving(true);
     }
 
+    [[nodiscard]] std::size_t calls_in_work() const override
+    {
+        return state_->slots.state().running;
+    }
+
 private:
     // Callers hear whether the upstream takes work; the slots follow it.
     void
--- a/nutmegusher/routed/routed_state.cpp
+++ b/nutmegusher/routed/routed_state.cpp
@@ -145,6 +145,13 @@
     return found != told_.end() && found->second;
 }
 
+bool sub_call_routes::is_ruled_out(std::uint64_t route) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = told_.find(route);
+    return found != told_.end() && !found->second;
+}
+
 void own_errors::on_answer(const data_center_name& from, bool error)
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/routed/routed_state.hpp
+++ b/nutmegusher/routed/routed_state.hpp
@@ -116,6 +116,8 @@
     void learn(std::uint64_t route, bool is_sub_call);
     // Whether it is one, by what answers told.
     [[nodiscard]] bool is_known(std::uint64_t route) const;
+    // Whether it is none, by what answers told.
+    [[nodiscard]] bool is_ruled_out(std::uint64_t route) const;
 
 private:
     mutable std::mutex mutex_;
