Parse a head that is here whole without another turn of the loop

What was read is given to the parser first. A request that is in the buffer already is served after the intake has closed.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -159,8 +159,15 @@
 
     asio::awaitable<boost::system::error_code> read_head()
     {
-        auto [failed, size] = co_await http::async_read_header(
-            stream_, buffer_, parser_, as_tuple_awaitable);
+        // Most heads are here whole: no further turn of the loop for these.
+        boost::system::error_code failed;
+        const auto used = parser_.put(buffer_.data(), failed);
+        buffer_.consume(used);
+        if (failed == http::error::need_more)
+        {
+            std::tie(failed, std::ignore) = co_await http::async_read_header(
+                stream_, buffer_, parser_, as_tuple_awaitable);
+        }
         if (!failed)
         {
             head_ = to_request_head(parser_.get().base());
@@ -521,14 +528,14 @@
 asio::awaitable<bool> wait_for_request(
     State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
-    if (server.taking >= intake::closed)
-    {
-        co_return false;
-    }
     if (buffer.size() > 0)
     {
         co_return true;
     }
+    if (server.taking >= intake::closed)
+    {
+        co_return false;
+    }
     const listed mark(server.idle, stream);
     stream.expires_after(server.options.idle_limit);
     auto [failed, size] = co_await stream.async_read_some(
