--- a/testing/process.cpp
+++ b/testing/process.cpp
@@ -106,6 +106,8 @@
         O_WRONLY | O_CREAT | O_APPEND,
         log_mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket of a stand-in in this process would stay open in the child.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t id = 0;
     const int failed = posix_spawn(
         &id, set_privileges, &actions, nullptr, pointers.data(), environ);
