--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -265,6 +265,7 @@
         open.peer_sessions += part.peer_sessions;
     }
     open.peer_calls += shared.ledger.size();
+    open.upstream_calls = added ? added->calls_in_work() : 0;
     open.callers += operators->connections();
     open.callers += collectors ? collectors->connections() : 0;
     co_return open;
