--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -19,21 +19,26 @@
 // s of accepting).
 constexpr int serving_part = 3;
 constexpr int accepting_parts = 5;
-// Others hear within this that the upstream takes no more calls.
+// Others hear within this that the upstream takes no more calls, and callers
+// that the process stops.
 constexpr duration leave_notice = std::chrono::milliseconds(500);
 // What is left of the limit when requests are given up: their answers take a
 // moment to be written.
 constexpr duration longest_closing = std::chrono::milliseconds(1300);
 constexpr int closing_part = 15;
 
-stop_times times_for(const shutdown_settings& from)
+// `sub_calls_as_callers`: the own upstream's come in at the callers' listener.
+stop_times times_for(const shutdown_settings& from, bool sub_calls_as_callers)
 {
     const auto closing = std::min(longest_closing, from.limit / closing_part);
     stop_times times;
     times.leave_after = from.accept_for * serving_part / accepting_parts;
-    times.close_callers_after = from.accept_for;
-    times.close_peers_after = std::max(from.accept_for, leave_notice);
+    times.close_callers_after = std::max(from.accept_for, leave_notice);
     times.give_up_after = from.limit - closing;
+    const auto patience = times.give_up_after - times.close_callers_after;
+    times.close_callers_by =
+        times.close_callers_after +
+        (sub_calls_as_callers ? patience / 2 : duration::zero());
     times.end_after = from.limit;
     times.session_end = closing;
     return times;
@@ -60,6 +65,11 @@
     own.peers->close_intake();
 }
 
+void end_sessions_of(listeners& own)
+{
+    own.peers->end_sessions();
+}
+
 void close_upstream_of(listeners& own)
 {
     if (own.upstream)
@@ -70,6 +80,7 @@
 
 void give_up_of(listeners& own)
 {
+    own.peers->give_up();
     if (own.callers)
     {
         own.callers->give_up();
@@ -99,8 +110,13 @@
         co_return;
     }
     log_event(event::process_stopping, {});
+    const auto& configured = shared.configured;
+    // Streams of other control hosts are no calls, and seldom none.
+    const bool sub_calls_as_callers =
+        added && configured.listen.callers && !control;
     auto stop = stop_sequence::begin(
-        times_for(shared.configured.shutdown), host_clock().now());
+        times_for(configured.shutdown, sub_calls_as_callers),
+        host_clock().now());
     asio::steady_timer timer(first().context);
     std::optional<stop_step> entered;
     stop_census open;
@@ -138,16 +154,25 @@
         }
         sync->sync_now();
         break;
+    case stop_step::finishing_calls:
+        shared.refuses_callers = true;
+        break;
     case stop_step::closing_callers:
+        shared.admission.set_leaving(true);
         co_await close_callers();
-        break;
-    case stop_step::closing_peers:
         if (control)
         {
+            // Before anything is waited for, so that a slow operator doesn't
+            // hold it up.
             co_await control->hand_over();
         }
+        break;
+    case stop_step::closing_peers:
         co_await close_peers();
         break;
+    case stop_step::ending_sessions:
+        co_await on_each_worker(end_sessions_of);
+        break;
     case stop_step::closing_upstream:
         co_await close_upstream();
         break;
@@ -180,7 +205,10 @@
 
 asio::awaitable<void> daemon::state::close_peers()
 {
-    shared.admission.set_leaving(true);
+    if (control)
+    {
+        control->end_syncs();
+    }
     co_await on_each_worker(close_peers_of);
 }
 
@@ -193,6 +221,7 @@
 {
     co_await close_callers();
     co_await close_peers();
+    co_await on_each_worker(end_sessions_of);
     co_await close_upstream();
     co_await on_each_worker(give_up_of);
     operators->give_up();
@@ -236,6 +265,7 @@
         open.peer_sessions += part.peer_sessions;
     }
     open.peer_calls += shared.ledger.size();
+    open.upstream_calls = added ? added->calls_in_work() : 0;
     open.callers += operators->connections();
     open.callers += collectors ? collectors->connections() : 0;
     co_return open;
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -11,6 +11,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -29,6 +31,11 @@
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 
 constexpr unsigned http_11 = 11;
+// For the rest of a head of which a part was read, when nothing else is waited
+// for any more.
+constexpr duration last_head_limit = std::chrono::milliseconds(50);
+// How long a caller may go on sending after its answer.
+constexpr duration linger_limit = std::chrono::seconds(1);
 // Most requests fit in one read.
 constexpr std::size_t first_read_bytes = 1024;
 
@@ -89,7 +96,9 @@
 {
     open,
     closing_after_answers,
-    closed
+    closed,
+    // Closed, and what is in work gets its final answer now.
+    giving_up
 };
 
 class beast_exchange;
@@ -150,8 +159,15 @@
 
     asio::awaitable<boost::system::error_code> read_head()
     {
-        auto [failed, size] = co_await http::async_read_header(
-            stream_, buffer_, parser_, as_tuple_awaitable);
+        // Most heads are here whole: no further turn of the loop for these.
+        boost::system::error_code failed;
+        const auto used = parser_.put(buffer_.data(), failed);
+        buffer_.consume(used);
+        if (failed == http::error::need_more)
+        {
+            std::tie(failed, std::ignore) = co_await http::async_read_header(
+                stream_, buffer_, parser_, as_tuple_awaitable);
+        }
         if (!failed)
         {
             head_ = to_request_head(parser_.get().base());
@@ -182,13 +198,18 @@
         auto& body = parser_.get().body();
         while (!parser_.is_done())
         {
+            if (is_given_up())
+            {
+                broken_ = true;
+                co_return caller_failure::given_up;
+            }
             body.data = into.data();
             body.size = into.size();
             is_reading_ = true;
             auto [failed, size] = co_await http::async_read_some(
                 stream_, buffer_, parser_, as_tuple_awaitable);
             is_reading_ = false;
-            if (given_up_)
+            if (failed && is_given_up())
             {
                 broken_ = true;
                 co_return caller_failure::given_up;
@@ -321,12 +342,16 @@
 
     void on_give_up(std::function<void()> end) override
     {
+        if (is_given_up())
+        {
+            end();
+            return;
+        }
         give_up_ = std::move(end);
     }
 
     [[nodiscard]] std::function<void()> give_up()
     {
-        given_up_ = true;
         if (is_reading_)
         {
             stream_.cancel();
@@ -334,10 +359,16 @@
         return std::exchange(give_up_, nullptr);
     }
 
+    // The caller still sends what nobody will read.
+    [[nodiscard]] bool has_unread_body() const
+    {
+        return !parser_.is_done();
+    }
+
     // No answer was begun, and none will be: the handler has returned.
     [[nodiscard]] bool is_unanswered() const
     {
-        return given_up_ && !begun_;
+        return is_given_up() && !begun_;
     }
 
     // The whole answer was written and the connection can serve another.
@@ -389,6 +420,11 @@
                taking_ == intake::open;
     }
 
+    [[nodiscard]] bool is_given_up() const
+    {
+        return taking_ == intake::giving_up;
+    }
+
     // The answer's head says whether the connection is kept.
     void begin()
     {
@@ -435,7 +471,6 @@
     bool told_to_keep_ = false;
     bool begun_ = false;
     bool is_reading_ = false;
-    bool given_up_ = false;
     bool continued_ = false;
     bool broken_ = false;
     bool finished_ = false;
@@ -493,14 +528,14 @@
 asio::awaitable<bool> wait_for_request(
     State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
-    if (server.taking == intake::closed)
-    {
-        co_return false;
-    }
     if (buffer.size() > 0)
     {
         co_return true;
     }
+    if (server.taking >= intake::closed)
+    {
+        co_return false;
+    }
     const listed mark(server.idle, stream);
     stream.expires_after(server.options.idle_limit);
     auto [failed, size] = co_await stream.async_read_some(
@@ -509,20 +544,31 @@
     co_return !failed;
 }
 
+// What becomes of a connection after a request.
+enum class after_request : std::uint8_t
+{
+    keep,
+    close,
+    // Close, though the caller still sends.
+    linger
+};
+
 template <class State>
-asio::awaitable<bool> serve_request(
+asio::awaitable<after_request> serve_request(
     State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
     if (!co_await wait_for_request(server, stream, buffer))
     {
-        co_return false;
+        co_return after_request::close;
     }
     beast_exchange exchange(
         stream, buffer, server.options.header_bytes, server.taking);
     boost::system::error_code failed;
     {
         const listed mark(server.reading, stream);
-        stream.expires_after(server.options.idle_limit);
+        stream.expires_after(
+            server.taking == intake::giving_up ? last_head_limit
+                                               : server.options.idle_limit);
         failed = co_await exchange.read_head();
     }
     stream.expires_never();
@@ -533,10 +579,11 @@
             {{"nutmeg-outcome", "not-run"}, {"nutmeg-reason", "too-large"}}};
         exchange.close_after_answer();
         co_await exchange.answer(std::move(head), "");
+        co_return after_request::linger;
     }
     if (failed)
     {
-        co_return false;
+        co_return after_request::close;
     }
     const counted one(server.in_flight);
     const listed work(server.in_work, exchange);
@@ -547,7 +594,27 @@
             502, {{"nutmeg-outcome", "unknown"}, {"nutmeg-reason", "leaving"}}};
         co_await exchange.answer(std::move(head), "");
     }
-    co_return exchange.reusable();
+    if (exchange.reusable())
+    {
+        co_return after_request::keep;
+    }
+    co_return exchange.has_unread_body() ? after_request::linger
+                                         : after_request::close;
+}
+
+// Closing with unread bytes makes TCP drop what the caller hasn't received yet.
+template <class State>
+asio::awaitable<void> linger(State& server, beast::tcp_stream& stream)
+{
+    std::array<char, 4096> dropped;
+    stream.expires_after(linger_limit);
+    bool open = true;
+    while (open && server.taking != intake::giving_up)
+    {
+        auto [failed, size] = co_await stream.async_read_some(
+            asio::buffer(dropped), as_tuple_awaitable);
+        open = !failed;
+    }
 }
 
 template <class State>
@@ -558,10 +625,16 @@
     boost::system::error_code ignored;
     stream->socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
-    while (co_await serve_request(*server, *stream, buffer))
+    auto after = after_request::keep;
+    while (after == after_request::keep)
     {
+        after = co_await serve_request(*server, *stream, buffer);
     }
     stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (after == after_request::linger)
+    {
+        co_await linger(*server, *stream);
+    }
     stream->close();
 }
 
@@ -576,7 +649,7 @@
         {
             continue;
         }
-        if (server->taking == intake::closed ||
+        if (server->taking >= intake::closed ||
             server->connections >= server->options.connections)
         {
             continue; // closes it
@@ -655,7 +728,7 @@
 
 void http_server::close_intake()
 {
-    state_->taking = intake::closed;
+    state_->taking = std::max(state_->taking, intake::closed);
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
     for (auto* stream : state_->idle)
@@ -666,6 +739,7 @@
 
 void http_server::give_up()
 {
+    state_->taking = intake::giving_up;
     for (auto* stream : state_->reading)
     {
         stream->cancel();
--- a/nutmegusher/node/stop_sequence.cpp
+++ b/nutmegusher/node/stop_sequence.cpp
@@ -17,10 +17,14 @@
     case stop_step::announced:
         return stop_step::leaving;
     case stop_step::leaving:
+        return stop_step::finishing_calls;
+    case stop_step::finishing_calls:
         return stop_step::closing_callers;
     case stop_step::closing_callers:
         return stop_step::closing_peers;
     case stop_step::closing_peers:
+        return stop_step::ending_sessions;
+    case stop_step::ending_sessions:
         return stop_step::closing_upstream;
     default:
         return stop_step::ended;
@@ -37,10 +41,14 @@
         return "announced";
     case stop_step::leaving:
         return "leaving";
+    case stop_step::finishing_calls:
+        return "finishing_calls";
     case stop_step::closing_callers:
         return "closing_callers";
     case stop_step::closing_peers:
         return "closing_peers";
+    case stop_step::ending_sessions:
+        return "ending_sessions";
     case stop_step::closing_upstream:
         return "closing_upstream";
     case stop_step::giving_up:
@@ -83,12 +91,13 @@
 
 time_point stop_sequence::next_look(time_point now) const
 {
+    const auto last_look = std::max(now, begun_ + times_.give_up_after);
     switch (step_)
     {
     case stop_step::announced:
-        return std::max(now, begun_ + times_.leave_after);
+        return std::clamp(begun_ + times_.leave_after, now, last_look);
     case stop_step::leaving:
-        return std::max(now, begun_ + times_.close_callers_after);
+        return std::clamp(begun_ + times_.close_callers_after, now, last_look);
     default:
         return now + look_interval;
     }
@@ -102,10 +111,15 @@
         return now - begun_ >= times_.leave_after;
     case stop_step::leaving:
         return now - begun_ >= times_.close_callers_after;
+    case stop_step::finishing_calls:
+        return open.peer_calls + open.upstream_calls == 0 ||
+               now - begun_ >= times_.close_callers_by;
     case stop_step::closing_callers:
-        return open.callers == 0 && now - begun_ >= times_.close_peers_after;
+        return open.callers == 0;
     case stop_step::closing_peers:
-        return are_sessions_done(now, open);
+        return have_peers_had_time(now, open);
+    case stop_step::ending_sessions:
+        return open.peer_sessions == 0 && open.peer_calls == 0;
     case stop_step::closing_upstream:
         return open.upstream == 0;
     case stop_step::giving_up:
@@ -116,16 +130,17 @@
     return true;
 }
 
-// A peer that is silent holds its session open, and owes nothing.
-bool stop_sequence::are_sessions_done(time_point now, const stop_census& open)
+// Idle sessions wait for their peers, which may be silent.
+bool stop_sequence::have_peers_had_time(time_point now, const stop_census& open)
 {
-    if (open.peer_sessions == 0)
+    if (open.peer_calls > 0)
     {
-        return true;
+        no_calls_since_ = time_point::max();
+        return false;
     }
-    no_calls_since_ = open.peer_calls > 0 ? time_point::max()
-                                          : std::min(no_calls_since_, now);
-    return open.peer_calls == 0 && now - no_calls_since_ >= times_.session_end;
+    no_calls_since_ = std::min(no_calls_since_, now);
+    return open.peer_sessions == 0 ||
+           now - no_calls_since_ >= times_.session_end;
 }
 
 } // namespace nutmegusher::node
--- a/nutmegusher/node/stop_sequence.hpp
+++ b/nutmegusher/node/stop_sequence.hpp
@@ -31,10 +31,16 @@
     announced,
     // The upstream takes no new calls of other daemons.
     leaving,
+    // Callers are refused. Calls that the upstream works on may still bring
+    // sub-calls, which come in like callers' requests.
+    finishing_calls,
     // No caller or operator brings a further request; each is answered.
     closing_callers,
-    // No daemon brings a further call; each is answered.
+    // Daemons are told to bring no further call; each is answered.
     closing_peers,
+    // Sessions of daemons that haven't confirmed that are ended: what these
+    // still send isn't read, and they are told so.
+    ending_sessions,
     // The own upstream brings no further request; each is answered.
     closing_upstream,
     // The limit has come: everything is closed, and what is still owed is
@@ -50,10 +56,12 @@
 {
     duration leave_after{0};
     duration close_callers_after{0};
-    duration close_peers_after{0};
+    // Ends `finishing_calls`.
+    duration close_callers_by{0};
     duration give_up_after{0};
     duration end_after{0};
-    // How long an idle session may take to confirm its end.
+    // How long an idle session may take to confirm its end before
+    // `ending_sessions`.
     duration session_end{0};
 };
 
@@ -64,6 +72,8 @@
     std::size_t callers = 0;
     // Calls of other daemons that are in work.
     std::size_t peer_calls = 0;
+    // Calls that the own upstream works on, whoever made them.
+    std::size_t upstream_calls = 0;
     // Sessions of other daemons.
     std::size_t peer_sessions = 0;
     // Connections of the own upstream.
@@ -103,7 +113,8 @@
     stop_sequence(stop_times times, time_point now);
 
     [[nodiscard]] bool is_done(time_point now, const stop_census& open);
-    [[nodiscard]] bool are_sessions_done(time_point now, const stop_census&);
+    [[nodiscard]] bool
+    have_peers_had_time(time_point now, const stop_census& open);
 
     stop_times times_;
     time_point begun_;
--- a/nutmegusher/node/stop_sequence_test.cpp
+++ b/nutmegusher/node/stop_sequence_test.cpp
@@ -21,7 +21,7 @@
     stop_times times;
     times.leave_after = milliseconds(300);
     times.close_callers_after = milliseconds(500);
-    times.close_peers_after = milliseconds(600);
+    times.close_callers_by = milliseconds(550);
     times.give_up_after = milliseconds(1800);
     times.end_after = milliseconds(2000);
     times.session_end = milliseconds(120);
@@ -202,10 +202,10 @@
     [[nodiscard]] stop_census census() const
     {
         return {
-            callers_.open(),
-            peers_.in_work.size(),
-            peers_.open(),
-            upstream_.open()};
+            .callers = callers_.open(),
+            .peer_calls = peers_.in_work.size(),
+            .peer_sessions = peers_.open(),
+            .upstream = upstream_.open()};
     }
 
     random_engine random_;
@@ -265,6 +265,8 @@
     callers.advance(now, {.peer_calls = 1, .peer_sessions = 1});
     EXPECT_EQ(callers.step(), stop_step::closing_peers);
     callers.advance(now, {.upstream = 1});
+    EXPECT_EQ(callers.step(), stop_step::ending_sessions);
+    callers.advance(now, {.upstream = 1});
     EXPECT_EQ(callers.step(), stop_step::closing_upstream);
     callers.advance(now, {.upstream = 1});
     EXPECT_EQ(callers.step(), stop_step::closing_upstream);
@@ -273,7 +275,24 @@
     EXPECT_FALSE(callers.has_given_up());
 }
 
-TEST(stop_sequence, a_silent_peer_holds_it_no_longer_than_a_session_may_take)
+// The upstream's sub-calls found no listener while it worked for others.
+TEST(stop_sequence, keeps_callers_open_while_calls_may_bring_sub_calls)
+{
+    auto stop = at_step(stop_step::finishing_calls);
+    const stop_census working{.callers = 3, .peer_calls = 1};
+    stop.advance(begin_time + milliseconds(540), working);
+    EXPECT_EQ(stop.step(), stop_step::finishing_calls);
+    auto done = stop;
+    done.advance(begin_time + milliseconds(540), {.callers = 3});
+    EXPECT_EQ(done.step(), stop_step::closing_callers);
+    stop.advance(
+        begin_time + milliseconds(540), {.callers = 3, .upstream_calls = 1});
+    EXPECT_EQ(stop.step(), stop_step::finishing_calls);
+    stop.advance(begin_time + milliseconds(550), working);
+    EXPECT_EQ(stop.step(), stop_step::closing_callers);
+}
+
+TEST(stop_sequence, a_silent_peer_is_waited_for_no_longer_than_it_may_take)
 {
     auto stop = at_step(stop_step::closing_peers);
     auto now = begin_time + milliseconds(700);
@@ -285,9 +304,33 @@
     stop.advance(now, silent);
     EXPECT_EQ(stop.step(), stop_step::closing_peers);
     stop.advance(now + milliseconds(120), silent);
+    EXPECT_EQ(stop.step(), stop_step::ending_sessions);
+}
+
+// A peer that hadn't confirmed the end brought a call after the last count.
+TEST(stop_sequence, ends_with_no_session_that_may_bring_a_call)
+{
+    auto stop = at_step(stop_step::closing_peers);
+    auto now = begin_time + milliseconds(700);
+    while (now < begin_time + milliseconds(1790))
+    {
+        stop.advance(now, {.peer_sessions = 1});
+        now += milliseconds(20);
+    }
+    EXPECT_EQ(stop.step(), stop_step::ending_sessions);
+    stop.advance(now, {});
     EXPECT_EQ(stop.step(), stop_step::closing_upstream);
 }
 
+// One that may not be repeated runs on so that its outcome becomes known.
+TEST(stop_sequence, waits_for_a_call_whose_session_is_gone)
+{
+    auto stop = at_step(stop_step::closing_peers);
+    const auto now = begin_time + milliseconds(700);
+    stop.advance(now, {.peer_calls = 1});
+    EXPECT_EQ(stop.step(), stop_step::closing_peers);
+}
+
 TEST(stop_sequence, takes_one_step_for_each_count)
 {
     auto stop = stop_sequence::begin(times_of_two_seconds(), begin_time);
@@ -295,6 +338,8 @@
     stop.advance(late, {});
     EXPECT_EQ(stop.step(), stop_step::leaving);
     stop.advance(late, {});
+    EXPECT_EQ(stop.step(), stop_step::finishing_calls);
+    stop.advance(late, {});
     EXPECT_EQ(stop.step(), stop_step::closing_callers);
 }
 
--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -88,6 +88,24 @@
     }
 }
 
+void connection::dismiss()
+{
+    // What is half written can't be followed by anything else.
+    if (closed_ || writing_)
+    {
+        lose(stream_failure::cut);
+        return;
+    }
+    submit_final_goaway();
+    gather();
+    if (!closed_)
+    {
+        error_code ignored;
+        socket_.write_some(asio::buffer(out_), ignored);
+    }
+    lose(stream_failure::cut);
+}
+
 void connection::release()
 {
     released_ = true;
@@ -108,6 +126,25 @@
     schedule_flush();
 }
 
+void connection::give_up()
+{
+    for (const auto& [id, one] : streams_)
+    {
+        one->post_cancelled(context_);
+    }
+}
+
+void connection::stop_unconfirmed()
+{
+    if (closed_ || final_goaway_sent_)
+    {
+        return;
+    }
+    going_away_ = true;
+    submit_final_goaway();
+    flush();
+}
+
 void connection::wait_readable()
 {
     const auto readable = [self = shared_from_this()](const error_code& error)
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -55,11 +55,20 @@
 
     // Ends everything now; open streams fail with `why`.
     void lose(stream_failure why);
+    // The same at a server's own end. The peer is told which streams were read,
+    // as far as its receive buffer takes it: it may send the others elsewhere.
+    void dismiss();
     // No new streams; closes when the last one is finished.
     void release();
     // Server: tells the peer to open no more streams, serves those that are
     // open, closes.
     void stop_gracefully();
+    // The same without the peer's confirmation: what it sends from now on isn't
+    // read, and it is told so.
+    void stop_unconfirmed();
+
+    // Server: the handlers of open streams are told to end.
+    void give_up();
 
     [[nodiscard]] asio::io_context& context() const
     {
@@ -171,6 +180,7 @@
     void local_end(stream& target);
     void ask_for_shutdown_confirmation();
     void shutdown_confirmed();
+    void submit_final_goaway();
 
     asio::io_context& context_;
     tcp_socket socket_;
@@ -204,6 +214,8 @@
     // No new streams: GOAWAY was received or sent.
     bool going_away_ = false;
     bool final_goaway_sent_ = false;
+    // The last stream that is served, from then on.
+    std::int32_t last_stream_ = 0;
     bool released_ = false;
     bool lingering_ = false;
     stream_failure failure_ = stream_failure::cut;
--- a/nutmegusher/wire/connection_frames.cpp
+++ b/nutmegusher/wire/connection_frames.cpp
@@ -2,6 +2,8 @@
 // coroutines in a later turn; no user code runs from here.
 #include "nutmegusher/wire/connection.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace nutmegusher::wire::internal
@@ -15,6 +17,16 @@
 
 constexpr unsigned first_final_status = 200;
 
+// In the PING that asks whether the peer knows of the shutdown; those of the
+// ticks hold zeros.
+constexpr std::array<std::uint8_t, 8> shutdown_mark{
+    's', 'h', 'u', 't', 'd', 'o', 'w', 'n'};
+
+bool has_shutdown_mark(const nghttp2_frame& frame)
+{
+    return std::ranges::equal(frame.ping.opaque_data, shutdown_mark);
+}
+
 stream_failure failure_of(const stream& closed, std::uint32_t code)
 {
     if (code == NGHTTP2_REFUSED_STREAM && !closed.head_complete)
@@ -38,6 +50,11 @@
     {
         return 0;
     }
+    if (final_goaway_sent_ && frame.hd.stream_id > last_stream_)
+    {
+        // The GOAWAY waits for a write, and refuses it.
+        return 0;
+    }
     const auto limit =
         handlers_for_each_stream * options_.max_concurrent_streams;
     if (handlers_ + begun_.size() >= limit)
@@ -118,7 +135,7 @@
     {
         going_away_ = true;
     }
-    if (type == NGHTTP2_PING && is_ack)
+    if (type == NGHTTP2_PING && is_ack && has_shutdown_mark(frame))
     {
         shutdown_confirmed();
     }
@@ -260,7 +277,8 @@
 {
     if (role_ == side::server && !final_goaway_sent_)
     {
-        nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+        nghttp2_submit_ping(
+            session_.get(), NGHTTP2_FLAG_NONE, shutdown_mark.data());
         schedule_flush();
     }
 }
@@ -272,10 +290,20 @@
     {
         return;
     }
+    submit_final_goaway();
+}
+
+void connection::submit_final_goaway()
+{
     final_goaway_sent_ = true;
-    const auto last = nghttp2_session_get_last_proc_stream_id(session_.get());
+    last_stream_ = nghttp2_session_get_last_proc_stream_id(session_.get());
     nghttp2_submit_goaway(
-        session_.get(), NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+        session_.get(),
+        NGHTTP2_FLAG_NONE,
+        last_stream_,
+        NGHTTP2_NO_ERROR,
+        nullptr,
+        0);
 }
 
 } // namespace nutmegusher::wire::internal
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -89,7 +89,7 @@
         const auto connections = std::exchange(connections_, {});
         for (const auto& [key, one] : connections)
         {
-            one->lose(stream_failure::cut);
+            one->dismiss();
         }
     }
 
@@ -116,6 +116,22 @@
         close();
     }
 
+    void end_sessions()
+    {
+        for (const auto& [key, one] : connections_)
+        {
+            one->stop_unconfirmed();
+        }
+    }
+
+    void give_up()
+    {
+        for (const auto& [key, one] : connections_)
+        {
+            one->give_up();
+        }
+    }
+
     [[nodiscard]] tcp::endpoint local_endpoint() const
     {
         error_code ignored;
@@ -257,6 +273,16 @@
     return state_->stop_gracefully(limit);
 }
 
+void server::end_sessions()
+{
+    state_->end_sessions();
+}
+
+void server::give_up()
+{
+    state_->give_up();
+}
+
 std::size_t server::open_streams() const
 {
     return state_->open_streams();
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -62,9 +62,19 @@
     void close_intake();
 
     // `close_intake`, then waits for the streams in flight, closes. What is
-    // unfinished after `limit` is cut.
+    // unfinished after `limit` is cut; what wasn't read by then is `refused` at
+    // a peer that hears of it late.
     [[nodiscard]] boost::asio::awaitable<void> stop_gracefully(duration limit);
 
+    // Ends the sessions of peers that haven't confirmed their end: what these
+    // send from now on isn't read, and they are told so. Streams that were read
+    // are served. Requires: no connection is accepted any more.
+    void end_sessions();
+
+    // Has each stream in work end: its handler is told as if the peer had
+    // cancelled it, and may still answer.
+    void give_up();
+
     // Streams whose handler runs or whose response isn't sent yet.
     [[nodiscard]] std::size_t open_streams() const;
 
