--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -108,7 +108,8 @@
         "shutdown",
         "accept_ms",
         "0",
-        "new connections are accepted for so long after the stop has begun"},
+        "connections are accepted and kept for so long after the stop has "
+        "begun, half a second at least"},
     known_setting{
         "shutdown",
         "killed_after_ms",
