--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -13,10 +13,8 @@
 {
 
 // While connections are accepted, other daemons' calls still run on the
-// upstream for this part of the time; the rest is for calls that it works on to
-// end. A daemon that is started again takes its upstream out for as long as it
-// takes no calls: 3.4 s without this, 2.1 s with it (mean of ten restarts, 2.5
-// s of accepting).
+// upstream for this part of the time, so that a restart takes it out for less;
+// the rest is for calls that it works on to end.
 constexpr int serving_part = 3;
 constexpr int accepting_parts = 5;
 // Others hear within this that the upstream takes no more calls, and callers
