Judge by evidence which requests end upstreams

A request may end every upstream that begins to run it, and it comes again at any daemon. crash_evidence is the table that each daemon keeps and merges; work_in_progress says what was at work where an upstream ended.

Rules: three ends of three upstreams quarantine a request that came again, for 10 minutes; one more end renews it. A completion anywhere, or a release, clears. Ends of one moment, as of a rack, don't show that it came again.

What they guard against, each with a test: - an end that is told after the completion that clears it; - cleared or old records that come back from a host that still has them; - ends of one moment that seem to follow each other by the hosts' times; - more ends than are kept: those that show that it came again stay, and ends of one moment don't push each other out for ever between two hosts; - many requests with one end each that push out one with several.

--- a/nutmegusher/policy/policy.hpp
+++ b/nutmegusher/policy/policy.hpp
@@ -10,6 +10,8 @@
 //   calls it works on at once.
 // - `router`: one per called service, in the daemon that calls it.
 // - `entry_gate`: one per daemon, where members' and clerks' requests enter.
+// - `crash_evidence`, `work_in_progress`: one each per daemon; which requests
+//   end the upstreams that run them.
 // - `retry_budget`, `decide_retry`, `split_tokens`: at each hop that calls.
 #ifndef NUTMEGUSHER_POLICY_POLICY_HPP
 #define NUTMEGUSHER_POLICY_POLICY_HPP
@@ -19,6 +21,7 @@
 #include "nutmegusher/policy/call.hpp"
 #include "nutmegusher/policy/caller_census.hpp"
 #include "nutmegusher/policy/concurrency_limit.hpp"
+#include "nutmegusher/policy/crash_evidence.hpp"
 #include "nutmegusher/policy/entry_gate.hpp"
 #include "nutmegusher/policy/error_meter.hpp"
 #include "nutmegusher/policy/opening.hpp"
