Count requests whose caller has left, by what they were doing

A request that ended because its caller left had no event and no count, so the hypotheses on work that goes on for such callers couldn't be told apart.

Event 405 names the request, its phase, its age and the time from the moment at which the daemon knew to the end of all work on it. Metrics have the same time as a summary by class, side and phase, and count calls that were sent on after their caller was known to have left. No decision changes.

--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -69,6 +69,7 @@
     request_unknown = 402,
     request_unanswered = 403,
     request_quarantined = 404,
+    request_cancelled = 405,
     claim_refused = 500,
     claim_unreachable = 501,
     outcome_not_recorded = 502,
--- a/nutmegusher/node/metrics.cpp
+++ b/nutmegusher/node/metrics.cpp
@@ -30,6 +30,12 @@
 using latency_histogram = decltype(bh::make_histogram(
     latency_axis(latency_bins, min_latency_ms, max_latency_ms)));
 
+latency_histogram make_latency_histogram()
+{
+    return bh::make_histogram(
+        latency_axis(latency_bins, min_latency_ms, max_latency_ms));
+}
+
 std::string_view side_text(call_side side)
 {
     return side == call_side::entry ? "entry" : "upstream";
@@ -40,8 +46,10 @@
     std::uint64_t completed = 0;
     std::uint64_t tries = 0;
     std::map<std::pair<call_reason, call_outcome>, std::uint64_t> refused;
-    latency_histogram latency = bh::make_histogram(
-        latency_axis(latency_bins, min_latency_ms, max_latency_ms));
+    std::uint64_t sent_after_cancellation = 0;
+    // Time to the end of cancelled calls, by the phase that they were in.
+    std::map<request_phase, latency_histogram> cancelled;
+    latency_histogram latency = make_latency_histogram();
 };
 
 using class_key = std::pair<class_name, call_side>;
@@ -105,13 +113,35 @@
                 std::string(node::to_string(reason_and_outcome.second)) + "\"",
             count);
     }
-    for (const auto quantile : quantiles)
+    const auto append_quantiles = [&append_line](
+                                      std::string_view name,
+                                      const std::string& histogram_labels,
+                                      const latency_histogram& histogram)
     {
+        for (const auto quantile : quantiles)
+        {
+            append_line(
+                name,
+                histogram_labels + ",quantile=\"" + std::to_string(quantile) +
+                    "\"",
+                quantile_of(histogram, quantile));
+        }
+    };
+    append_quantiles("latency_milliseconds", labels, counts.latency);
+    for (const auto& [phase, histogram] : counts.cancelled)
+    {
+        const auto phase_labels =
+            labels + ",phase=\"" + std::string(to_string(phase)) + "\"";
         append_line(
-            "latency_milliseconds",
-            labels + ",quantile=\"" + std::to_string(quantile) + "\"",
-            quantile_of(counts.latency, quantile));
+            "requests_cancelled_total",
+            phase_labels,
+            static_cast<std::uint64_t>(bh::algorithm::sum(histogram)));
+        append_quantiles("cancellation_milliseconds", phase_labels, histogram);
     }
+    append_line(
+        "sent_after_cancellation_total",
+        labels,
+        counts.sent_after_cancellation);
 }
 
 json::object dump_class(const class_key& key, const class_counts& counts)
@@ -135,6 +165,22 @@
 
 } // namespace
 
+std::string_view to_string(request_phase phase)
+{
+    switch (phase)
+    {
+    case request_phase::admission:
+        return "admission";
+    case request_phase::queued:
+        return "queued";
+    case request_phase::running:
+        return "running";
+    case request_phase::answering:
+        break;
+    }
+    return "answering";
+}
+
 struct metrics::shard
 {
     mutable std::mutex mutex;
@@ -193,13 +239,39 @@
     ++counts.refused[{reason, result}];
 }
 
+void metrics::cancelled(
+    call_side side,
+    const class_name& name,
+    request_phase phase,
+    duration ended_after)
+{
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    auto& shard = shard_of(name);
+    const std::scoped_lock lock(shard.mutex);
+    auto& histograms = shard.counts_of(name, side).cancelled;
+    auto& histogram =
+        histograms.try_emplace(phase, make_latency_histogram()).first->second;
+    histogram(milliseconds(ended_after).count());
+}
+
+void metrics::sent_after_cancellation(call_side side, const class_name& name)
+{
+    auto& shard = shard_of(name);
+    const std::scoped_lock lock(shard.mutex);
+    ++shard.counts_of(name, side).sent_after_cancellation;
+}
+
 std::string metrics::exposition() const
 {
     std::string out = "# TYPE nutmegusher_requests_offered_total counter\n"
                       "# TYPE nutmegusher_requests_completed_total counter\n"
                       "# TYPE nutmegusher_requests_refused_total counter\n"
                       "# TYPE nutmegusher_tries_total counter\n"
-                      "# TYPE nutmegusher_latency_milliseconds summary\n";
+                      "# TYPE nutmegusher_latency_milliseconds summary\n"
+                      "# TYPE nutmegusher_requests_cancelled_total counter\n"
+                      "# TYPE nutmegusher_cancellation_milliseconds summary\n"
+                      "# TYPE nutmegusher_sent_after_cancellation_total "
+                      "counter\n";
     for (const auto& each : shards_)
     {
         const std::scoped_lock lock(each->mutex);
--- a/nutmegusher/node/metrics.hpp
+++ b/nutmegusher/node/metrics.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace nutmegusher::node
 {
@@ -24,6 +25,17 @@
     upstream // to the upstream on this host
 };
 
+// What a request was doing when its caller left.
+enum class request_phase : std::uint8_t
+{
+    admission, // waiting at the entry, not yet sent to any upstream
+    queued,    // waiting for a slot of the upstream
+    running,   // sent, and its answer isn't read as far as it is buffered
+    answering  // its answer is being forwarded
+};
+
+[[nodiscard]] std::string_view to_string(request_phase phase);
+
 class metrics
 {
 public:
@@ -47,6 +59,17 @@
         call_outcome result,
         std::uint32_t tries);
 
+    // Counts a call whose caller left. `ended_after`: from the moment at which
+    // this process could know to the end of its work on the call.
+    void cancelled(
+        call_side side,
+        const class_name& name,
+        request_phase phase,
+        duration ended_after);
+
+    // Counts a call that was sent on after its caller was known to have left.
+    void sent_after_cancellation(call_side side, const class_name& name);
+
     // All metrics in the Prometheus text exposition format.
     [[nodiscard]] std::string exposition() const;
 
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -189,6 +189,10 @@
         {
             state_.slow_start.on_answer(state_.path_levels.level(route_->hash));
         }
+        if (cancelled_->requested && !cancelled_->expects_answer)
+        {
+            note_cancelled(cancelled_->requested_at);
+        }
     }
 
 private:
@@ -360,6 +364,7 @@
             return;
         }
         flag->requested = true;
+        flag->requested_at = host_clock().now();
         flag->expects_answer = is_answer_owed;
         if (flag->stop)
         {
@@ -367,6 +372,22 @@
         }
     }
 
+    // The caller left at `since`, and all work on its request has ended.
+    void note_cancelled(time_point since)
+    {
+        using milliseconds = std::chrono::duration<double, std::milli>;
+        const auto now = host_clock().now();
+        state_.process.request_metrics.cancelled(
+            node::call_side::entry, metrics_class(), phase_, now - since);
+        log_event(
+            event::request_cancelled,
+            {{"request", call_.metadata.id},
+             {"route", metrics_class().str()},
+             {"phase", node::to_string(phase_)},
+             {"age_ms", milliseconds(now - arrived_).count()},
+             {"ended_ms", milliseconds(now - since).count()}});
+    }
+
     // Ends a request that was cancelled before it had its answer.
     asio::awaitable<void> finish_cancelled()
     {
@@ -505,6 +526,7 @@
         tried_.push_back(to.handle);
         const auto started = host_clock().now();
         peer_feedback feedback;
+        phase_ = node::request_phase::running;
         auto result = co_await send_to(to, feedback);
         const auto try_result = to_try_end(result, feedback);
         state_.process.routes.end(
@@ -557,8 +579,9 @@
             co_return co_await call_peer(
                 worker_, to.address, call_, cancelled_, feedback);
         }
-        auto result =
-            co_await run_on_upstream(worker_, state_, call_, cancelled_);
+        run_progress progress;
+        auto result = co_await run_on_upstream(
+            worker_, state_, call_, cancelled_, progress);
         feedback.load_report = own_load_report(state_, call_.metadata);
         co_return result;
     }
@@ -822,6 +845,7 @@
             co_await exchange_.answer(std::move(answer.head), answer.body);
             co_return;
         }
+        phase_ = node::request_phase::answering;
         bool open = co_await exchange_.begin_answer(
             std::move(answer.head), answer.length);
         const auto first_bytes = std::as_bytes(std::span(answer.body));
@@ -844,6 +868,7 @@
             }
             open = co_await exchange_.write_some(std::span(chunk).first(*got));
         }
+        note_cancelled(host_clock().now());
     }
 
     node::worker& worker_;
@@ -857,6 +882,7 @@
     service_name service_;
     routed_call call_;
     std::vector<upstream_handle> tried_;
+    node::request_phase phase_ = node::request_phase::admission;
     std::uint32_t sent_tries_ = 0;
     std::size_t refusals_ = 0;
     bool may_have_run_ = false;
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -402,6 +402,19 @@
     return load_report;
 }
 
+namespace
+{
+
+class_name class_of(const routed_state& state, const routed_call& call)
+{
+    const auto view = state.process.configuration.current();
+    const auto* const route =
+        view->routes().find(call.metadata.host, call.head.path);
+    return class_name(route == nullptr ? "(none)" : route->name);
+}
+
+} // namespace
+
 bool is_routed_call(const wire::request_head& head)
 {
     return has_metadata(head.fields);
@@ -423,6 +436,7 @@
                 return;
             }
             shared->requested = true;
+            shared->requested_at = host_clock().now();
             if (shared->stop)
             {
                 shared->stop();
@@ -441,15 +455,34 @@
     call.body = *std::move(body);
     call.head = stream->head();
     call.head.fields = without_own_fields(stream->head().fields);
-    auto result = co_await run_on_upstream(worker, state, call, cancelled);
+    const bool was_cancelled = stream->cancelled();
+    run_progress progress;
+    auto result =
+        co_await run_on_upstream(worker, state, call, cancelled, progress);
+    if (was_cancelled && progress.phase != node::request_phase::queued)
+    {
+        state.process.request_metrics.sent_after_cancellation(
+            node::call_side::upstream, class_of(state, call));
+    }
     auto load_report = own_load_report(state, call.metadata);
     if (result)
     {
+        progress.phase = node::request_phase::answering;
         co_await write_answer(
             *stream, *std::move(result), std::move(load_report));
-        co_return;
     }
-    co_await write_failure(*stream, result.error(), std::move(load_report));
+    else
+    {
+        co_await write_failure(*stream, result.error(), std::move(load_report));
+    }
+    if (cancelled->requested)
+    {
+        state.process.request_metrics.cancelled(
+            node::call_side::upstream,
+            class_of(state, call),
+            progress.phase,
+            host_clock().now() - cancelled->requested_at);
+    }
 }
 
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -231,11 +231,13 @@
         node::worker& worker,
         routed_state& state,
         const routed_call& call,
-        cancel_flag cancelled)
+        cancel_flag cancelled,
+        run_progress& progress)
         : worker_(worker)
         , state_(state)
         , call_(call)
         , cancelled_(std::move(cancelled))
+        , progress_(progress)
     {
     }
 
@@ -340,6 +342,7 @@
         }
         slot_->set_result(call_result::failed);
         upstream_ = *std::move(sent);
+        progress_.phase = node::request_phase::running;
         if (cancelled_->requested)
         {
             co_return unknown(call_reason::cancelled);
@@ -526,6 +529,7 @@
     routed_state& state_;
     const routed_call& call_;
     cancel_flag cancelled_;
+    run_progress& progress_;
     // Declared before `upstream_`, so that the connection is released before
     // the slot.
     std::unique_ptr<held_slot> slot_;
@@ -542,9 +546,10 @@
     node::worker& worker,
     routed_state& state,
     const routed_call& call,
-    cancel_flag cancelled)
+    cancel_flag cancelled,
+    run_progress& progress)
 {
-    upstream_run run(worker, state, call, std::move(cancelled));
+    upstream_run run(worker, state, call, std::move(cancelled), progress);
     co_return co_await run.run();
 }
 
--- a/nutmegusher/routed/upstream_run.hpp
+++ b/nutmegusher/routed/upstream_run.hpp
@@ -8,6 +8,12 @@
 namespace nutmegusher::routed
 {
 
+// How far a call has come at the daemon beside the upstream.
+struct run_progress
+{
+    node::request_phase phase = node::request_phase::queued;
+};
+
 // Waits for a slot, sends the call and reads the answer. Fails with `not_run`
 // only if the upstream certainly didn't and won't run the call: it was never
 // sent, or the upstream says so. If the caller goes away, the call is cancelled
@@ -16,7 +22,8 @@
     node::worker& worker,
     routed_state& state,
     const routed_call& call,
-    cancel_flag cancelled);
+    cancel_flag cancelled,
+    run_progress& progress);
 
 } // namespace nutmegusher::routed
 
