Notice each caller that leaves while its request is handled

What callers saw: nothing; what upstreams saw: requests of callers that had left long before, and work for callers that had sent more on their connection.

The watch now reads ahead what the caller sends, up to the size of a head, and goes on waiting; and it looks for a close before the request goes on. It lasts until the answer's last write, not only until its head.

One more system call (recv) for each request.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -81,11 +81,81 @@
            (read_size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-// Callback of the wait for a disconnect. The exchange owns it; the pending wait
-// holds a weak reference, as it may complete after the exchange is destroyed.
-struct disconnect_watch
+// Notices that the caller closes its connection while its request is handled.
+// The exchange owns it; the pending wait holds a weak reference, as it may
+// complete after the exchange is destroyed.
+class disconnect_watch : public std::enable_shared_from_this<disconnect_watch>
 {
-    std::function<void()> on_gone;
+public:
+    // What the caller sends meanwhile goes into `read_ahead`, up to `max_bytes`
+    // there.
+    disconnect_watch(
+        tcp::socket& socket,
+        beast::flat_buffer& read_ahead,
+        std::size_t max_bytes,
+        std::function<void()> on_gone)
+        : socket_(socket)
+        , read_ahead_(read_ahead)
+        , max_bytes_(max_bytes)
+        , on_gone_(std::move(on_gone))
+    {
+    }
+
+    void start()
+    {
+        if (!read_available())
+        {
+            const auto callback = std::exchange(on_gone_, nullptr);
+            callback();
+            return;
+        }
+        if (read_ahead_.size() < max_bytes_)
+        {
+            wait();
+        }
+    }
+
+private:
+    void wait()
+    {
+        socket_.async_wait(
+            tcp::socket::wait_read,
+            [weak = weak_from_this()](boost::system::error_code failed)
+            {
+                const auto self = weak.lock();
+                if (self && !failed)
+                {
+                    self->start();
+                }
+            });
+    }
+
+    // Returns false if the connection was closed or has failed.
+    bool read_available()
+    {
+        std::array<char, first_read_bytes> chunk;
+        while (read_ahead_.size() < max_bytes_)
+        {
+            const auto got = ::recv(
+                socket_.native_handle(),
+                chunk.data(),
+                std::min(chunk.size(), max_bytes_ - read_ahead_.size()),
+                MSG_DONTWAIT);
+            if (got <= 0)
+            {
+                return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            }
+            const auto read = asio::buffer(chunk.data(), got);
+            read_ahead_.commit(
+                asio::buffer_copy(read_ahead_.prepare(read.size()), read));
+        }
+        return true;
+    }
+
+    tcp::socket& socket_;
+    beast::flat_buffer& read_ahead_;
+    const std::size_t max_bytes_;
+    std::function<void()> on_gone_;
 };
 
 } // namespace
@@ -141,6 +211,7 @@
         const intake_state& intake)
         : stream_(stream)
         , buffer_(buffer)
+        , header_bytes_(header_bytes)
         , intake_(intake)
     {
         parser_.header_limit(header_bytes);
@@ -234,6 +305,7 @@
     asio::awaitable<bool>
     answer(wire::response_head head, std::string_view body) override
     {
+        stop_watch();
         begin_head();
         http::response<http::span_body<const char>> message;
         message.version(http_11);
@@ -303,6 +375,7 @@
 
     asio::awaitable<bool> end_answer() override
     {
+        stop_watch();
         if (is_head_request())
         {
             answer_finished_ = true;
@@ -320,29 +393,13 @@
 
     void on_disconnect(std::function<void()> on_gone) override
     {
-        if (!parser_.is_done() || buffer_.size() > 0)
+        if (!parser_.is_done())
         {
             return;
         }
-        watch_ = std::make_shared<disconnect_watch>();
-        watch_->on_gone = std::move(on_gone);
-        std::weak_ptr<disconnect_watch> weak = watch_;
-        auto* socket = &stream_.socket();
-        socket->async_wait(
-            tcp::socket::wait_read,
-            [weak, socket](boost::system::error_code failed)
-            {
-                const auto watch = weak.lock();
-                if (failed || !watch || !peer_has_closed(*socket))
-                {
-                    return;
-                }
-                const auto callback = std::exchange(watch->on_gone, nullptr);
-                if (callback)
-                {
-                    callback();
-                }
-            });
+        watch_ = std::make_shared<disconnect_watch>(
+            stream_.socket(), buffer_, header_bytes_, std::move(on_gone));
+        watch_->start();
     }
 
     void on_give_up(std::function<void()> callback) override
@@ -435,7 +492,6 @@
     // Prepares the answer's head, which says whether the connection is kept.
     void begin_head()
     {
-        stop_watch();
         answer_begun_ = true;
         give_up_callback_ = nullptr;
         keeps_connection_ = can_keep_alive();
@@ -467,6 +523,7 @@
 
     beast::tcp_stream& stream_;
     beast::flat_buffer& buffer_;
+    const std::uint32_t header_bytes_;
     const intake_state& intake_;
     http::request_parser<http::buffer_body> parser_;
     wire::request_head head_;
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -69,7 +69,8 @@
     virtual asio::awaitable<bool> end_answer() = 0;
 
     // Calls `on_gone` once if the caller closes its connection before the
-    // answer begins.
+    // answer begins; at once if it has already closed it. A close behind more
+    // than `http_server_options::header_bytes` of later requests isn't noticed.
     // Requires: the request's body was read to its end.
     virtual void on_disconnect(std::function<void()> on_gone) = 0;
 
