End all work on a request when its caller leaves

Cause: a cancellation was a flag, read at chosen places, and a hook that each wait had to set and clear by hand. The hook was cleared once the first 256 KiB of an answer had been read, so nothing interrupted the wait for the rest; it wasn't set during connects either, where the flag was read afterwards. Class: cleanup that depends on each place remembering it.

Now the work on a request runs in `interruptible::run`, on the coroutine's own cancellation state. Each wait takes part without being told to: the one in progress ends at once, each later one throws, and the work unwinds. What was undone by hand after a wait is undone by destructors: the place in the slot queue and the slot, the slow start window, the router's count of the try, the connection to the upstream, the stream to the peer. An interrupted try says nothing about the upstream and takes no retry from the budget. A request whose process gives up is interrupted in the same way and then gets its answer; 'not run' is said only if the call wasn't sent on.

A call that was reset before its handler started isn't begun. An interrupted connect no longer counts as an upstream that can't be reached.

The count of calls sent on after a cancellation is gone again, as there are none by construction.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/node/http_server.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -158,6 +159,18 @@
     std::function<void()> on_gone_;
 };
 
+// A caller's connection and the handling of its current request.
+struct caller_connection
+{
+    explicit caller_connection(tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream;
+    wire::interruptible work;
+};
+
 } // namespace
 
 namespace
@@ -205,11 +218,12 @@
 {
 public:
     beast_exchange(
-        beast::tcp_stream& stream,
+        caller_connection& connection,
         beast::flat_buffer& buffer,
         std::uint32_t header_bytes,
         const intake_state& intake)
-        : stream_(stream)
+        : stream_(connection.stream)
+        , work_(connection.work)
         , buffer_(buffer)
         , header_bytes_(header_bytes)
         , intake_(intake)
@@ -391,6 +405,42 @@
         co_return answer_finished_;
     }
 
+    asio::awaitable<handling_end> run(asio::awaitable<void> work) override
+    {
+        auto end = handling_end::finished;
+        const auto end_work = [this, &end](handling_end how)
+        {
+            if (end == handling_end::finished)
+            {
+                end = how;
+                left_at_ = host_clock().now();
+                work_.interrupt();
+            }
+        };
+        on_disconnect(
+            [end_work]
+            {
+                end_work(handling_end::caller_left);
+            });
+        on_give_up(
+            [end_work]
+            {
+                end_work(handling_end::given_up);
+            });
+        if (end == handling_end::finished)
+        {
+            co_await work_.run(std::move(work));
+        }
+        stop_watch();
+        give_up_callback_ = nullptr;
+        co_return end;
+    }
+
+    [[nodiscard]] time_point left_at() const override
+    {
+        return left_at_;
+    }
+
     void on_disconnect(std::function<void()> on_gone) override
     {
         if (!parser_.is_done())
@@ -522,6 +572,7 @@
     }
 
     beast::tcp_stream& stream_;
+    wire::interruptible& work_;
     beast::flat_buffer& buffer_;
     const std::uint32_t header_bytes_;
     const intake_state& intake_;
@@ -532,6 +583,7 @@
     std::shared_ptr<disconnect_watch> watch_;
     std::function<void()> give_up_callback_;
     std::optional<time_point> head_read_at_;
+    time_point left_at_;
     bool keep_alive_ = false;
     bool keeps_connection_ = false;
     bool answer_begun_ = false;
@@ -621,14 +673,15 @@
 
 template <class State>
 asio::awaitable<after_request> serve_request(
-    State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    State& server, caller_connection& connection, beast::flat_buffer& buffer)
 {
+    auto& stream = connection.stream;
     if (!co_await wait_for_request(server, stream, buffer))
     {
         co_return after_request::close;
     }
     beast_exchange exchange(
-        stream, buffer, server.options.header_bytes, server.intake);
+        connection, buffer, server.options.header_bytes, server.intake);
     boost::system::error_code failed;
     {
         const scoped_entry stream_entry(server.streams_reading_head, stream);
@@ -687,23 +740,25 @@
 
 template <class State>
 asio::awaitable<void> serve_connection(
-    std::shared_ptr<State> server, std::unique_ptr<beast::tcp_stream> stream)
+    std::shared_ptr<State> server,
+    std::shared_ptr<caller_connection> connection)
 {
+    auto& stream = connection->stream;
     const scoped_count count_guard(server->connections);
     boost::system::error_code ignored;
-    stream->socket().set_option(tcp::no_delay(true), ignored);
+    stream.socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
     auto after = after_request::keep_alive;
     while (after == after_request::keep_alive)
     {
-        after = co_await serve_request(*server, *stream, buffer);
+        after = co_await serve_request(*server, *connection, buffer);
     }
-    stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (after == after_request::linger)
     {
-        co_await linger(*server, *stream);
+        co_await linger(*server, stream);
     }
-    stream->close();
+    stream.close();
 }
 
 template <class State>
@@ -723,11 +778,15 @@
             continue; // destroys the socket, which closes the connection
         }
         auto executor = server->acceptor.get_executor();
-        auto stream = std::make_unique<beast::tcp_stream>(std::move(socket));
+        auto connection =
+            std::make_shared<caller_connection>(std::move(socket));
+        // Keeps the connection's cancellation signal until the coroutine ends.
+        auto finished = [connection](const std::exception_ptr& /*thrown*/) {};
         asio::co_spawn(
             executor,
-            serve_connection(server, std::move(stream)),
-            asio::detached);
+            serve_connection(server, connection),
+            asio::bind_cancellation_slot(
+                connection->work.slot(), std::move(finished)));
     }
 }
 
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -37,6 +37,15 @@
     given_up
 };
 
+// How the handling of a request ended.
+enum class handling_end : std::uint8_t
+{
+    finished,
+    caller_left,
+    // The server has given up, and the caller is owed a final answer.
+    given_up
+};
+
 // One request and its answer on a caller's connection.
 class caller_exchange
 {
@@ -68,9 +77,23 @@
     // Completes an answer begun with `begin_answer`.
     virtual asio::awaitable<bool> end_answer() = 0;
 
+    // Runs `work`, which may write the answer. Ends it at its current wait when
+    // the caller closes its connection, or when the server gives up (see
+    // `http_server::give_up`) before the answer has begun; doesn't begin it if
+    // that has happened already. A close behind more than
+    // `http_server_options::header_bytes` of later requests isn't noticed.
+    // Replaces `on_disconnect` and `on_give_up`.
+    // Requires: the request's body was read to its end.
+    [[nodiscard]] virtual asio::awaitable<handling_end>
+    run(asio::awaitable<void> work) = 0;
+
+    // When the caller was found to have left. Requires: `run` returned
+    // `handling_end::caller_left`.
+    [[nodiscard]] virtual time_point left_at() const = 0;
+
     // Calls `on_gone` once if the caller closes its connection before the
-    // answer begins; at once if it has already closed it. A close behind more
-    // than `http_server_options::header_bytes` of later requests isn't noticed.
+    // answer begins; at once if it has already closed it. See `run` for what
+    // isn't noticed.
     // Requires: the request's body was read to its end.
     virtual void on_disconnect(std::function<void()> on_gone) = 0;
 
--- a/nutmegusher/node/metrics.cpp
+++ b/nutmegusher/node/metrics.cpp
@@ -46,7 +46,6 @@
     std::uint64_t completed = 0;
     std::uint64_t tries = 0;
     std::map<std::pair<call_reason, call_outcome>, std::uint64_t> refused;
-    std::uint64_t sent_after_cancellation = 0;
     // Time to the end of cancelled calls, by the phase that they were in.
     std::map<request_phase, latency_histogram> cancelled;
     latency_histogram latency = make_latency_histogram();
@@ -138,10 +137,6 @@
             static_cast<std::uint64_t>(bh::algorithm::sum(histogram)));
         append_quantiles("cancellation_milliseconds", phase_labels, histogram);
     }
-    append_line(
-        "sent_after_cancellation_total",
-        labels,
-        counts.sent_after_cancellation);
 }
 
 json::object dump_class(const class_key& key, const class_counts& counts)
@@ -254,13 +249,6 @@
     histogram(milliseconds(ended_after).count());
 }
 
-void metrics::sent_after_cancellation(call_side side, const class_name& name)
-{
-    auto& shard = shard_of(name);
-    const std::scoped_lock lock(shard.mutex);
-    ++shard.counts_of(name, side).sent_after_cancellation;
-}
-
 std::string metrics::exposition() const
 {
     std::string out = "# TYPE nutmegusher_requests_offered_total counter\n"
@@ -269,9 +257,7 @@
                       "# TYPE nutmegusher_tries_total counter\n"
                       "# TYPE nutmegusher_latency_milliseconds summary\n"
                       "# TYPE nutmegusher_requests_cancelled_total counter\n"
-                      "# TYPE nutmegusher_cancellation_milliseconds summary\n"
-                      "# TYPE nutmegusher_sent_after_cancellation_total "
-                      "counter\n";
+                      "# TYPE nutmegusher_cancellation_milliseconds summary\n";
     for (const auto& each : shards_)
     {
         const std::scoped_lock lock(each->mutex);
--- a/nutmegusher/node/metrics.hpp
+++ b/nutmegusher/node/metrics.hpp
@@ -67,9 +67,6 @@
         request_phase phase,
         duration ended_after);
 
-    // Counts a call that was sent on after its caller was known to have left.
-    void sent_after_cancellation(call_side side, const class_name& name);
-
     // All metrics in the Prometheus text exposition format.
     [[nodiscard]] std::string exposition() const;
 
--- a/nutmegusher/node/metrics_test.cpp
+++ b/nutmegusher/node/metrics_test.cpp
@@ -22,6 +22,24 @@
     EXPECT_NE(text.find("class=\"other\""), std::string::npos);
 }
 
+TEST(metrics, cancelled_requests_are_counted_by_phase)
+{
+    metrics measured;
+    const class_name views("views");
+    measured.cancelled(
+        call_side::entry,
+        views,
+        request_phase::queued,
+        std::chrono::milliseconds(3));
+    const auto text = measured.exposition();
+    EXPECT_NE(
+        text.find("nutmegusher_requests_cancelled_total"
+                  "{class=\"views\",side=\"entry\",phase=\"queued\"} 1\n"),
+        std::string::npos)
+        << text;
+    EXPECT_EQ(text.find("phase=\"running\""), std::string::npos) << text;
+}
+
 TEST(metrics, offered_is_completed_and_refused)
 {
     metrics measured;
--- a/nutmegusher/node/peer_call.hpp
+++ b/nutmegusher/node/peer_call.hpp
@@ -20,11 +20,6 @@
 struct cancellation
 {
     bool requested = false;
-    // When it was requested. Requires: `requested`.
-    time_point requested_at;
-    // The caller is still connected and gets a final answer because the process
-    // stops.
-    bool expects_answer = false;
     std::function<void()> stop;
 };
 
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -483,6 +483,7 @@
             co_await probe.async_connect(address, as_tuple_awaitable);
         if (failed)
         {
+            co_await wire::interruption_point();
             co_return false;
         }
         // A process that exits closes its listener and its connections one
@@ -518,8 +519,11 @@
             co_await call->stream->async_connect(address, as_tuple_awaitable);
         if (failed)
         {
+            co_await wire::interruption_point();
             co_return upstream_failure::not_connected;
         }
+        // Nothing is sent for a call that was interrupted meanwhile.
+        co_await wire::interruption_point();
         boost::system::error_code ignored;
         call->stream->socket().set_option(tcp::no_delay(true), ignored);
     }
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -124,6 +124,109 @@
     duration retry_after_{0};
 };
 
+// A request that waits for the slow start window.
+class slow_start_waiter
+{
+public:
+    slow_start_waiter(entry_slow_start& window, std::uint8_t rank)
+        : window_(window)
+        , rank_(rank)
+    {
+        window_.wait(rank_);
+    }
+
+    ~slow_start_waiter()
+    {
+        window_.leave(rank_);
+    }
+
+    slow_start_waiter(const slow_start_waiter&) = delete;
+    slow_start_waiter& operator=(const slow_start_waiter&) = delete;
+
+private:
+    entry_slow_start& window_;
+    std::uint8_t rank_;
+};
+
+// The place of a request in the slow start window, once it is admitted.
+class slow_start_admission
+{
+public:
+    slow_start_admission(routed_state& state, const request_route& route)
+        : state_(state)
+        , route_(route)
+    {
+    }
+
+    ~slow_start_admission()
+    {
+        if (admitted_)
+        {
+            state_.slow_start.on_answer(state_.path_levels.level(route_.hash));
+        }
+    }
+
+    slow_start_admission(const slow_start_admission&) = delete;
+    slow_start_admission& operator=(const slow_start_admission&) = delete;
+
+    // Requires: the request waits and isn't admitted yet.
+    bool try_enter()
+    {
+        admitted_ = state_.slow_start.enter(route_.rank);
+        return admitted_;
+    }
+
+private:
+    routed_state& state_;
+    const request_route& route_;
+    bool admitted_ = false;
+};
+
+// One try at an upstream, as the router counts it. A try that is interrupted
+// says nothing about the upstream.
+class upstream_try
+{
+public:
+    upstream_try(
+        node::route_controller& routes,
+        const service_name& service,
+        upstream_handle upstream,
+        bool bulk)
+        : routes_(routes)
+        , service_(service)
+        , upstream_(upstream)
+        , bulk_(bulk)
+        , started_(host_clock().now())
+    {
+    }
+
+    ~upstream_try()
+    {
+        end(node::try_end::neutral);
+    }
+
+    upstream_try(const upstream_try&) = delete;
+    upstream_try& operator=(const upstream_try&) = delete;
+
+    // Only the first call has an effect.
+    void end(node::try_end how)
+    {
+        if (!std::exchange(ended_, true))
+        {
+            const auto elapsed = host_clock().now() - started_;
+            routes_.end(service_, upstream_, bulk_, how, elapsed);
+        }
+    }
+
+private:
+    node::route_controller& routes_;
+    const service_name& service_;
+    upstream_handle upstream_;
+    bool bulk_;
+    time_point started_;
+    bool ended_ = false;
+};
+
 // One request, from reading its head to writing its answer.
 class routed_entry
 {
@@ -136,25 +239,58 @@
         , state_(state)
         , exchange_(exchange)
         , arrived_(host_clock().now())
-        , cancelled_(std::make_shared<node::cancellation>())
     {
     }
 
     asio::awaitable<void> run()
     {
         view_ = state_.process.configuration.current();
-        if (!has_routes() && !co_await wait_for_routes())
+        if (!co_await read_request())
         {
-            co_return;
+            co_return; // the caller has gone or was refused
+        }
+        const auto ended = co_await exchange_.run(serve());
+        if (ended == node::handling_end::given_up)
+        {
+            may_have_run_ =
+                may_have_run_ ||
+                (current_try_ && current_try_->progress.may_have_run());
+            co_await give_up(stopping());
+        }
+        if (ended == node::handling_end::caller_left)
+        {
+            note_cancelled();
+        }
+    }
+
+private:
+    // Reads the request's body. Returns false if the request has ended.
+    asio::awaitable<bool> read_request()
+    {
+        if (!has_routes())
+        {
+            co_return co_await read_body(max_body_bytes_without_routes);
         }
         if (const auto rejection = route_request())
         {
             co_await refuse(*rejection);
-            co_return;
+            co_return false;
         }
-        if (!co_await read_body(view_->routes().limits().body_bytes()))
+        co_return co_await read_body(view_->routes().limits().body_bytes());
+    }
+
+    // Ends the request with an answer. Interrupted if the caller leaves or the
+    // process gives up.
+    asio::awaitable<void> serve()
+    {
+        if (route_ == nullptr)
         {
-            co_return; // the caller has gone or was refused
+            co_await wait_for_routes();
+            if (const auto rejection = route_request())
+            {
+                co_await refuse(*rejection);
+                co_return;
+            }
         }
         service_ = route_->choose(worker_.random).service;
         call_.metadata.service = service_;
@@ -179,56 +315,35 @@
             co_await give_up(*rejection);
             co_return;
         }
-        watch_caller();
         co_await wait_for_upstreams();
-        if (!needs_slow_start() || co_await wait_for_slow_start())
-        {
-            co_await send_until_answered();
-        }
-        if (admitted_)
-        {
-            state_.slow_start.on_answer(state_.path_levels.level(route_->hash));
-        }
-        if (cancelled_->requested && !cancelled_->expects_answer)
+        slow_start_admission admission(state_, *route_);
+        if (needs_slow_start() && !co_await wait_for_slow_start(admission))
         {
-            note_cancelled(cancelled_->requested_at);
+            co_await give_up(not_admitted());
+            co_return;
         }
+        co_await send_until_answered();
     }
 
-private:
     [[nodiscard]] bool has_routes() const
     {
         return view_->routes().version() != 0;
     }
 
-    // Returns false if the request has ended. Reads the body first, as only
-    // then a disconnect of the caller is noticed.
-    asio::awaitable<bool> wait_for_routes()
+    asio::awaitable<void> wait_for_routes()
     {
-        if (!co_await read_body(max_body_bytes_without_routes))
-        {
-            co_return false;
-        }
-        watch_caller();
         const auto timeout =
             node::parse_milliseconds(field(state_.names.time_left));
         const duration max_wait =
             timeout.value_or(max_routes_wait) / routes_wait_divisor;
         const auto until = arrived_ + std::min(max_routes_wait, max_wait);
         asio::steady_timer timer(worker_.context);
-        while (!has_routes() && !cancelled_->requested &&
-               host_clock().now() < until)
+        while (!has_routes() && host_clock().now() < until)
         {
             timer.expires_after(routes_poll_interval);
             co_await timer.async_wait(asio::use_awaitable);
             view_ = state_.process.configuration.current();
         }
-        if (cancelled_->requested)
-        {
-            co_await finish_cancelled();
-            co_return false;
-        }
-        co_return true;
     }
 
     [[nodiscard]] std::string_view field(std::string_view name) const
@@ -340,43 +455,12 @@
         return digest.value();
     }
 
-    void watch_caller()
-    {
-        std::weak_ptr<node::cancellation> weak = cancelled_;
-        exchange_.on_disconnect(
-            [weak]
-            {
-                cancel(weak, false);
-            });
-        exchange_.on_give_up(
-            [weak]
-            {
-                cancel(weak, true);
-            });
-    }
-
-    static void
-    cancel(const std::weak_ptr<node::cancellation>& weak, bool is_answer_owed)
-    {
-        const auto flag = weak.lock();
-        if (!flag || flag->requested)
-        {
-            return;
-        }
-        flag->requested = true;
-        flag->requested_at = host_clock().now();
-        flag->expects_answer = is_answer_owed;
-        if (flag->stop)
-        {
-            flag->stop();
-        }
-    }
-
-    // The caller left at `since`, and all work on its request has ended.
-    void note_cancelled(time_point since)
+    // The caller has left, and all work on its request has ended.
+    void note_cancelled()
     {
         using milliseconds = std::chrono::duration<double, std::milli>;
         const auto now = host_clock().now();
+        const auto since = exchange_.left_at();
         state_.process.request_metrics.cancelled(
             node::call_side::entry, metrics_class(), phase_, now - since);
         log_event(
@@ -388,15 +472,6 @@
              {"ended_ms", milliseconds(now - since).count()}});
     }
 
-    // Ends a request that was cancelled before it had its answer.
-    asio::awaitable<void> finish_cancelled()
-    {
-        if (cancelled_->expects_answer)
-        {
-            co_await give_up(stopping());
-        }
-    }
-
     // Refuses a request if a service further down its call path is overloaded,
     // before any work is done for it.
     std::optional<refusal> check_shedding()
@@ -427,15 +502,13 @@
         return !call_.metadata.sub_call && !call_.metadata.bulk;
     }
 
-    // Returns false if the request has ended. Waits for at most half of the
-    // request's target or of its remaining time, whichever is shorter: the rest
-    // is for its work, or for a retry by the caller.
-    asio::awaitable<bool> wait_for_slow_start()
+    // Returns false if the request isn't admitted. Waits for at most half of
+    // the request's target or of its remaining time, whichever is shorter: the
+    // rest is for its work, or for a retry by the caller.
+    asio::awaitable<bool> wait_for_slow_start(slow_start_admission& admission)
     {
-        auto& window = state_.slow_start;
-        const auto rank = call_.metadata.rank;
-        window.wait(rank);
-        admitted_ = window.enter(rank);
+        const slow_start_waiter waiter(state_.slow_start, call_.metadata.rank);
+        bool admitted = admission.try_enter();
         const auto now = host_clock().now();
         const auto remaining = call_.metadata.deadline - now;
         const auto target = call_.metadata.target > duration::zero()
@@ -443,28 +516,21 @@
                                 : remaining;
         const auto until = now + std::min(target, remaining) / 2;
         asio::steady_timer timer(worker_.context);
-        while (!admitted_ && !cancelled_->requested &&
-               host_clock().now() < until)
+        while (!admitted && host_clock().now() < until)
         {
             timer.expires_after(slow_start_poll_interval);
             co_await timer.async_wait(asio::use_awaitable);
-            admitted_ = window.enter(rank);
-        }
-        window.leave(rank);
-        if (cancelled_->requested)
-        {
-            co_await finish_cancelled();
-            co_return false;
-        }
-        if (!admitted_)
-        {
-            const refusal details{
-                call_reason::overload,
-                call_outcome::not_run,
-                jittered(retry_after_shedding, worker_.random)};
-            co_await give_up(details);
+            admitted = admission.try_enter();
         }
-        co_return admitted_;
+        co_return admitted;
+    }
+
+    [[nodiscard]] refusal not_admitted()
+    {
+        return {
+            call_reason::overload,
+            call_outcome::not_run,
+            jittered(retry_after_shedding, worker_.random)};
     }
 
     asio::awaitable<void> wait_for_upstreams()
@@ -481,8 +547,7 @@
         const auto until =
             std::min(arrived_ + max_upstreams_wait, call_.metadata.deadline);
         asio::steady_timer timer(worker_.context);
-        while (!routes.is_known(service_) && !cancelled_->requested &&
-               host_clock().now() < until)
+        while (!routes.is_known(service_) && host_clock().now() < until)
         {
             timer.expires_after(upstreams_poll_interval);
             co_await timer.async_wait(asio::use_awaitable);
@@ -492,7 +557,7 @@
     asio::awaitable<void> send_until_answered()
     {
         state_.retries.on_call(service_, call_.metadata.sub_call);
-        while (!cancelled_->requested)
+        while (true)
         {
             if (call_.metadata.time_left() <= duration::zero())
             {
@@ -516,35 +581,26 @@
                 co_return;
             }
         }
-        co_await finish_cancelled();
     }
 
-    // Returns true if the request is finished: it has its final answer, or the
-    // caller no longer waits for one.
+    // Returns true if the request has its final answer.
     asio::awaitable<bool> try_upstream(node::route to)
     {
         tried_.push_back(to.handle);
-        const auto started = host_clock().now();
-        peer_feedback feedback;
+        upstream_try current(
+            state_.process.routes, service_, to.handle, call_.metadata.bulk);
         phase_ = node::request_phase::running;
-        auto result = co_await send_to(to, feedback);
+        current_try_.emplace();
+        auto result = co_await send_to(to, *current_try_);
+        co_await wire::interruption_point();
+        const auto feedback = *std::exchange(current_try_, std::nullopt);
         const auto try_result = to_try_end(result, feedback);
-        state_.process.routes.end(
-            service_,
-            to.handle,
-            call_.metadata.bulk,
-            try_result,
-            host_clock().now() - started);
+        current.end(try_result);
         if (feedback.load_report && try_result != node::try_end::address_reused)
         {
             apply_load_report(to.handle, *feedback.load_report);
         }
-        if (cancelled_->requested && !cancelled_->expects_answer)
-        {
-            co_return true;
-        }
-        if (result &&
-            (cancelled_->requested || !should_retry_error(*result, feedback)))
+        if (result && !should_retry_error(*result, feedback))
         {
             co_await forward_answer(*std::move(result));
             co_return true;
@@ -557,11 +613,6 @@
             co_return false;
         }
         record_failure(result.error());
-        if (cancelled_->requested)
-        {
-            co_await finish_cancelled();
-            co_return true;
-        }
         if (may_retry(result.error()))
         {
             co_return false;
@@ -576,12 +627,10 @@
         const bool is_local = to.host == state_.process.configured.host.id;
         if (!is_local)
         {
-            co_return co_await call_peer(
-                worker_, to.address, call_, cancelled_, feedback);
+            co_return co_await call_peer(worker_, to.address, call_, feedback);
         }
-        run_progress progress;
-        auto result = co_await run_on_upstream(
-            worker_, state_, call_, cancelled_, progress);
+        auto result =
+            co_await run_on_upstream(worker_, state_, call_, feedback.progress);
         feedback.load_report = own_load_report(state_, call_.metadata);
         co_return result;
     }
@@ -856,6 +905,7 @@
             const auto got = co_await answer.rest->read_some(chunk);
             if (!got)
             {
+                co_await wire::interruption_point();
                 log_event(
                     event::answer_broken,
                     {{"request", call_.metadata.id}, {"route", route_->name}});
@@ -868,14 +918,12 @@
             }
             open = co_await exchange_.write_some(std::span(chunk).first(*got));
         }
-        note_cancelled(host_clock().now());
     }
 
     node::worker& worker_;
     routed_state& state_;
     node::caller_exchange& exchange_;
     const time_point arrived_;
-    cancel_flag cancelled_;
     // Keeps `route_` alive.
     std::shared_ptr<const node::configuration_view> view_;
     const request_route* route_ = nullptr;
@@ -886,8 +934,8 @@
     std::uint32_t sent_tries_ = 0;
     std::size_t refusals_ = 0;
     bool may_have_run_ = false;
-    // Admitted by `slow_start`.
-    bool admitted_ = false;
+    // The try that is in flight.
+    std::optional<peer_feedback> current_try_;
     std::optional<refusal> last_failure_;
     // An error answer of an upstream after which the call was retried
     // elsewhere; forwarded if no retry gives a better one.
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -55,13 +55,6 @@
     return {details, false};
 }
 
-failed_call cancelled_before_sending()
-{
-    const refusal details{
-        call_reason::cancelled, call_outcome::not_run, duration::zero()};
-    return {details, false};
-}
-
 // The rest of a long answer, read from a stream.
 class stream_rest final : public answer_rest
 {
@@ -90,13 +83,9 @@
 {
 public:
     peer_exchange(
-        node::worker& worker,
-        const routed_call& call,
-        cancel_flag cancelled,
-        peer_feedback& feedback)
+        node::worker& worker, const routed_call& call, peer_feedback& feedback)
         : worker_(worker)
         , call_(call)
-        , cancelled_(std::move(cancelled))
         , feedback_(feedback)
     {
     }
@@ -108,6 +97,7 @@
         const auto until = std::min(
             call_.metadata.deadline, host_clock().now() + connect_timeout);
         const auto session = co_await worker_.peers.get(to, kind, until);
+        co_await wire::interruption_point();
         if (!session)
         {
             feedback_.broken = session.error() != wire::stream_failure::refused;
@@ -120,32 +110,20 @@
         {
             co_return not_sent();
         }
-        // `cancelled_->stop` isn't set yet, so a call that was cancelled in the
-        // meantime is stopped here.
-        if (cancelled_->requested)
-        {
-            co_return cancelled_before_sending();
-        }
         const auto head = to_peer_head(call_);
         auto opened = (*session)->open(head, call_.body.empty());
         if (!opened)
         {
             co_return not_sent();
         }
+        feedback_.progress.phase = node::request_phase::running;
         stream_ = *std::move(opened);
         stream_->expire_after(call_.metadata.time_left());
         if (!call_.metadata.bulk)
         {
             stream_->expect_answer_soon(call_.metadata.repeatable);
         }
-        auto* const stream = stream_.get();
-        cancelled_->stop = [stream]
-        {
-            stream->cancel();
-        };
-        auto result = co_await exchange();
-        cancelled_->stop = nullptr;
-        co_return result;
+        co_return co_await exchange();
     }
 
 private:
@@ -157,6 +135,7 @@
     asio::awaitable<bool> confirm_reachable(wire::client_session& session)
     {
         const auto proof = co_await session.confirm();
+        co_await wire::interruption_point();
         feedback_.silent =
             !proof && proof.error() == wire::stream_failure::silent;
         note_loss();
@@ -265,7 +244,6 @@
 
     node::worker& worker_;
     const routed_call& call_;
-    cancel_flag cancelled_;
     peer_feedback& feedback_;
     std::unique_ptr<wire::client_stream> stream_;
 };
@@ -365,10 +343,9 @@
     node::worker& worker,
     node::endpoint to,
     const routed_call& call,
-    cancel_flag cancelled,
     peer_feedback& feedback)
 {
-    peer_exchange exchange(worker, call, std::move(cancelled), feedback);
+    peer_exchange exchange(worker, call, feedback);
     co_return co_await exchange.run(std::move(to));
 }
 
@@ -413,6 +390,34 @@
     return class_name(route == nullptr ? "(none)" : route->name);
 }
 
+asio::awaitable<void> run_and_answer(
+    node::worker& worker,
+    routed_state& state,
+    const routed_call& call,
+    wire::server_stream& stream,
+    run_progress& progress)
+{
+    auto result = co_await run_on_upstream(worker, state, call, progress);
+    auto load_report = own_load_report(state, call.metadata);
+    if (!result)
+    {
+        co_await write_failure(stream, result.error(), std::move(load_report));
+        co_return;
+    }
+    progress.phase = node::request_phase::answering;
+    co_await write_answer(stream, *std::move(result), std::move(load_report));
+}
+
+// The failure of a call that was interrupted because this process stops.
+failed_call given_up(const run_progress& progress)
+{
+    const auto result =
+        progress.may_have_run() ? call_outcome::unknown : call_outcome::not_run;
+    return {
+        {call_reason::cancelled, result, duration::zero()},
+        progress.may_have_run()};
+}
+
 } // namespace
 
 bool is_routed_call(const wire::request_head& head)
@@ -425,23 +430,6 @@
     routed_state& state,
     std::shared_ptr<wire::server_stream> stream)
 {
-    const auto cancelled = std::make_shared<node::cancellation>();
-    std::weak_ptr<node::cancellation> weak = cancelled;
-    stream->on_cancelled(
-        [weak]
-        {
-            const auto shared = weak.lock();
-            if (!shared)
-            {
-                return;
-            }
-            shared->requested = true;
-            shared->requested_at = host_clock().now();
-            if (shared->stop)
-            {
-                shared->stop();
-            }
-        });
     routed_call call;
     auto metadata = parse_metadata(stream->head().fields);
     auto body = co_await read_whole(*stream);
@@ -455,34 +443,23 @@
     call.body = *std::move(body);
     call.head = stream->head();
     call.head.fields = without_own_fields(stream->head().fields);
-    const bool was_cancelled = stream->cancelled();
     run_progress progress;
-    auto result =
-        co_await run_on_upstream(worker, state, call, cancelled, progress);
-    if (was_cancelled && progress.phase != node::request_phase::queued)
-    {
-        state.process.request_metrics.sent_after_cancellation(
-            node::call_side::upstream, class_of(state, call));
-    }
-    auto load_report = own_load_report(state, call.metadata);
-    if (result)
+    auto work = run_and_answer(worker, state, call, *stream, progress);
+    if (co_await stream->run_until_cancelled(std::move(work)))
     {
-        progress.phase = node::request_phase::answering;
-        co_await write_answer(
-            *stream, *std::move(result), std::move(load_report));
-    }
-    else
-    {
-        co_await write_failure(*stream, result.error(), std::move(load_report));
+        co_return;
     }
-    if (cancelled->requested)
+    if (!stream->cancelled())
     {
-        state.process.request_metrics.cancelled(
-            node::call_side::upstream,
-            class_of(state, call),
-            progress.phase,
-            host_clock().now() - cancelled->requested_at);
+        co_await write_failure(
+            *stream, given_up(progress), own_load_report(state, call.metadata));
+        co_return;
     }
+    state.process.request_metrics.cancelled(
+        node::call_side::upstream,
+        class_of(state, call),
+        progress.phase,
+        stream->time_since_cancelled());
 }
 
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/peer_exchange.hpp
+++ b/nutmegusher/routed/peer_exchange.hpp
@@ -5,6 +5,7 @@
 #include "nutmegusher/routed/peer_fields.hpp"
 #include "nutmegusher/routed/routed_call.hpp"
 #include "nutmegusher/routed/routed_state.hpp"
+#include "nutmegusher/routed/upstream_run.hpp"
 
 #include <optional>
 #include <string>
@@ -22,6 +23,8 @@
     bool silent = false;
     // The connection couldn't be made, or it broke.
     bool broken = false;
+    // As far as the sender can tell; valid even if the call is interrupted.
+    run_progress progress;
 };
 
 // The load report of this host's upstream for the answer to a routed call.
@@ -33,12 +36,12 @@
 [[nodiscard]] upstream_load_report
 own_load_report(const routed_state& state, const call_metadata& metadata);
 
-// Sends the call to the daemon at `to` and reads the answer.
+// Sends the call to the daemon at `to` and reads the answer. If it is
+// interrupted, it cancels the call there.
 asio::awaitable<routed_result> call_peer(
     node::worker& worker,
     node::endpoint to,
     const routed_call& call,
-    cancel_flag cancelled,
     peer_feedback& feedback);
 
 // Whether a peer's stream carries a routed call.
--- a/nutmegusher/routed/routed_call.hpp
+++ b/nutmegusher/routed/routed_call.hpp
@@ -5,7 +5,6 @@
 
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/node/call.hpp"
-#include "nutmegusher/node/peer_call.hpp"
 #include "nutmegusher/wire/wire.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -118,9 +117,6 @@
 
 using routed_result = outcome<routed_answer, failed_call>;
 
-// Set when the caller has gone.
-using cancel_flag = std::shared_ptr<node::cancellation>;
-
 } // namespace nutmegusher::routed
 
 #endif
--- a/nutmegusher/routed/slot_gate.cpp
+++ b/nutmegusher/routed/slot_gate.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/routed/slot_gate.hpp"
 
+#include "nutmegusher/wire/wire.hpp"
+
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -31,7 +33,39 @@
     return ticket_id(++last_ticket_);
 }
 
-asio::awaitable<node::gate_verdict> slot_gate::enter(call_info call)
+// Withdraws a call that is destroyed before it has taken its verdict.
+class slot_gate::pending_entry
+{
+public:
+    pending_entry(slot_gate& gate, ticket_id ticket)
+        : gate_(gate)
+        , ticket_(ticket)
+    {
+    }
+
+    ~pending_entry()
+    {
+        if (!decided_)
+        {
+            gate_.withdraw(ticket_);
+        }
+    }
+
+    pending_entry(const pending_entry&) = delete;
+    pending_entry& operator=(const pending_entry&) = delete;
+
+    void set_decided()
+    {
+        decided_ = true;
+    }
+
+private:
+    slot_gate& gate_;
+    ticket_id ticket_;
+    bool decided_ = false;
+};
+
+asio::awaitable<slot_verdict> slot_gate::enter(call_info call)
 {
     auto executor = co_await asio::this_coro::executor;
     std::shared_ptr<node::waiting_calls::waiter> waiter;
@@ -53,9 +87,11 @@
         waiter = waiting_.add(call.ticket, executor);
         until = next_event();
     }
+    pending_entry entry(*this, call.ticket);
     auto verdict = co_await node::waiting_calls::wait(waiter, until);
     while (!verdict)
     {
+        co_await wire::interruption_point();
         {
             const std::scoped_lock lock(mutex_);
             waiting_.deliver(queue_.tick(host_clock().now()));
@@ -63,7 +99,12 @@
         }
         verdict = co_await node::waiting_calls::wait(waiter, until);
     }
-    co_return *verdict;
+    entry.set_decided();
+    if (const auto* rejection = std::get_if<refused>(&*verdict))
+    {
+        co_return *rejection;
+    }
+    co_return admitted();
 }
 
 void slot_gate::log_pressure(time_point now)
@@ -99,13 +140,15 @@
     waiting_.deliver(queue_.finish(ticket, result, host_clock().now()));
 }
 
-void slot_gate::cancel(ticket_id ticket)
+void slot_gate::withdraw(ticket_id ticket)
 {
     const std::scoped_lock lock(mutex_);
-    if (waiting_.withdraw(ticket))
-    {
-        waiting_.deliver(queue_.cancel(ticket, host_clock().now()));
-    }
+    const auto now = host_clock().now();
+    const bool is_waiting = waiting_.withdraw(ticket);
+    // A call that was admitted in the meantime holds a slot.
+    waiting_.deliver(
+        is_waiting ? queue_.cancel(ticket, now)
+                   : queue_.finish(ticket, call_result::never_started, now));
 }
 
 void slot_gate::set_slots(std::size_t slots)
--- a/nutmegusher/routed/slot_gate.hpp
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -10,12 +10,15 @@
 
 #include <cstdint>
 #include <mutex>
+#include <variant>
 
 namespace nutmegusher::routed
 {
 
 namespace asio = boost::asio;
 
+using slot_verdict = std::variant<admitted, refused>;
+
 // A `slot_queue` for all worker threads.
 class slot_gate
 {
@@ -26,15 +29,13 @@
     ticket_id next_ticket();
 
     // Suspends until the call is admitted or refused; resumes on the executor
-    // that it was called on.
-    asio::awaitable<node::gate_verdict> enter(call_info call);
+    // that it was called on. A call whose wait is interrupted neither waits nor
+    // runs any longer.
+    asio::awaitable<slot_verdict> enter(call_info call);
 
     // Requires: `enter` returned `admitted`.
     void finish(ticket_id ticket, call_result result);
 
-    // The caller of a waiting call has gone; the call's `enter` returns `gone`.
-    void cancel(ticket_id ticket);
-
     void set_slots(std::size_t slots);
     // Another process of the upstream has started: see `slot_queue`.
     void restart();
@@ -44,6 +45,9 @@
     [[nodiscard]] slot_queue_state state() const;
 
 private:
+    class pending_entry;
+
+    void withdraw(ticket_id ticket);
     [[nodiscard]] time_point next_event() const;
     void log_pressure(time_point now);
 
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -172,6 +172,10 @@
         const auto got = co_await call_->read_some(into);
         if (!got)
         {
+            slot_->set_result(
+                got.error() == node::upstream_failure::cancelled
+                    ? call_result::cancelled
+                    : call_result::failed);
             if (got.error() == node::upstream_failure::broken)
             {
                 run_->mark_lost();
@@ -231,12 +235,10 @@
         node::worker& worker,
         routed_state& state,
         const routed_call& call,
-        cancel_flag cancelled,
         run_progress& progress)
         : worker_(worker)
         , state_(state)
         , call_(call)
-        , cancelled_(std::move(cancelled))
         , progress_(progress)
     {
     }
@@ -256,11 +258,7 @@
             co_return *refused_call;
         }
         slot_ = std::make_unique<held_slot>(state_.slots, ticket);
-        if (cancelled_->requested)
-        {
-            slot_->set_result(call_result::never_started);
-            co_return not_run(call_reason::cancelled, duration::zero());
-        }
+        slot_->set_result(call_result::never_started);
         co_return co_await exchange();
     }
 
@@ -288,23 +286,13 @@
 
     asio::awaitable<std::optional<failed_call>> wait_for_slot(ticket_id ticket)
     {
-        auto& slots = state_.slots;
-        cancelled_->stop = [&slots, ticket]
-        {
-            slots.cancel(ticket);
-        };
         const auto facts = facts_of(call_.metadata, ticket);
-        const auto verdict = co_await slots.enter(facts);
-        cancelled_->stop = nullptr;
+        const auto verdict = co_await state_.slots.enter(facts);
         if (const auto* rejection = std::get_if<refused>(&verdict))
         {
             co_return not_run(
                 to_reason(rejection->reason), rejection->retry_after);
         }
-        if (std::holds_alternative<node::caller_left>(verdict))
-        {
-            co_return not_run(call_reason::cancelled, duration::zero());
-        }
         co_return std::nullopt;
     }
 
@@ -313,7 +301,6 @@
     asio::awaitable<routed_result> exchange()
     {
         const auto to = state_.local.current();
-        slot_->set_result(call_result::never_started);
         if (const auto refused_call = check_upstream(to))
         {
             co_return *refused_call;
@@ -340,20 +327,11 @@
             }
             co_return to_failed_call(sent.error());
         }
-        slot_->set_result(call_result::failed);
+        // Until the run ends in another way.
+        slot_->set_result(call_result::cancelled);
         upstream_ = *std::move(sent);
         progress_.phase = node::request_phase::running;
-        if (cancelled_->requested)
-        {
-            co_return unknown(call_reason::cancelled);
-        }
-        auto* const upstream = upstream_.get();
-        cancelled_->stop = [upstream]
-        {
-            upstream->cancel();
-        };
         auto result = co_await read_answer();
-        cancelled_->stop = nullptr;
         if (!result && connection_lost_)
         {
             auto failed = result.error();
@@ -413,6 +391,7 @@
             note_failure(head.error());
             co_return to_failed_call(head.error());
         }
+        slot_->set_result(call_result::failed);
         const bool says_not_run =
             wire::find_header(head->fields, state_.names.not_run).has_value();
         if (says_not_run || head->status == status_misdirected_request)
@@ -471,9 +450,11 @@
             break;
         case node::upstream_failure::broken:
             connection_lost_ = true;
+            slot_->set_result(call_result::failed);
             note_answer(true);
             break;
         default:
+            slot_->set_result(call_result::failed);
             // The answer broke off or was malformed, or the call wasn't
             // answered. Otherwise an upstream that loses two answers in five
             // got its full share of unrepeatable calls.
@@ -528,7 +509,6 @@
     node::worker& worker_;
     routed_state& state_;
     const routed_call& call_;
-    cancel_flag cancelled_;
     run_progress& progress_;
     // Declared before `upstream_`, so that the connection is released before
     // the slot.
@@ -546,10 +526,9 @@
     node::worker& worker,
     routed_state& state,
     const routed_call& call,
-    cancel_flag cancelled,
     run_progress& progress)
 {
-    upstream_run run(worker, state, call, std::move(cancelled), progress);
+    upstream_run run(worker, state, call, progress);
     co_return co_await run.run();
 }
 
--- a/nutmegusher/routed/upstream_run.hpp
+++ b/nutmegusher/routed/upstream_run.hpp
@@ -8,21 +8,27 @@
 namespace nutmegusher::routed
 {
 
-// How far a call has come at the daemon beside the upstream.
+// How far a call has come at the daemon beside the upstream; valid even if the
+// run is interrupted.
 struct run_progress
 {
     node::request_phase phase = node::request_phase::queued;
+
+    // Whether the upstream may have run the call.
+    [[nodiscard]] bool may_have_run() const
+    {
+        return phase != node::request_phase::queued;
+    }
 };
 
 // Waits for a slot, sends the call and reads the answer. Fails with `not_run`
 // only if the upstream certainly didn't and won't run the call: it was never
-// sent, or the upstream says so. If the caller goes away, the call is cancelled
-// at the upstream at once.
+// sent, or the upstream says so. An interrupted run releases its slot and
+// closes its connection, which cancels the call at the upstream.
 asio::awaitable<routed_result> run_on_upstream(
     node::worker& worker,
     routed_state& state,
     const routed_call& call,
-    cancel_flag cancelled,
     run_progress& progress);
 
 } // namespace nutmegusher::routed
--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -78,6 +78,7 @@
         const bool never_sent =
             role_ == side::client && !each_stream->head_sent;
         each_stream->closed = true;
+        each_stream->cancelled_at = host_clock().now();
         each_stream->fail(never_sent ? stream_failure::refused : why);
         each_stream->post_cancelled(context_);
     }
--- a/nutmegusher/wire/connection_frames.cpp
+++ b/nutmegusher/wire/connection_frames.cpp
@@ -264,6 +264,7 @@
     }
     if (!closed->local_end_sent)
     {
+        closed->cancelled_at = host_clock().now();
         closed->post_cancelled(context_);
     }
     closed->on_cancelled = nullptr;
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -2,6 +2,7 @@
 
 #include "nutmegusher/wire/connection.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detail/socket_option.hpp>
 
@@ -209,19 +210,22 @@
         std::shared_ptr<stream> request)
     {
         owner->handler_started();
-        auto handle =
-            std::make_shared<server_stream>(owner, std::move(request));
+        auto handle = std::make_shared<server_stream>(owner, request);
         // The completion callback keeps `handler_` alive, because the coroutine
-        // refers to the handler's captures.
-        auto finished =
-            [owner, handler = handler_](const std::exception_ptr& /*thrown*/)
+        // refers to the handler's captures, and `request`, which holds the
+        // coroutine's cancellation signal.
+        auto finished = [owner, request, handler = handler_](
+                            const std::exception_ptr& /*thrown*/)
         {
             // After any exception the destroyed handle resets the stream unless
             // its response was ended.
             owner->handler_finished();
         };
         asio::co_spawn(
-            context_, (*handler_)(std::move(handle)), std::move(finished));
+            context_,
+            (*handler_)(std::move(handle)),
+            asio::bind_cancellation_slot(
+                request->work.slot(), std::move(finished)));
     }
 
     asio::io_context& context_;
--- a/nutmegusher/wire/server_stream.cpp
+++ b/nutmegusher/wire/server_stream.cpp
@@ -61,6 +61,50 @@
     return stream_->closed && !stream_->local_end_sent;
 }
 
+duration server_stream::time_since_cancelled() const
+{
+    return host_clock().now() - stream_->cancelled_at;
+}
+
+namespace
+{
+
+void interrupt_when_cancelled(const std::shared_ptr<internal::stream>& target)
+{
+    target->on_cancelled = [weak = std::weak_ptr(target)]
+    {
+        const auto stream = weak.lock();
+        if (!stream)
+        {
+            return;
+        }
+        if (stream->closed || !stream->head_submitted)
+        {
+            stream->work.interrupt();
+            return;
+        }
+        // The server has given up, but the response has begun: it goes on
+        // unless the peer resets the stream.
+        interrupt_when_cancelled(stream);
+    };
+}
+
+} // namespace
+
+boost::asio::awaitable<bool>
+server_stream::run_until_cancelled(boost::asio::awaitable<void> work)
+{
+    if (cancelled())
+    {
+        co_return false;
+    }
+    interrupt_when_cancelled(stream_);
+    const auto stream = stream_;
+    const bool finished = co_await stream->work.run(std::move(work));
+    stream->on_cancelled = nullptr;
+    co_return finished;
+}
+
 std::size_t server_stream::buffered_bytes() const
 {
     return stream_->inbound.size();
--- a/nutmegusher/wire/server_stream.hpp
+++ b/nutmegusher/wire/server_stream.hpp
@@ -2,6 +2,7 @@
 #ifndef NUTMEGUSHER_WIRE_SERVER_STREAM_HPP
 #define NUTMEGUSHER_WIRE_SERVER_STREAM_HPP
 
+#include "nutmegusher/base/clock.hpp"
 #include "nutmegusher/base/error.hpp"
 #include "nutmegusher/wire/header.hpp"
 #include "nutmegusher/wire/stream_failure.hpp"
@@ -62,6 +63,17 @@
 
     [[nodiscard]] bool cancelled() const;
 
+    // The time since the stream was cancelled. Requires: `cancelled`.
+    [[nodiscard]] duration time_since_cancelled() const;
+
+    // Runs `work`, which may write the response. Ends it at its current wait
+    // when the peer resets the stream or the connection closes, or, unless the
+    // response has begun, when the server gives up; doesn't begin it if the
+    // first has happened already. Returns false if it was ended or not begun.
+    // Replaces `on_cancelled`. Requires: called by the stream's handler.
+    [[nodiscard]] boost::asio::awaitable<bool>
+    run_until_cancelled(boost::asio::awaitable<void> work);
+
     // Received bytes of the request's body that are not read yet; for dumps and
     // tests.
     [[nodiscard]] std::size_t buffered_bytes() const;
--- a/nutmegusher/wire/stream.hpp
+++ b/nutmegusher/wire/stream.hpp
@@ -2,8 +2,10 @@
 #ifndef NUTMEGUSHER_WIRE_STREAM_HPP
 #define NUTMEGUSHER_WIRE_STREAM_HPP
 
+#include "nutmegusher/base/clock.hpp"
 #include "nutmegusher/wire/byte_queue.hpp"
 #include "nutmegusher/wire/header.hpp"
+#include "nutmegusher/wire/interruptible.hpp"
 #include "nutmegusher/wire/signal.hpp"
 #include "nutmegusher/wire/stream_failure.hpp"
 
@@ -70,11 +72,15 @@
 
     // nghttp2 has closed the stream, or the connection is closed.
     bool closed = false;
+    // When it was closed before its response was sent completely.
+    time_point cancelled_at;
     std::optional<stream_failure> failure;
 
     signal readable;
     signal writable;
     std::function<void()> on_cancelled;
+    // The work of the handler of a server's stream.
+    interruptible work;
     std::unique_ptr<timer> deadline;
 };
 
--- a/nutmegusher/wire/wire.hpp
+++ b/nutmegusher/wire/wire.hpp
@@ -19,6 +19,7 @@
 #include "nutmegusher/wire/client_session.hpp"
 #include "nutmegusher/wire/client_stream.hpp"
 #include "nutmegusher/wire/header.hpp"
+#include "nutmegusher/wire/interruptible.hpp"
 #include "nutmegusher/wire/server.hpp"
 #include "nutmegusher/wire/server_stream.hpp"
 #include "nutmegusher/wire/session_options.hpp"
