Keep calls to an upstream within the rate that it names

What upstreams saw: 239 requests in 4 s at a limit of 22.6 a second, and calls after they had said that they leave. Cause: no daemon read either field. Class: something that an answer says of its sender is passed on, and nobody acts on it.

All that an upstream runs passes the daemon beside it, so the limit is kept there, exactly and without agreement: rate_meter, a token bucket at the named rate with the calls of 100 ms (at least one) as its burst, empty when a limit begins. Calls that it has no room for wait in the slot queue, so the least important ones are turned away, as 'not run'. What a limited upstream reports to entries are the slots that calls at that rate occupy, so routers send it less before it refuses, and its shed level follows. An answer without the field to a call sent since the limit began ends it; a limit under 0.25 a second counts as that, as only an answer can end it; what isn't a finite number is ignored.

A daemon that was restarted doesn't know the limit: entries send with each call what they were last told, and that holds until the upstream's first answer.

An upstream that says that it leaves gets no calls from the daemon beside it until another start of it reports, and none from an entry that was told, whatever membership lists.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -100,6 +100,8 @@
         event::run_was_overtaken, "run_was_overtaken", severity::warning},
     event_description{
         event::upstream_ended, "upstream_ended", severity::warning},
+    event_description{
+        event::upstream_limited, "upstream_limited", severity::info},
     event_description{
         event::request_refused, "request_refused", severity::info},
     event_description{event::answer_broken, "answer_broken", severity::warning},
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -64,6 +64,7 @@
     upstream_pressed = 303,
     run_was_overtaken = 304,
     upstream_ended = 305,
+    upstream_limited = 306,
     request_refused = 400,
     answer_broken = 401,
     request_unknown = 402,
--- a/nutmegusher/node/route_controller.cpp
+++ b/nutmegusher/node/route_controller.cpp
@@ -174,7 +174,8 @@
         return std::nullopt;
     }
     routes->route.on_start(*chosen, call.bulk, now);
-    return route{*chosen, *host, address->second};
+    return route{
+        *chosen, *host, address->second, routes->route.rate_limit(*chosen)};
 }
 
 void route_controller::end(
@@ -226,6 +227,23 @@
     }
 }
 
+void route_controller::on_answer_notice(
+    const service_name& service,
+    upstream_handle upstream,
+    std::optional<double> rate_limit,
+    bool leaves)
+{
+    if (const auto routes = find(service))
+    {
+        const std::scoped_lock lock(routes->mutex);
+        routes->route.on_rate_limit(upstream, rate_limit);
+        if (leaves)
+        {
+            routes->route.on_left(upstream);
+        }
+    }
+}
+
 admission_level route_controller::on_levels(
     const service_name& service,
     upstream_handle upstream,
--- a/nutmegusher/node/route_controller.hpp
+++ b/nutmegusher/node/route_controller.hpp
@@ -29,6 +29,8 @@
     upstream_handle handle;
     host_id host;
     endpoint address;
+    // The calls a second that the upstream has named here, if any.
+    std::optional<double> rate_limit;
 };
 
 // How a try ended, as reported to the router.
@@ -90,6 +92,14 @@
         upstream_handle upstream,
         const upstream_load& load);
 
+    // Records what an answer of the upstream says of itself: the calls a second
+    // that it takes, if it names them, and whether it leaves.
+    void on_answer_notice(
+        const service_name& service,
+        upstream_handle upstream,
+        std::optional<double> rate_limit,
+        bool leaves);
+
     // Records the admission levels that came with an answer. Returns the level
     // of the call path ahead of calls of that class: the service as a whole,
     // and the services it calls.
--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -29,6 +29,9 @@
 // How long an upstream that refused because it is leaving gets no calls;
 // membership reports it within about a second.
 constexpr duration leaving_retention = std::chrono::seconds(2);
+// Starts of upstreams that are remembered as leaving after membership has
+// dropped them; an old record could bring them back for some seconds.
+constexpr std::size_t max_left_starts = 256;
 // Exponentially distributed latencies exceed four times their mean once in
 // fifty calls, which is little compared to a budget of a tenth for all retries.
 constexpr double timeout_factor = 4.0;
@@ -119,6 +122,11 @@
         entry added;
         added.handle = upstream_handle(++last_handle_);
         added.upstream = each;
+        added.left =
+            std::find(
+                left_starts_.begin(),
+                left_starts_.end(),
+                left_start{each.host, each.start}) != left_starts_.end();
         added.slow_start_until = running ? now + slow_start_duration : now;
         kept.push_back(std::move(added));
     }
@@ -142,7 +150,7 @@
     std::span<const upstream_handle> tried,
     time_point now) const
 {
-    return !each.upstream.leaving && now >= each.excluded_until &&
+    return !each.upstream.leaving && !each.left && now >= each.excluded_until &&
            std::find(tried.begin(), tried.end(), each.handle) == tried.end();
 }
 
@@ -482,6 +490,41 @@
     }
 }
 
+void router::on_left(upstream_handle from)
+{
+    const upstream_index found = find(from);
+    if (!found || entries_[*found].left)
+    {
+        return;
+    }
+    entry& one = entries_[*found];
+    one.left = true;
+    if (one.upstream.start == 0)
+    {
+        return; // a later start couldn't be told from this one
+    }
+    if (left_starts_.size() == max_left_starts)
+    {
+        left_starts_.pop_front();
+    }
+    left_starts_.push_back({one.upstream.host, one.upstream.start});
+}
+
+void router::on_rate_limit(
+    upstream_handle from, std::optional<double> calls_per_second)
+{
+    if (const upstream_index found = find(from))
+    {
+        entries_[*found].rate_limit = calls_per_second;
+    }
+}
+
+std::optional<double> router::rate_limit(upstream_handle of) const
+{
+    const upstream_index found = find(of);
+    return found ? entries_[*found].rate_limit : std::nullopt;
+}
+
 void router::end(
     upstream_handle from,
     bool bulk,
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -40,6 +40,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <vector>
@@ -171,6 +172,18 @@
     // whichever is shorter. Otherwise each call to it would be a failed try.
     void on_address_reused(upstream_handle from, bool bulk, time_point now);
 
+    // The upstream said in an answer that it leaves. It gets no calls until
+    // `update` lists another start of it.
+    void on_left(upstream_handle from);
+
+    // The upstream named in an answer how many calls a second it takes, or,
+    // with nullopt, none.
+    void
+    on_rate_limit(upstream_handle from, std::optional<double> calls_per_second);
+
+    // What the upstream last named, in calls a second.
+    [[nodiscard]] std::optional<double> rate_limit(upstream_handle of) const;
+
     // Membership drops a host after three missed lease renewals of two seconds
     // each. If the host is still listed by then, it gets calls again.
     static constexpr duration reused_address_retention =
@@ -205,6 +218,9 @@
         time_point excluded_until;
         // Gets fewer calls until then; see `slow_start_duration`.
         time_point slow_start_until;
+        // See `on_left`.
+        bool left = false;
+        std::optional<double> rate_limit;
         upstream_load load;
         time_point load_received_at;
         // Calls sent there since its last load report.
@@ -213,6 +229,15 @@
 
     using upstream_index = std::optional<std::size_t>;
 
+    // A start of an upstream that has said that it leaves.
+    struct left_start
+    {
+        host_id host;
+        std::uint64_t start = 0;
+
+        friend bool operator==(const left_start&, const left_start&) = default;
+    };
+
     [[nodiscard]] upstream_index find(upstream_handle handle) const;
     [[nodiscard]] bool usable(
         const entry& each,
@@ -265,6 +290,8 @@
 
     router_options options_;
     std::vector<entry> entries_;
+    // Newest last; at most `max_left_starts`.
+    std::deque<left_start> left_starts_;
     // Scratch space for medians.
     mutable std::vector<double> scratch_;
     // Moving average over the latencies of all upstreams, by lane.
--- a/nutmegusher/policy/shed_control.cpp
+++ b/nutmegusher/policy/shed_control.cpp
@@ -76,18 +76,18 @@
     rate_ += seconds_of(slot_time) / window_seconds;
 }
 
-void shed_control::update(std::size_t slots, duration backlog, time_point now)
+void shed_control::update(double slots, duration backlog, time_point now)
 {
     const double step =
         std::min(seconds_of(now - updated_at_), max_step_seconds);
     updated_at_ = now;
-    if (slots == 0 || step <= 0)
+    if (slots <= 0 || step <= 0)
     {
         return;
     }
     decay(now);
     const double slot_time_rate = rate_ + seconds_of(backlog) / drain_seconds;
-    demand_ = slot_time_rate / static_cast<double>(slots);
+    demand_ = slot_time_rate / slots;
     const double excess =
         std::clamp(demand_ - target_demand, -target_demand, max_excess);
     integral_ = std::clamp(
--- a/nutmegusher/policy/shed_control.hpp
+++ b/nutmegusher/policy/shed_control.hpp
@@ -23,8 +23,6 @@
 
 #include "nutmegusher/base/clock.hpp"
 
-#include <cstddef>
-
 namespace nutmegusher
 {
 
@@ -35,9 +33,9 @@
     // admitted.
     void on_arrival(duration slot_time, time_point now);
 
-    // Recomputes the level. `backlog`: the total slot time that the waiting
-    // calls will need.
-    void update(std::size_t slots, duration backlog, time_point now);
+    // Recomputes the level. `slots`: how many calls can occupy on average.
+    // `backlog`: the total slot time that the waiting calls will need.
+    void update(double slots, duration backlog, time_point now);
 
     [[nodiscard]] double level() const
     {
--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/policy/slot_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace nutmegusher
@@ -50,22 +51,42 @@
     return found == slot_times_.end() ? unknown_slot_time : found->second;
 }
 
-double slot_queue::slots_per_second() const
+// How many calls a second the upstream can start; 0 if that isn't known.
+double slot_queue::calls_per_second() const
 {
-    return mean_slot_time_ <= 0 ? 0
+    const double by_slots = mean_slot_time_ <= 0
+                                ? 0
                                 : static_cast<double>(limit_) / mean_slot_time_;
+    const auto by_rate = meter_.limit();
+    return by_rate && (by_slots <= 0 || *by_rate < by_slots) ? *by_rate
+                                                             : by_slots;
+}
+
+// The slots that calls can occupy on average.
+double slot_queue::capacity() const
+{
+    const auto slots = static_cast<double>(limit_);
+    const auto by_rate = meter_.limit();
+    return by_rate && mean_slot_time_ > 0
+               ? std::min(slots, *by_rate * mean_slot_time_)
+               : slots;
+}
+
+bool slot_queue::can_start(time_point now) const
+{
+    return running_.size() < limit_ && meter_.allows(now);
 }
 
 // The expected time until a slot is free for a call with `ahead` calls before
 // it.
 duration slot_queue::expected_wait(std::size_t ahead) const
 {
-    if (limit_ == 0 || mean_slot_time_ <= 0)
+    const double rate = calls_per_second();
+    if (limit_ == 0 || rate <= 0)
     {
         return duration::zero();
     }
-    const auto places = static_cast<double>(ahead + 1);
-    return from_seconds(places * mean_slot_time_ / static_cast<double>(limit_));
+    return from_seconds(static_cast<double>(ahead + 1) / rate);
 }
 
 std::size_t slot_queue::ahead_of(const position& one) const
@@ -88,7 +109,7 @@
     {
         return {reason, duration::zero()};
     }
-    const auto call_rate = std::max(slots_per_second(), 1.0);
+    const auto call_rate = std::max(calls_per_second(), 1.0);
     const auto wait = retry_schedules_[call.rank].next(call_rate, now);
     return {reason, jittered(wait, engine_)};
 }
@@ -104,10 +125,20 @@
     return outcomes_;
 }
 
+std::span<const queue_outcome> slot_queue::set_rate_limit(
+    std::optional<double> calls_per_second, time_point now)
+{
+    outcomes_.clear();
+    meter_.set_limit(calls_per_second, now);
+    admit_waiting(now);
+    return outcomes_;
+}
+
 std::span<const queue_outcome> slot_queue::restart(time_point now)
 {
     outcomes_.clear();
     running_.clear();
+    meter_.set_limit(std::nullopt, now);
     slot_times_.clear();
     mean_slot_time_ = 0;
     useful_ = useful_slots();
@@ -127,7 +158,8 @@
     {
         return {refuse(refusal_reason::leaving, call, now), outcomes_};
     }
-    if (running_.size() < limit_)
+    const bool is_next = !meter_.limit() || waiting_.empty();
+    if (can_start(now) && is_next)
     {
         if (misses_deadline(call, duration::zero(), now))
         {
@@ -181,7 +213,7 @@
 void slot_queue::update_shed(time_point now)
 {
     const auto waiting = static_cast<double>(waiting_.size());
-    shed_.update(limit_, from_seconds(mean_slot_time_ * waiting), now);
+    shed_.update(capacity(), from_seconds(mean_slot_time_ * waiting), now);
 }
 
 void slot_queue::note_sub_call(time_point now)
@@ -201,6 +233,7 @@
 
 void slot_queue::start(const call_info& call, time_point now)
 {
+    meter_.on_start(now);
     const auto started_under = useful_.on_start(running_.size() + 1);
     running_.emplace(
         call.ticket, running_call{call.work_class, now, started_under});
@@ -251,7 +284,7 @@
 
 void slot_queue::admit_waiting(time_point now)
 {
-    while (!waiting_.empty() && running_.size() < limit_)
+    while (!waiting_.empty() && can_start(now))
     {
         const auto next = next_to_start(now);
         const auto call = next->second.info;
@@ -297,9 +330,23 @@
         outcomes_.push_back(
             {call.ticket, refuse(refusal_reason::overload, call, now)});
     }
+    if (meter_.limit())
+    {
+        admit_waiting(now);
+        update_shed(now);
+    }
     return outcomes_;
 }
 
+std::optional<time_point> slot_queue::next_limited_start() const
+{
+    if (waiting_.empty() || !meter_.limit())
+    {
+        return std::nullopt;
+    }
+    return meter_.next_start();
+}
+
 std::optional<time_point> slot_queue::next_event() const
 {
     if (waiting_.empty())
@@ -339,14 +386,23 @@
 
 slot_queue_state slot_queue::state() const
 {
-    return {
+    slot_queue_state result{
         limit_,
         running_.size(),
         waiting_.size(),
         leaving_,
         shed_.demand(),
         shed_.level(),
-        from_seconds(mean_slot_time_)};
+        from_seconds(mean_slot_time_),
+        meter_.limit()};
+    if (result.rate_limit && limit_ > 0)
+    {
+        const double slots = std::max(std::floor(capacity()), 1.0);
+        result.slots = static_cast<std::size_t>(slots);
+        result.slot_time = std::max(
+            result.slot_time, from_seconds(slots / *result.rate_limit));
+    }
+    return result;
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -33,6 +33,7 @@
 #include "nutmegusher/base/random.hpp"
 #include "nutmegusher/policy/admission_controller.hpp"
 #include "nutmegusher/policy/call.hpp"
+#include "nutmegusher/policy/rate_meter.hpp"
 #include "nutmegusher/policy/retry_after_schedule.hpp"
 #include "nutmegusher/policy/shed_control.hpp"
 #include "nutmegusher/policy/useful_slots.hpp"
@@ -53,7 +54,8 @@
 // For the state dump.
 struct slot_queue_state
 {
-    // The number of slots in use, as limited by `useful_slots`.
+    // The number of slots in use, as limited by `useful_slots` and by the rate
+    // limit: no more than calls started at that rate occupy.
     std::size_t slots = 0;
     std::size_t running = 0;
     std::size_t waiting = 0;
@@ -61,8 +63,11 @@
     // As computed by `shed_control`.
     double demand = 0;
     double shed_level = 0;
-    // Exponential moving average of the slot time.
+    // Exponential moving average of the slot time; longer if the upstream takes
+    // less than one call in that time.
     duration slot_time{0};
+    // In calls a second.
+    std::optional<double> rate_limit;
 };
 
 // The spans that member functions return are valid until the next member
@@ -78,6 +83,11 @@
     // admitted.
     std::span<const queue_outcome> set_slots(std::size_t slots, time_point now);
 
+    // Sets how many calls a second the upstream takes; nullopt: any number.
+    // Calls that it has no room for wait like those that find no slot.
+    std::span<const queue_outcome>
+    set_rate_limit(std::optional<double> calls_per_second, time_point now);
+
     // Decides on a new call. Requires: no call with its ticket waits or runs
     // here.
     arrival_result arrive(const call_info& call, time_point now);
@@ -91,12 +101,17 @@
     // `call_result::cancelled`.
     std::span<const queue_outcome> cancel(ticket_id ticket, time_point now);
 
-    // Refuses waiting calls that can no longer finish before their deadline.
+    // Refuses waiting calls that can no longer finish before their deadline,
+    // and starts those that the rate limit has room for.
     std::span<const queue_outcome> tick(time_point now);
 
     // When `tick` has to be called next.
     [[nodiscard]] std::optional<time_point> next_event() const;
 
+    // When the rate limit has room for a waiting call; `tick` starts it. None
+    // if no call waits or there is no limit.
+    [[nodiscard]] std::optional<time_point> next_limited_start() const;
+
     // Reports that a new process of the upstream started: it runs none of the
     // calls admitted before, and the slot times of the earlier process don't
     // apply to it. Waiting calls keep waiting.
@@ -154,7 +169,9 @@
     waiting_calls::iterator remove_waiting(waiting_calls::iterator at);
     [[nodiscard]] waiting_calls::iterator next_to_start(time_point now);
     [[nodiscard]] double slot_time_of(std::uint64_t work_class) const;
-    [[nodiscard]] double slots_per_second() const;
+    [[nodiscard]] double calls_per_second() const;
+    [[nodiscard]] double capacity() const;
+    [[nodiscard]] bool can_start(time_point now) const;
     [[nodiscard]] duration expected_wait(std::size_t ahead) const;
     [[nodiscard]] std::size_t ahead_of(const position& one) const;
     [[nodiscard]] bool
@@ -172,6 +189,7 @@
     std::size_t slots_ = 0;
     std::size_t limit_ = 0;
     useful_slots useful_;
+    rate_meter meter_;
     std::optional<time_point> sub_call_at_;
     bool leaving_ = false;
     std::uint64_t arrivals_ = 0;
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -590,12 +590,22 @@
         upstream_try current(
             state_.process.routes, service_, to.handle, call_.metadata.bulk);
         phase_ = node::request_phase::running;
+        call_.metadata.rate_limit = to.rate_limit;
         current_try_.emplace();
         auto result = co_await send_to(to, *current_try_);
         co_await wire::interruption_point();
         const auto feedback = *std::exchange(current_try_, std::nullopt);
         const auto try_result = to_try_end(result, feedback);
         current.end(try_result);
+        if (result)
+        {
+            const auto& fields = result->head.fields;
+            state_.process.routes.on_answer_notice(
+                service_,
+                to.handle,
+                read_rate_limit(state_.names, fields),
+                wire::find_header(fields, state_.names.leaving).has_value());
+        }
         if (feedback.load_report && try_result != node::try_end::address_reused)
         {
             apply_load_report(to.handle, *feedback.load_report);
--- a/nutmegusher/routed/limited_upstream_test.cpp
+++ b/nutmegusher/routed/limited_upstream_test.cpp
@@ -111,14 +111,14 @@
 
 TEST_F(limited_upstream, gets_no_more_calls_than_it_names)
 {
-    set_fields({{"nutmeg-rate-limit", "20"}});
+    set_fields({{"upstream-rate-limit", "20"}});
     start(answering_script());
     expect_limited();
 }
 
 TEST_F(limited_upstream, gets_all_calls_once_it_names_no_limit)
 {
-    set_fields({{"nutmeg-rate-limit", "20"}});
+    set_fields({{"upstream-rate-limit", "20"}});
     start(answering_script());
     send_for(seconds(1));
     set_fields({});
@@ -130,7 +130,7 @@
 
 TEST_F(limited_upstream, a_limit_that_is_no_number_is_ignored)
 {
-    set_fields({{"nutmeg-rate-limit", "nan"}});
+    set_fields({{"upstream-rate-limit", "nan"}});
     start(answering_script());
     send_for(milliseconds(200));
     const auto since = host_clock().now();
@@ -141,7 +141,7 @@
 // The daemon beside the upstream forgets the limit; entries have been told.
 TEST_F(limited_upstream, is_limited_at_once_after_its_daemon_restarts)
 {
-    set_fields({{"nutmeg-rate-limit", "20"}});
+    set_fields({{"upstream-rate-limit", "20"}});
     start(answering_script());
     send_for(milliseconds(500));
     records.clear();
@@ -159,7 +159,7 @@
 
 TEST_F(limited_upstream, gets_no_calls_after_it_says_that_it_leaves)
 {
-    set_fields({{"nutmeg-leaving", "1"}});
+    set_fields({{"upstream-leaving", "1"}});
     start(answering_script());
     EXPECT_EQ(ask("/views/1", "id-1").body(), "done");
     const auto since = host_clock().now();
--- a/nutmegusher/routed/peer_fields.cpp
+++ b/nutmegusher/routed/peer_fields.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/routed/peer_fields.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <string>
@@ -24,6 +25,9 @@
 constexpr std::string_view crashed_field = "nutmeg-ended";
 constexpr std::string_view daemon_prefix = "nutmeg-";
 constexpr double level_scale = 1000;
+constexpr double rate_scale = 1000;
+// In thousandths of a call a second; more is no limit in practice.
+constexpr double max_rate = 1e12;
 
 constexpr unsigned repeatable_bit = 1;
 constexpr unsigned bulk_bit = 2;
@@ -73,8 +77,9 @@
     to.push_back({std::string(name), std::move(value)});
 }
 
-// "rank flags milliseconds-left target-milliseconds class digest", for example
-// "2 1 4980 1500 1234567890 9876543210".
+// "rank flags milliseconds-left target-milliseconds class digest [rate-limit]",
+// the last in thousandths of a call a second, for example
+// "2 1 4980 1500 1234567890 9876543210 22500".
 std::string format_metadata(const call_metadata& metadata)
 {
     const unsigned flags = (metadata.repeatable ? repeatable_bit : 0) |
@@ -86,6 +91,11 @@
     text += ' ' + node::to_milliseconds(metadata.target);
     text += ' ' + std::to_string(metadata.work_class);
     text += ' ' + std::to_string(metadata.digest);
+    if (metadata.rate_limit)
+    {
+        const double scaled = *metadata.rate_limit * rate_scale;
+        text += ' ' + std::to_string(std::llround(std::min(scaled, max_rate)));
+    }
     return text;
 }
 
@@ -189,6 +199,11 @@
     }
     // Optional: daemons of an earlier version don't send the digest.
     words.read(metadata.digest);
+    std::uint64_t rate = 0;
+    if (words.read(rate))
+    {
+        metadata.rate_limit = static_cast<double>(rate) / rate_scale;
+    }
     metadata.id = *id;
     metadata.service = service_name(*service);
     metadata.host = wire::find_header(from, host_field).value_or("");
--- a/nutmegusher/routed/request_dialect.hpp
+++ b/nutmegusher/routed/request_dialect.hpp
@@ -5,6 +5,7 @@
 #include "nutmegusher/wire/wire.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace nutmegusher::routed
@@ -25,6 +26,13 @@
     std::string expected_upstream = "nutmeg-expected-upstream";
     // On answers: the upstream didn't run the request.
     std::string not_run = "nutmeg-not-run";
+    // On answers: how many calls a second the upstream takes from all callers
+    // together, for as long as its answers name it.
+    // Not a field of the daemons, whose names begin with "nutmeg-": it goes on
+    // to the caller.
+    std::string rate_limit = "upstream-rate-limit";
+    // On answers: the upstream leaves and must get no new calls.
+    std::string leaving = "upstream-leaving";
     // On answers: proves that the upstream sent it. Empty if the dialect has no
     // such proof.
     std::string signature;
@@ -34,6 +42,12 @@
         node::to_head;
 };
 
+// Returns the rate limit that an answer names, in calls a second; the lowest if
+// it names several. Values that aren't finite numbers of at least 0 are
+// ignored.
+[[nodiscard]] std::optional<double>
+read_rate_limit(const request_dialect& names, const wire::headers& fields);
+
 } // namespace nutmegusher::routed
 
 #endif
--- a/nutmegusher/routed/routed_call.hpp
+++ b/nutmegusher/routed/routed_call.hpp
@@ -47,6 +47,8 @@
     // Hash of the request's content: the same request has the same digest at
     // every host and time.
     std::uint64_t digest = 0;
+    // The calls a second that the upstream takes, as it last told the entry.
+    std::optional<double> rate_limit;
 
     [[nodiscard]] duration time_left() const
     {
--- a/nutmegusher/routed/slot_gate.cpp
+++ b/nutmegusher/routed/slot_gate.cpp
@@ -2,7 +2,12 @@
 
 #include "nutmegusher/wire/wire.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <memory>
@@ -17,6 +22,9 @@
 // slightly before the queue finds the call hopeless.
 constexpr duration min_wait = std::chrono::milliseconds(2);
 
+// Shortest time between two looks for calls that the rate limit has room for.
+constexpr duration min_limited_wait = std::chrono::milliseconds(5);
+
 // How often the state of a congested upstream is logged.
 constexpr duration log_interval = std::chrono::seconds(1);
 
@@ -73,6 +81,7 @@
     {
         const std::scoped_lock lock(mutex_);
         const auto now = host_clock().now();
+        executor_ = executor;
         const auto decision = queue_.arrive(call, now);
         log_pressure(now);
         waiting_.deliver(decision.outcomes);
@@ -85,6 +94,7 @@
             co_return admitted();
         }
         waiter = waiting_.add(call.ticket, executor);
+        start_limited_admission();
         until = next_event();
     }
     pending_entry entry(*this, call.ticket);
@@ -157,9 +167,93 @@
     waiting_.deliver(queue_.set_slots(slots, host_clock().now()));
 }
 
+void slot_gate::set_rate_limit(
+    std::optional<double> calls_per_second, time_point sent_at)
+{
+    const std::scoped_lock lock(mutex_);
+    const bool may_end = !has_answered_ || sent_at >= limited_since_;
+    has_answered_ = true;
+    if (calls_per_second || may_end)
+    {
+        apply_rate_limit(calls_per_second);
+    }
+}
+
+void slot_gate::suggest_rate_limit(double calls_per_second)
+{
+    const std::scoped_lock lock(mutex_);
+    if (!has_answered_)
+    {
+        apply_rate_limit(calls_per_second);
+    }
+}
+
+// Requires: the lock is held.
+void slot_gate::apply_rate_limit(std::optional<double> calls_per_second)
+{
+    if (calls_per_second == rate_limit_)
+    {
+        return;
+    }
+    const auto now = host_clock().now();
+    if (!rate_limit_)
+    {
+        limited_since_ = now;
+    }
+    rate_limit_ = calls_per_second;
+    log_event(
+        event::upstream_limited,
+        {{"limited", rate_limit_.has_value()},
+         {"calls_per_second", rate_limit_.value_or(0)}});
+    waiting_.deliver(queue_.set_rate_limit(rate_limit_, now));
+    start_limited_admission();
+}
+
+// Requires: the lock is held.
+void slot_gate::start_limited_admission()
+{
+    if (admits_by_rate_ || !queue_.next_limited_start())
+    {
+        return;
+    }
+    admits_by_rate_ = true;
+    // Posted, as a coroutine may run at once, and would take the lock.
+    asio::post(
+        executor_,
+        [this, executor = executor_]
+        {
+            asio::co_spawn(executor, admit_by_rate(executor), asio::detached);
+        });
+}
+
+// Starts waiting calls as the rate limit has room for them, until none waits.
+asio::awaitable<void> slot_gate::admit_by_rate(asio::any_io_executor executor)
+{
+    asio::steady_timer timer(executor);
+    while (true)
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            const auto now = host_clock().now();
+            waiting_.deliver(queue_.tick(now));
+            const auto next = queue_.next_limited_start();
+            if (!next)
+            {
+                admits_by_rate_ = false;
+                co_return;
+            }
+            // All slots may be in use.
+            timer.expires_at(std::max(*next, now + min_limited_wait));
+        }
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 void slot_gate::restart()
 {
     const std::scoped_lock lock(mutex_);
+    has_answered_ = false;
+    rate_limit_.reset();
     waiting_.deliver(queue_.restart(host_clock().now()));
 }
 
--- a/nutmegusher/routed/slot_gate.hpp
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -6,10 +6,12 @@
 #include "nutmegusher/node/waiting_calls.hpp"
 #include "nutmegusher/policy/policy.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <variant>
 
 namespace nutmegusher::routed
@@ -37,6 +39,14 @@
     void finish(ticket_id ticket, call_result result);
 
     void set_slots(std::size_t slots);
+    // An answer of the upstream to a call that was sent at `sent_at` names how
+    // many calls a second it takes, or, with nullopt, none. An answer to a call
+    // that was sent before the limit was first named doesn't end it.
+    void
+    set_rate_limit(std::optional<double> calls_per_second, time_point sent_at);
+    // A caller was told this limit. It holds until the upstream's first answer
+    // here, as this process may have been restarted.
+    void suggest_rate_limit(double calls_per_second);
     // Another process of the upstream has started: see `slot_queue`.
     void restart();
     void note_sub_call();
@@ -49,6 +59,9 @@
 
     void withdraw(ticket_id ticket);
     [[nodiscard]] time_point next_event() const;
+    void apply_rate_limit(std::optional<double> calls_per_second);
+    void start_limited_admission();
+    asio::awaitable<void> admit_by_rate(asio::any_io_executor executor);
     void log_pressure(time_point now);
 
     mutable std::mutex mutex_;
@@ -56,6 +69,13 @@
     std::uint64_t last_ticket_ = 0;
     node::waiting_calls waiting_;
     time_point next_log_;
+    // Whether the upstream of this start has answered.
+    bool has_answered_ = false;
+    std::optional<double> rate_limit_;
+    time_point limited_since_;
+    // Whether `admit_by_rate` runs, and where it may.
+    bool admits_by_rate_ = false;
+    asio::any_io_executor executor_;
 };
 
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -139,6 +139,11 @@
         }
     }
 
+    [[nodiscard]] time_point started_at() const
+    {
+        return started_at_;
+    }
+
     [[nodiscard]] duration elapsed() const
     {
         return host_clock().now() - started_at_;
@@ -251,6 +256,10 @@
         }
         state_.sub_calls.count(
             call_.metadata.work_class, call_.metadata.caller_service);
+        if (call_.metadata.rate_limit)
+        {
+            state_.slots.suggest_rate_limit(*call_.metadata.rate_limit);
+        }
         const auto ticket = state_.slots.next_ticket();
         const auto refused_call = co_await wait_for_slot(ticket);
         if (refused_call)
@@ -331,7 +340,7 @@
         slot_->set_result(call_result::cancelled);
         upstream_ = *std::move(sent);
         progress_.phase = node::request_phase::running;
-        auto result = co_await read_answer();
+        auto result = co_await read_answer(*to);
         if (!result && connection_lost_)
         {
             auto failed = result.error();
@@ -383,7 +392,25 @@
         return request;
     }
 
-    asio::awaitable<routed_result> read_answer()
+    // Applies what the upstream says of itself. A 421 is another upstream's.
+    void
+    apply_notices(const wire::response_head& head, const upstream_report& to)
+    {
+        if (head.status == status_misdirected_request)
+        {
+            return;
+        }
+        state_.slots.set_rate_limit(
+            read_rate_limit(state_.names, head.fields), run_->started_at());
+        const bool leaves =
+            wire::find_header(head.fields, state_.names.leaving).has_value();
+        if (leaves && state_.local.withdraw(to.id, to.order.started))
+        {
+            state_.upstream_changed();
+        }
+    }
+
+    asio::awaitable<routed_result> read_answer(const upstream_report& to)
     {
         auto head = co_await upstream_->read_head();
         if (!head)
@@ -392,6 +419,7 @@
             co_return to_failed_call(head.error());
         }
         slot_->set_result(call_result::failed);
+        apply_notices(*head, to);
         const bool says_not_run =
             wire::find_header(head->fields, state_.names.not_run).has_value();
         if (says_not_run || head->status == status_misdirected_request)
