--- a/nutmegusher/policy/router_leaving_test.cpp
+++ b/nutmegusher/policy/router_leaving_test.cpp
@@ -37,6 +37,38 @@
     }
 }
 
+TEST(router, an_upstream_that_has_said_it_leaves_stays_out_until_it_restarts)
+{
+    manual_clock clock;
+    random_engine engine(7);
+    router route;
+    std::array both{
+        candidate{host_id("leaves"), network_distance::same_data_center},
+        candidate{host_id("stays"), network_distance::same_region}};
+    both[0].start = 1;
+    route.update(both, clock.now());
+    call_info call;
+    call.deadline = clock.now() + std::chrono::hours(1);
+    const auto choose = [&]
+    {
+        const auto chosen = route.choose(call, {}, clock.now(), engine);
+        return chosen ? *route.host(*chosen) : host_id("");
+    };
+    const auto first = route.choose(call, {}, clock.now(), engine);
+    ASSERT_TRUE(first);
+    ASSERT_EQ(*route.host(*first), host_id("leaves"));
+    route.on_left(*first);
+    clock.advance(std::chrono::minutes(1));
+    EXPECT_EQ(choose(), host_id("stays"));
+    // An old record lists it again after membership had dropped it.
+    route.update(std::span(both).last(1), clock.now());
+    route.update(both, clock.now());
+    EXPECT_EQ(choose(), host_id("stays"));
+    both[0].start = 2;
+    route.update(both, clock.now());
+    EXPECT_EQ(choose(), host_id("leaves"));
+}
+
 TEST(router, an_upstream_whose_address_was_reused_gets_no_calls_until_updated)
 {
     manual_clock clock;
--- a/nutmegusher/policy/slot_queue_test.cpp
+++ b/nutmegusher/policy/slot_queue_test.cpp
@@ -190,6 +190,35 @@
     EXPECT_TRUE(queue.finish(running.ticket, call_result::ok, now).empty());
 }
 
+TEST_F(slots, within_a_rate_limit_the_better_rank_goes_first)
+{
+    queue.set_rate_limit(10.0, now);
+    const auto lesser = call(2, 1s, 5s);
+    const auto payout = call(0, 1s, 5s);
+    EXPECT_EQ(arrive(lesser), decision(queued()));
+    EXPECT_EQ(arrive(payout), decision(queued()));
+    EXPECT_TRUE(admitted_in(queue.tick(now + 99ms)).empty());
+    now += 100ms;
+    ASSERT_EQ(queue.next_limited_start(), now);
+    EXPECT_EQ(admitted_in(queue.tick(now)), std::vector{payout.ticket});
+    now += 100ms;
+    EXPECT_EQ(admitted_in(queue.tick(now)), std::vector{lesser.ticket});
+}
+
+TEST_F(slots, a_rate_limit_shows_as_fewer_slots)
+{
+    queue.set_slots(100, now);
+    learn(1, 100ms);
+    EXPECT_EQ(queue.state().slots, 100U);
+    queue.set_rate_limit(35.0, now);
+    EXPECT_EQ(queue.state().slots, 3U);
+    queue.set_rate_limit(2.0, now);
+    EXPECT_EQ(queue.state().slots, 1U);
+    EXPECT_EQ(queue.state().slot_time, 500ms);
+    queue.set_rate_limit(std::nullopt, now);
+    EXPECT_EQ(queue.state().slots, 100U);
+}
+
 TEST_F(slots, a_call_whose_caller_has_gone_frees_its_place)
 {
     arrive(call(1, 1s, 5s));
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -599,12 +599,7 @@
         current.end(try_result);
         if (result)
         {
-            const auto& fields = result->head.fields;
-            state_.process.routes.on_answer_notice(
-                service_,
-                to.handle,
-                read_rate_limit(state_.names, fields),
-                wire::find_header(fields, state_.names.leaving).has_value());
+            apply_notices(to, result->head.fields);
         }
         if (feedback.load_report && try_result != node::try_end::address_reused)
         {
@@ -631,6 +626,19 @@
         co_return true;
     }
 
+    // Applies what the upstream's answer says of itself.
+    void apply_notices(const node::route& from, const wire::headers& fields)
+    {
+        const auto limit = read_rate_limit(state_.names, fields);
+        const bool leaves =
+            wire::find_header(fields, state_.names.leaving).has_value();
+        if (limit != from.rate_limit || leaves)
+        {
+            state_.process.routes.on_answer_notice(
+                service_, from.handle, limit, leaves);
+        }
+    }
+
     asio::awaitable<routed_result>
     send_to(const node::route& to, peer_feedback& feedback)
     {
