Let the shed level go by slots, not by a named rate

Entries follow the mean level of a service's upstreams, so a limited one made them refuse what the others had room for.

--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -213,7 +213,12 @@
 void slot_queue::update_shed(time_point now)
 {
     const auto waiting = static_cast<double>(waiting_.size());
-    shed_.update(capacity(), from_seconds(mean_slot_time_ * waiting), now);
+    // By slots alone: a rate limit is this upstream's, and others of the
+    // service may have room.
+    shed_.update(
+        static_cast<double>(limit_),
+        from_seconds(mean_slot_time_ * waiting),
+        now);
 }
 
 void slot_queue::note_sub_call(time_point now)
@@ -333,7 +338,6 @@
     if (meter_.limit())
     {
         admit_waiting(now);
-        update_shed(now);
     }
     return outcomes_;
 }
