--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -211,11 +211,13 @@
     {
         owner->handler_started();
         auto handle = std::make_shared<server_stream>(owner, request);
+        const auto slot = request->work.slot();
         // The completion callback keeps `handler_` alive, because the coroutine
         // refers to the handler's captures, and `request`, which holds the
         // coroutine's cancellation signal.
-        auto finished = [owner, request, handler = handler_](
-                            const std::exception_ptr& /*thrown*/)
+        auto finished =
+            [owner, request = std::move(request), handler = handler_](
+                const std::exception_ptr& /*thrown*/)
         {
             // After any exception the destroyed handle resets the stream unless
             // its response was ended.
@@ -224,8 +226,7 @@
         asio::co_spawn(
             context_,
             (*handler_)(std::move(handle)),
-            asio::bind_cancellation_slot(
-                request->work.slot(), std::move(finished)));
+            asio::bind_cancellation_slot(slot, std::move(finished)));
     }
 
     asio::io_context& context_;
