Count the coroutines of a process, and log the handlers left at its end

What a process was still handling when it ended can't be seen: event 102 counts streams of open connections only, so a handler whose session is lost counts nowhere, and coroutines begun with co_spawn(..., detached) are counted nowhere at all. The record of the aborting control hosts names neither.

Every coroutine now belongs to a task_group of its owner (listener, pool, worker, logs), which knows how many haven't ended and can end them; nothing calls that yet, so a stop is as it was. Event 102 names peer_handlers.

--- a/nutmegusher/node/control_logs.cpp
+++ b/nutmegusher/node/control_logs.cpp
@@ -239,6 +239,11 @@
     loop_->stop();
 }
 
+asio::awaitable<void> control_logs::end()
+{
+    return loop_->end();
+}
+
 asio::awaitable<messages::change_result>
 control_logs::propose_change(messages::change change)
 {
--- a/nutmegusher/node/control_logs.hpp
+++ b/nutmegusher/node/control_logs.hpp
@@ -100,6 +100,11 @@
     // Requires: the context's thread has ended, or is the calling thread.
     ~control_logs();
 
+    // Ends the timers, connections and coroutines on the logs' thread, after
+    // which the context has nothing left to run. Runs on that thread.
+    // Requires: no call of the functions below is in progress.
+    [[nodiscard]] asio::awaitable<void> end();
+
     // Returns the verdict of a majority: accepted, or finally refused. Returns
     // `change_unavailable` if the outcome is unknown: resend with the same
     // change id.
--- a/nutmegusher/node/control_loop.cpp
+++ b/nutmegusher/node/control_loop.cpp
@@ -1,7 +1,5 @@
 #include "nutmegusher/node/control_loop.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -43,6 +41,7 @@
     , engine_(
           (std::uint64_t{std::random_device{}()} << 32) ^
           std::random_device{}())
+    , tasks_(context)
     , transport_(
           context,
           [this](const messages::replica_batch& batch)
@@ -144,17 +143,25 @@
 
 void control_loop::start()
 {
-    asio::co_spawn(context_, run_ticks(), asio::detached);
+    tasks_.spawn(run_ticks());
     if (identity_.cluster() == 0 && is_cluster_founder())
     {
-        asio::co_spawn(context_, found_cluster(), asio::detached);
+        tasks_.spawn(found_cluster());
     }
     if (settings_.voters > 0)
     {
-        asio::co_spawn(context_, ask_for_admission(), asio::detached);
+        tasks_.spawn(ask_for_admission());
     }
 }
 
+asio::awaitable<void> control_loop::end()
+{
+    const auto self = shared_from_this();
+    stop();
+    co_await tasks_.end();
+    co_await transport_.end();
+}
+
 void control_loop::stop()
 {
     stopped_ = true;
--- a/nutmegusher/node/control_loop.hpp
+++ b/nutmegusher/node/control_loop.hpp
@@ -56,6 +56,11 @@
     void start();
     void stop();
 
+    // Stops, and ends everything that `start` began and all connections.
+    // Requires: no coroutine of another thread waits for one of the requests
+    // below.
+    [[nodiscard]] asio::awaitable<void> end();
+
     [[nodiscard]] asio::io_context& context()
     {
         return context_;
@@ -244,6 +249,7 @@
     file_disk disk_;
     random_engine engine_;
     messages::host_identity identity_;
+    wire::task_group tasks_;
     control_transport transport_;
     configuration_cache cache_;
     std::unique_ptr<configuration_group> configuration_;
--- a/nutmegusher/node/control_service.cpp
+++ b/nutmegusher/node/control_service.cpp
@@ -6,7 +6,6 @@
 #include "nutmegusher/node/sync_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
@@ -320,10 +319,8 @@
         {
             syncs->notify();
         });
-    asio::co_spawn(
-        lease_worker.context,
-        made->syncs->exchange_leases(lease_worker.peers),
-        asio::detached);
+    lease_worker.tasks.spawn(
+        made->syncs->exchange_leases(lease_worker.peers, lease_worker.tasks));
     auto& context = made->context;
     made->thread = std::thread(
         [&context]
--- a/nutmegusher/node/control_transport.cpp
+++ b/nutmegusher/node/control_transport.cpp
@@ -2,9 +2,6 @@
 
 #include "nutmegusher/node/settings.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace nutmegusher::node::internal
@@ -48,6 +45,7 @@
     : context_(context)
     , receive_(std::move(receive))
     , sessions_(context, wire::session_options())
+    , batches_(context)
 {
 }
 
@@ -147,13 +145,19 @@
     {
         ++target.in_flight;
         auto body = dequeue_batch(target, true);
-        asio::co_spawn(
-            context_,
-            send_batch(to, *target.address, std::move(body)),
-            asio::detached);
+        if (!batches_.spawn(send_batch(to, *target.address, std::move(body))))
+        {
+            --target.in_flight;
+        }
     }
 }
 
+asio::awaitable<void> control_transport::end()
+{
+    co_await batches_.end();
+    co_await sessions_.end();
+}
+
 asio::awaitable<void>
 control_transport::send_batch(replica_id to, endpoint at, std::string body)
 {
--- a/nutmegusher/node/control_transport.hpp
+++ b/nutmegusher/node/control_transport.hpp
@@ -62,6 +62,9 @@
     // `from` at that time.
     [[nodiscard]] asio::awaitable<std::string> answer(replica_id from);
 
+    // Closes all sessions and ends the batches in flight.
+    [[nodiscard]] asio::awaitable<void> end();
+
     [[nodiscard]] wire::session_pool& sessions()
     {
         return sessions_;
@@ -84,6 +87,7 @@
     asio::io_context& context_;
     receiver receive_;
     wire::session_pool sessions_;
+    wire::task_group batches_;
     std::uint64_t cluster_ = 0;
     std::map<replica_id, peer> peers_;
 };
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -206,7 +206,7 @@
     };
     result.drain = [this]
     {
-        asio::co_spawn(first().context, shut_down(), asio::detached);
+        begin_shut_down();
     };
     if (control)
     {
@@ -360,8 +360,19 @@
 
 asio::awaitable<void> daemon::state::wait_for_signal()
 {
-    co_await signals->async_wait(as_tuple_awaitable);
-    co_await shut_down();
+    const auto [failed, number] =
+        co_await signals->async_wait(as_tuple_awaitable);
+    if (!failed)
+    {
+        begin_shut_down();
+    }
+}
+
+// The only coroutine of the process that isn't one of its tasks, as it waits
+// for their end.
+void daemon::state::begin_shut_down()
+{
+    asio::co_spawn(first().context, shut_down(), asio::detached);
 }
 
 leaf::result<std::unique_ptr<daemon>> daemon::start(
@@ -383,15 +394,15 @@
 
 void daemon::run()
 {
-    auto& first = state_->first().context;
-    asio::co_spawn(first, state_->sync->run(), asio::detached);
-    asio::co_spawn(first, state_->sync->monitor_age(), asio::detached);
+    auto& tasks = state_->first().tasks;
+    tasks.spawn(state_->sync->run());
+    tasks.spawn(state_->sync->monitor_age());
     if (!state_->optional_extension)
     {
-        asio::co_spawn(first, state_->run_ticks(), asio::detached);
+        tasks.spawn(state_->run_ticks());
     }
-    asio::co_spawn(first, state_->watch_upstream(), asio::detached);
-    asio::co_spawn(first, state_->wait_for_signal(), asio::detached);
+    tasks.spawn(state_->watch_upstream());
+    tasks.spawn(state_->wait_for_signal());
     log_event(
         event::process_started,
         {{"host", state_->shared.configured.host.id.str()}});
@@ -408,13 +419,12 @@
                 context.run();
             });
     }
-    first.run();
+    state_->first().context.run();
 }
 
 void daemon::stop()
 {
-    asio::co_spawn(
-        state_->first().context, state_->shut_down(), asio::detached);
+    state_->begin_shut_down();
 }
 
 } // namespace nutmegusher::node
--- a/nutmegusher/node/daemon_state.hpp
+++ b/nutmegusher/node/daemon_state.hpp
@@ -86,6 +86,7 @@
     asio::awaitable<void> run_ticks();
     asio::awaitable<void> watch_upstream();
     asio::awaitable<void> wait_for_signal();
+    void begin_shut_down();
 
     // Defined in daemon_stop.cpp.
     asio::awaitable<void> shut_down();
--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -105,6 +105,7 @@
                         : 0;
     open.peer_calls = worker_listeners.peers->open_streams();
     open.peer_sessions = worker_listeners.peers->connections();
+    open.peer_handlers = worker_listeners.peers->running_handlers();
     return open;
 }
 
@@ -274,6 +275,7 @@
         open.upstream += worker_counts.upstream;
         open.peer_calls += worker_counts.peer_calls;
         open.peer_sessions += worker_counts.peer_sessions;
+        open.peer_handlers += worker_counts.peer_handlers;
     }
     open.peer_calls += shared.ledger.size();
     open.upstream_calls =
@@ -296,6 +298,7 @@
          {"gave_up", stop.has_given_up()},
          {"callers", std::uint64_t{left.callers}},
          {"peer_calls", std::uint64_t{left.peer_calls}},
+         {"peer_handlers", std::uint64_t{left.peer_handlers}},
          {"upstream", std::uint64_t{left.upstream}}});
     for (auto& each : workers)
     {
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -1,9 +1,6 @@
 #include "nutmegusher/node/http_server.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -194,11 +191,13 @@
 {
     state(asio::io_context& context, http_handler handler)
         : acceptor(context)
+        , tasks(context)
         , handler(std::move(handler))
     {
     }
 
     tcp::acceptor acceptor;
+    wire::task_group tasks;
     http_handler handler;
     http_server_options options;
     intake_state intake = intake_state::open;
@@ -777,16 +776,12 @@
         {
             continue; // destroys the socket, which closes the connection
         }
-        auto executor = server->acceptor.get_executor();
         auto connection =
             std::make_shared<caller_connection>(std::move(socket));
-        // Keeps the connection's cancellation signal until the coroutine ends.
-        auto finished = [connection](const std::exception_ptr& /*thrown*/) {};
-        asio::co_spawn(
-            executor,
-            serve_connection(server, connection),
-            asio::bind_cancellation_slot(
-                connection->work.slot(), std::move(finished)));
+        std::shared_ptr<wire::interruptible> work(
+            connection, &connection->work);
+        server->tasks.spawn(
+            serve_connection(server, connection), std::move(work), nullptr);
     }
 }
 
@@ -825,7 +820,7 @@
     {
         return leaf::new_error(listen_error{address, failed});
     }
-    asio::co_spawn(context, accept_all(server_state), asio::detached);
+    server_state->tasks.spawn(accept_all(server_state));
     return std::unique_ptr<http_server>(
         new http_server(std::move(server_state)));
 }
@@ -888,6 +883,18 @@
     }
 }
 
+asio::awaitable<void> http_server::end()
+{
+    close_intake();
+    const auto server = state_;
+    co_await server->tasks.end();
+}
+
+std::size_t http_server::running_tasks() const
+{
+    return state_->tasks.size();
+}
+
 std::size_t http_server::connections() const
 {
     return state_->connections;
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -158,6 +158,16 @@
     // Requires: `close_intake` was called.
     void give_up();
 
+    // Ends everything at once: closes all connections, with or without an
+    // answer, and waits until no handler runs any more. Then nothing refers to
+    // what the handler uses. Requires: the context runs until this has
+    // returned.
+    [[nodiscard]] asio::awaitable<void> end();
+
+    // Number of coroutines that haven't ended: the one that accepts, and one
+    // for each connection.
+    [[nodiscard]] std::size_t running_tasks() const;
+
     // Number of open connections, idle or with a request in flight.
     [[nodiscard]] std::size_t connections() const;
 
--- a/nutmegusher/node/stop_sequence.hpp
+++ b/nutmegusher/node/stop_sequence.hpp
@@ -87,6 +87,9 @@
     std::size_t peer_sessions = 0;
     // Connections of the upstream on this host.
     std::size_t upstream = 0;
+    // Handlers of other processes' requests that run, also those whose session
+    // is lost. No step waits for these: nobody receives their answer.
+    std::size_t peer_handlers = 0;
 
     [[nodiscard]] bool is_empty() const
     {
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -1,8 +1,6 @@
 #include "nutmegusher/node/sync_client.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 
@@ -181,8 +179,7 @@
         }
         if (auto other = schedule_.pick_alternate(now))
         {
-            asio::co_spawn(
-                worker_.context, send_hedge(*std::move(other)), asio::detached);
+            worker_.tasks.spawn(send_hedge(*std::move(other)));
         }
     }
 }
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -2,8 +2,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -356,7 +354,8 @@
     }
 }
 
-asio::awaitable<void> sync_server::exchange_leases(wire::session_pool& peers)
+asio::awaitable<void>
+sync_server::exchange_leases(wire::session_pool& peers, wire::task_group& tasks)
 {
     asio::steady_timer interval_timer(co_await asio::this_coro::executor);
     while (true)
@@ -367,10 +366,7 @@
             // does not delay the others.
             if (other.host() != self_.str() && begin_exchange(other.host()))
             {
-                asio::co_spawn(
-                    interval_timer.get_executor(),
-                    exchange_with(peers, std::move(other)),
-                    asio::detached);
+                tasks.spawn(exchange_with(peers, std::move(other)));
             }
         }
         bool changed = false;
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -71,9 +71,10 @@
     // Wakes the held syncs after a change of the configuration.
     void notify();
 
-    // Exchanges leases with the other control hosts until `stop`. Runs on the
-    // thread of `peers`.
-    asio::awaitable<void> exchange_leases(wire::session_pool& peers);
+    // Exchanges leases with the other control hosts until `stop`, each exchange
+    // as one of `tasks`. Runs on the thread of `peers` and `tasks`.
+    asio::awaitable<void>
+    exchange_leases(wire::session_pool& peers, wire::task_group& tasks);
 
     void stop();
 
--- a/nutmegusher/node/sync_server_test.cpp
+++ b/nutmegusher/node/sync_server_test.cpp
@@ -33,8 +33,7 @@
             wire::server::listen(
                 context, free_address(), serve, wire::session_options(), false)
                 .value());
-        asio::co_spawn(
-            context, server.exchange_leases(sessions), asio::detached);
+        tasks.spawn(server.exchange_leases(sessions, tasks));
         thread = std::thread(
             [this]
             {
@@ -118,6 +117,7 @@
     asio::io_context context{1};
     sync_server server;
     wire::session_pool sessions{context, wire::session_options()};
+    wire::task_group tasks{context};
     std::unique_ptr<wire::server> listening;
     std::thread thread;
 };
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -64,6 +64,9 @@
     std::string attempt_name;
     controllers& shared;
     asio::io_context context;
+    // The tasks of the process that run on this worker, apart from the handlers
+    // of its listeners.
+    wire::task_group tasks;
     wire::session_pool peers;
     upstream_pool upstreams;
     random_engine random;
--- a/nutmegusher/wire/interruptible.cpp
+++ b/nutmegusher/wire/interruptible.cpp
@@ -68,6 +68,11 @@
     }
 }
 
+void interruptible::cancel()
+{
+    signal_.emit(boost::asio::cancellation_type::terminal);
+}
+
 boost::asio::awaitable<void> interruption_point()
 {
     co_return;
--- a/nutmegusher/wire/interruptible.hpp
+++ b/nutmegusher/wire/interruptible.hpp
@@ -52,6 +52,9 @@
     // Ends the body that `run` is running; without one it has no effect.
     void interrupt();
 
+    // Ends the whole coroutine: `run` throws as well.
+    void cancel();
+
 private:
     boost::asio::cancellation_signal signal_;
     bool running_ = false;
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -1,9 +1,8 @@
 #include "nutmegusher/wire/server.hpp"
 
 #include "nutmegusher/wire/connection.hpp"
+#include "nutmegusher/wire/task_group.hpp"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detail/socket_option.hpp>
 
 #include <unordered_map>
@@ -36,6 +35,7 @@
         , acceptor_(context)
         , accept_retry_timer_(context)
         , connection_closed_(context)
+        , handlers_(context)
         , handler_(std::make_shared<const stream_handler>(std::move(handler)))
         , options_(options)
     {
@@ -134,6 +134,18 @@
         }
     }
 
+    asio::awaitable<void> end()
+    {
+        const auto self = shared_from_this();
+        close();
+        co_await handlers_.end();
+    }
+
+    [[nodiscard]] std::size_t running_handlers() const
+    {
+        return handlers_.size();
+    }
+
     [[nodiscard]] tcp::endpoint local_endpoint() const
     {
         error_code ignored;
@@ -209,30 +221,29 @@
         const std::shared_ptr<connection>& owner,
         std::shared_ptr<stream> request)
     {
-        owner->handler_started();
         auto handle = std::make_shared<server_stream>(owner, request);
-        const auto slot = request->work.slot();
-        // The completion callback keeps `handler_` alive, because the coroutine
-        // refers to the handler's captures, and `request`, which holds the
-        // coroutine's cancellation signal.
-        auto finished =
-            [owner, request = std::move(request), handler = handler_](
-                const std::exception_ptr& /*thrown*/)
+        // The coroutine refers to the handler's captures, so the callback keeps
+        // them alive. After any exception the destroyed handle resets the
+        // stream unless its response was ended.
+        const auto finished = [owner, handler = handler_]
         {
-            // After any exception the destroyed handle resets the stream unless
-            // its response was ended.
             owner->handler_finished();
         };
-        asio::co_spawn(
-            context_,
-            (*handler_)(std::move(handle)),
-            asio::bind_cancellation_slot(slot, std::move(finished)));
+        std::shared_ptr<interruptible> work(request, &request->work);
+        owner->handler_started();
+        const bool started = handlers_.spawn(
+            (*handler_)(std::move(handle)), std::move(work), finished);
+        if (!started)
+        {
+            finished();
+        }
     }
 
     asio::io_context& context_;
     tcp_acceptor acceptor_;
     timer accept_retry_timer_;
     signal connection_closed_;
+    task_group handlers_;
     std::shared_ptr<const stream_handler> handler_;
     session_options options_;
     std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
@@ -293,6 +304,16 @@
     state_->give_up();
 }
 
+boost::asio::awaitable<void> server::end()
+{
+    return state_->end();
+}
+
+std::size_t server::running_handlers() const
+{
+    return state_->running_handlers();
+}
+
 std::size_t server::open_streams() const
 {
     return state_->open_streams();
--- a/nutmegusher/wire/server.hpp
+++ b/nutmegusher/wire/server.hpp
@@ -74,10 +74,18 @@
     // cancelled the stream; the handler may still answer.
     void give_up();
 
+    // Closes all connections at once, cancels the handlers that run and waits
+    // until they have ended. Then nothing refers to what the handler uses.
+    // Requires: the context runs until this has returned.
+    [[nodiscard]] boost::asio::awaitable<void> end();
+
     // The number of streams whose handler runs or whose response isn't sent
-    // completely.
+    // completely, of open connections.
     [[nodiscard]] std::size_t open_streams() const;
 
+    // The number of handlers that run, also those whose connection has closed.
+    [[nodiscard]] std::size_t running_handlers() const;
+
     [[nodiscard]] std::size_t connections() const;
 
 private:
--- a/nutmegusher/wire/session_pool.cpp
+++ b/nutmegusher/wire/session_pool.cpp
@@ -1,9 +1,7 @@
 #include "nutmegusher/wire/session_pool.hpp"
 
 #include "nutmegusher/wire/signal.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "nutmegusher/wire/task_group.hpp"
 
 #include <algorithm>
 #include <list>
@@ -82,6 +80,7 @@
     pool_state(asio::io_context& context, const session_options& options)
         : context_(context)
         , options_(options)
+        , connects_(context)
     {
     }
 
@@ -143,6 +142,23 @@
         }
     }
 
+    asio::awaitable<void> end()
+    {
+        const auto self = shared_from_this();
+        const auto entries = entries_;
+        close();
+        for (const auto& [key, entry] : entries)
+        {
+            // A copy, as each closed session leaves its entry.
+            const auto sessions = entry->sessions;
+            for (const auto& session : sessions)
+            {
+                session->close();
+            }
+        }
+        co_await connects_.end();
+    }
+
     void remove_endpoint(const tcp::endpoint& peer)
     {
         std::erase_if(
@@ -237,8 +253,10 @@
             return;
         }
         entry->connecting = true;
-        asio::co_spawn(
-            context_, connect(shared_from_this(), key, entry), asio::detached);
+        if (!connects_.spawn(connect(shared_from_this(), key, entry)))
+        {
+            entry->connecting = false;
+        }
     }
 
     static asio::awaitable<void> connect(
@@ -310,6 +328,7 @@
     session_options options_;
     std::map<pool_key, std::shared_ptr<pool_entry>> entries_;
     std::optional<time_point> last_loss_at_;
+    task_group connects_;
     bool closed_ = false;
 };
 
@@ -334,6 +353,11 @@
     return state_->get(std::move(key), deadline);
 }
 
+boost::asio::awaitable<void> session_pool::end()
+{
+    return state_->end();
+}
+
 std::shared_ptr<client_session> session_pool::find(
     const boost::asio::ip::tcp::endpoint& peer, traffic kind) const
 {
--- a/nutmegusher/wire/session_pool.hpp
+++ b/nutmegusher/wire/session_pool.hpp
@@ -47,6 +47,11 @@
         const boost::asio::ip::tcp::endpoint& peer,
         traffic kind = traffic::short_calls) const;
 
+    // Closes all sessions at once and ends the connects in progress. Later
+    // calls of `get` return `cancelled`. Requires: the context runs until this
+    // has returned.
+    [[nodiscard]] boost::asio::awaitable<void> end();
+
     // Records that a peer was lost: its session went silent or broke, or it is
     // unreachable.
     void note_loss();
--- a/nutmegusher/wire/wire.hpp
+++ b/nutmegusher/wire/wire.hpp
@@ -25,5 +25,6 @@
 #include "nutmegusher/wire/session_options.hpp"
 #include "nutmegusher/wire/session_pool.hpp"
 #include "nutmegusher/wire/stream_failure.hpp"
+#include "nutmegusher/wire/task_group.hpp"
 
 #endif
