End every coroutine of a process before anything is destroyed

All answers were out; at risk were a store, and the majority until the hosts had started again.

Cause: the end of a stop stopped the event loops and left the coroutines that waited in them to the destructors. A frame on a worker's loop (serve_peer -> control_service::serve -> control_logs::handle) held the last reference to the logs, whose own loop was destroyed before; closing their sessions posts to that loop. Frames on both loops own each other, so no order of members is right.

Evidence: on the commit before, daemon_test under the address sanitizer, in one stop: 24 accesses to freed memory, two of them writes in connection::schedule_flush (the freed scheduler's count of work, its queue). Without a sanitizer 6 of 6 cases of stopped_daemon failed: handlers that hadn't ended when run returned. That the abort on record took this path is inferred.

Why it works: each coroutine belongs to a task group; the groups are cancelled on their own threads and waited for, handlers first, then the workers' tasks, then the logs, whose thread returns once nothing is left to run there (what was posted to it is done, too). Only then threads and destructors follow.

A first form failed: cancelling a handler that waits for the logs' thread through co_spawn with use_awaitable. No code before this commit cancelled across threads.

--- a/nutmegusher/node/control_logs.cpp
+++ b/nutmegusher/node/control_logs.cpp
@@ -1,8 +1,7 @@
 #include "nutmegusher/node/control_logs.hpp"
 
 #include "nutmegusher/node/control_loop.hpp"
-
-#include <boost/asio/co_spawn.hpp>
+#include "nutmegusher/node/run_on.hpp"
 
 #include <array>
 #include <span>
@@ -24,14 +23,6 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_too_large = 413;
 
-// Runs a coroutine on the logs' thread and returns its result on the caller's.
-template <class T>
-asio::awaitable<T> run_on_loop(control_loop& loop, asio::awaitable<T> action)
-{
-    co_return co_await asio::co_spawn(
-        loop.context(), std::move(action), asio::use_awaitable);
-}
-
 asio::awaitable<std::optional<std::string>>
 read_body(wire::server_stream& stream, std::size_t limit)
 {
@@ -247,26 +238,27 @@
 asio::awaitable<messages::change_result>
 control_logs::propose_change(messages::change change)
 {
-    co_return co_await run_on_loop(
-        *loop_, loop_->propose_change(std::move(change), true));
+    co_return co_await run_on(
+        loop_->context(), loop_->propose_change(std::move(change), true));
 }
 
 asio::awaitable<messages::claim_result>
 control_logs::claim(messages::claim_command command)
 {
-    co_return co_await run_on_loop(
-        *loop_, loop_->propose_claim(std::move(command), true));
+    co_return co_await run_on(
+        loop_->context(), loop_->propose_claim(std::move(command), true));
 }
 
 asio::awaitable<messages::claim_result>
 control_logs::find_claim(messages::claim_key key)
 {
-    co_return co_await run_on_loop(*loop_, loop_->find_claim(std::move(key)));
+    co_return co_await run_on(
+        loop_->context(), loop_->find_claim(std::move(key)));
 }
 
 asio::awaitable<bool> control_logs::confirm_configuration()
 {
-    co_return co_await run_on_loop(*loop_, loop_->confirm_configuration());
+    co_return co_await run_on(loop_->context(), loop_->confirm_configuration());
 }
 
 revision control_logs::at() const
@@ -322,13 +314,14 @@
     messages::replica_member added;
     added.set_host(new_host.str());
     added.set_address(internal::to_text(address));
-    co_return co_await run_on_loop(
-        *loop_, loop_->replace(std::move(old_host), std::move(added)));
+    co_return co_await run_on(
+        loop_->context(),
+        loop_->replace(std::move(old_host), std::move(added)));
 }
 
 asio::awaitable<void> control_logs::hand_over(duration limit)
 {
-    co_await run_on_loop(*loop_, loop_->hand_over(limit));
+    co_await run_on(loop_->context(), loop_->hand_over(limit));
 }
 
 asio::awaitable<bool>
@@ -347,7 +340,7 @@
         co_return true;
     }
     auto answer =
-        co_await run_on_loop(*loop, found->answer(loop, *std::move(body)));
+        co_await run_on(loop->context(), found->answer(loop, *std::move(body)));
     if (!answer)
     {
         stream->reset();
--- a/nutmegusher/node/control_service.cpp
+++ b/nutmegusher/node/control_service.cpp
@@ -369,11 +369,20 @@
 
 void control_service::stop()
 {
-    if (state_->thread.joinable())
+    if (!state_->thread.joinable())
     {
-        state_->context.stop();
-        state_->thread.join();
+        return;
     }
+    // The thread returns once its context has nothing left to run, which
+    // includes the writes that were posted to it.
+    asio::co_spawn(
+        state_->context,
+        state_->logs->end(),
+        [this](const std::exception_ptr& /*thrown*/)
+        {
+            state_->work_guard.reset();
+        });
+    state_->thread.join();
 }
 
 control_callbacks control_service::answers()
--- a/nutmegusher/node/control_service.hpp
+++ b/nutmegusher/node/control_service.hpp
@@ -40,7 +40,8 @@
     // called when daemons are told to use another control host.
     void release_held_syncs();
 
-    // Stops and joins the thread of the logs.
+    // Ends everything that runs on the thread of the logs, and joins it.
+    // Requires: no coroutine waits for one of this object's functions.
     void stop();
 
     [[nodiscard]] control_callbacks answers();
--- a/nutmegusher/node/daemon.hpp
+++ b/nutmegusher/node/daemon.hpp
@@ -31,7 +31,8 @@
     daemon& operator=(const daemon&) = delete;
     ~daemon();
 
-    // Serves requests; returns when a graceful shutdown has finished.
+    // Serves requests; returns when a graceful shutdown has finished and no
+    // coroutine of the process is left.
     void run();
 
     // Begins a graceful shutdown. Thread-safe.
--- a/nutmegusher/node/daemon_state.hpp
+++ b/nutmegusher/node/daemon_state.hpp
@@ -98,7 +98,9 @@
     asio::awaitable<void> give_up();
     asio::awaitable<void> run_on_each_worker(void (*action)(listeners&));
     [[nodiscard]] asio::awaitable<open_counts> count_open();
-    void end(const stop_sequence& stop, const open_counts& left);
+    asio::awaitable<void> end(const stop_sequence& stop, open_counts left);
+    // Ends all tasks of one worker, on its thread.
+    asio::awaitable<void> end_tasks(std::size_t index);
 
     controllers shared;
     std::unique_ptr<extension> optional_extension;
--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -145,7 +145,7 @@
             co_await timer.async_wait(as_tuple_awaitable);
         }
     }
-    end(stop, open);
+    co_await end(stop, open);
 }
 
 asio::awaitable<void> daemon::state::enter_step(stop_step step)
@@ -285,9 +285,17 @@
     co_return open;
 }
 
-void daemon::state::end(const stop_sequence& stop, const open_counts& left)
+// Ends every coroutine on its own thread while everything that it uses still
+// exists; only then the threads end.
+asio::awaitable<void>
+daemon::state::end(const stop_sequence& stop, open_counts left)
 {
     sync->stop();
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        co_await asio::co_spawn(
+            workers[i]->context, end_tasks(i), asio::use_awaitable);
+    }
     if (control)
     {
         control->stop();
@@ -306,4 +314,29 @@
     }
 }
 
+// Handlers first, as they use the tasks and the sessions.
+asio::awaitable<void> daemon::state::end_tasks(std::size_t index)
+{
+    auto& own = listeners_by_worker[index];
+    if (own.callers)
+    {
+        co_await own.callers->end();
+    }
+    if (own.upstream)
+    {
+        co_await own.upstream->end();
+    }
+    co_await own.peers->end();
+    if (index == 0)
+    {
+        co_await operators->end();
+        if (metrics_server)
+        {
+            co_await metrics_server->end();
+        }
+    }
+    co_await workers[index]->tasks.end();
+    co_await workers[index]->peers.end();
+}
+
 } // namespace nutmegusher::node
