--- a/nutmegusher/node/daemon_test.cpp
+++ b/nutmegusher/node/daemon_test.cpp
@@ -212,7 +212,7 @@
     // Sends a request over HTTP/1.1 and waits for its answer.
     void request_http(endpoint at)
     {
-        asio::co_spawn(context_, exchange_http(at), asio::detached);
+        asio::co_spawn(context_, exchange_http(std::move(at)), asio::detached);
     }
 
     // Sends a request as another daemon would, and waits for its answer.
@@ -220,7 +220,7 @@
     {
         asio::co_spawn(
             context_,
-            exchange_wire(at, std::move(path), std::move(body)),
+            exchange_wire(std::move(at), std::move(path), std::move(body)),
             asio::detached);
     }
 
@@ -228,7 +228,9 @@
     void begin_call(endpoint at, std::string path)
     {
         asio::co_spawn(
-            context_, begin_wire(at, std::move(path)), asio::detached);
+            context_,
+            begin_wire(std::move(at), std::move(path)),
+            asio::detached);
     }
 
 private:
@@ -344,13 +346,13 @@
         for (std::size_t i = 0; i < count; ++i)
         {
             const auto host = "c" + std::to_string(i);
-            all_[i] = make_settings(host, GetParam());
-            initial.push_back({host_id(host), all_[i].listen.peers});
+            all[i] = make_settings(host, GetParam());
+            initial.push_back({host_id(host), all[i].listen.peers});
         }
-        for (auto& each : all_)
+        for (auto& each : all)
         {
             control_host_settings control;
-            control.data_folder = folder_.path() / each.host.id.str();
+            control.data_folder = folder.path() / each.host.id.str();
             control.initial = initial;
             each.control = control;
             for (const auto& other : initial)
@@ -362,38 +364,38 @@
 
     void start(std::size_t number)
     {
-        hosts_[number] = std::make_unique<running_daemon>(all_[number]);
+        hosts[number] = std::make_unique<running_daemon>(all[number]);
     }
 
     // Sends one of each kind of request that a control host handles.
     void request_all(requester& from, std::size_t number)
     {
-        const auto at = all_[number].listen.peers;
+        const auto at = all[number].listen.peers;
         messages::sync_request held;
-        held.set_host("d" + std::to_string(engine_()));
+        held.set_host("d" + std::to_string(engine()));
         held.set_incarnation(1);
         held.set_wait_ms(5000);
         from.call(at, "/control/sync", held.SerializeAsString());
-        held.set_host("e" + std::to_string(engine_()));
+        held.set_host("e" + std::to_string(engine()));
         held.set_linearizable(true);
         from.call(at, "/control/sync", held.SerializeAsString());
         from.call(at, "/control/propose", change().SerializeAsString());
         messages::claim_command claim;
         claim.mutable_key()->set_customer("zakat");
         claim.mutable_key()->set_class_name("payouts");
-        claim.mutable_key()->set_idempotency_key(std::to_string(engine_()));
+        claim.mutable_key()->set_idempotency_key(std::to_string(engine()));
         claim.mutable_look_up();
         from.call(at, "/control/claim", claim.SerializeAsString());
         from.begin_call(at, "/control/raft");
         from.begin_call(at, "/control/sync");
-        from.request_http(all_[number].listen.operators);
-        from.request_http(*all_[number].listen.metrics);
+        from.request_http(all[number].listen.operators);
+        from.request_http(*all[number].listen.metrics);
     }
 
     messages::change change()
     {
         messages::change made;
-        made.set_change_id(std::to_string(engine_()));
+        made.set_change_id(std::to_string(engine()));
         made.set_author("test");
         auto& declared = *made.mutable_declare();
         declared.set_name("payouts");
@@ -406,13 +408,13 @@
 
     void sleep_up_to(std::uint64_t limit_ms)
     {
-        std::this_thread::sleep_for(milliseconds(engine_() % limit_ms));
+        std::this_thread::sleep_for(milliseconds(engine() % limit_ms));
     }
 
-    scratch_folder folder_;
-    std::array<settings, count> all_;
-    std::array<std::unique_ptr<running_daemon>, count> hosts_;
-    random_engine engine_{1};
+    scratch_folder folder;
+    std::array<settings, count> all;
+    std::array<std::unique_ptr<running_daemon>, count> hosts;
+    random_engine engine{1};
 };
 
 // Without the other two there is no leader: the change is still handled when
@@ -427,18 +429,18 @@
         request_all(lost, 0);
     }
     std::this_thread::sleep_for(milliseconds(300));
-    hosts_[0].reset();
+    hosts[0].reset();
 }
 
 // Guards against parts of a start that fails half way which outlive the others.
 TEST_P(stopped_control_hosts, that_cannot_listen_leave_nothing_behind)
 {
     asio::io_context context;
-    const asio::ip::tcp::acceptor taken(context, all_[0].listen.operators);
+    const asio::ip::tcp::acceptor taken(context, all[0].listen.operators);
     const bool started = leaf::try_handle_all(
         [&]() -> leaf::result<bool>
         {
-            BOOST_LEAF_CHECK(daemon::start(all_[0]));
+            BOOST_LEAF_CHECK(daemon::start(all[0]));
             return true;
         },
         []
@@ -450,7 +452,7 @@
 
 TEST_P(stopped_control_hosts, may_be_destroyed_without_having_run)
 {
-    auto unused = daemon::start(all_[0]);
+    auto unused = daemon::start(all[0]);
     ASSERT_TRUE(unused);
     std::this_thread::sleep_for(milliseconds(100));
 }
@@ -475,20 +477,20 @@
     for (std::uint64_t seed = first; seed < first + rounds; ++seed)
     {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        engine_ = random_engine(seed);
+        engine = random_engine(seed);
         auto early = std::make_unique<requester>();
         requester late;
-        const auto stops = 1 + engine_() % count;
+        const auto stops = 1 + engine() % count;
         for (std::size_t i = 0; i < count; ++i)
         {
             request_all(*early, i);
             request_all(late, i);
         }
         sleep_up_to(400);
-        const auto from = engine_() % count;
+        const auto from = engine() % count;
         for (std::size_t i = 0; i < stops; ++i)
         {
-            hosts_[(from + i) % count]->stop();
+            hosts[(from + i) % count]->stop();
             request_all(late, (from + i) % count);
             sleep_up_to(200);
         }
@@ -496,7 +498,7 @@
         early.reset();
         for (std::size_t i = 0; i < stops; ++i)
         {
-            hosts_[(from + i) % count].reset();
+            hosts[(from + i) % count].reset();
             start((from + i) % count);
         }
     }
--- a/nutmegusher/wire/server.cpp
+++ b/nutmegusher/wire/server.cpp
@@ -229,7 +229,8 @@
         {
             owner->handler_finished();
         };
-        std::shared_ptr<interruptible> work(request, &request->work);
+        auto* const own_work = &request->work;
+        std::shared_ptr<interruptible> work(std::move(request), own_work);
         owner->handler_started();
         const bool started = handlers_.spawn(
             (*handler_)(std::move(handle)), std::move(work), finished);
