--- a/cmake/nutmegusher_build.cmake
+++ b/cmake/nutmegusher_build.cmake
@@ -15,8 +15,8 @@
 set(NUTMEGUSHER_SANITIZE "" CACHE STRING
     "Sanitizers for all targets, for example 'address,undefined' or 'thread'")
 if(NUTMEGUSHER_SANITIZE)
-    add_compile_options(-fsanitize=${NUTMEGUSHER_SANITIZE} -g
-                        -fno-omit-frame-pointer)
+    add_compile_options(-fsanitize=${NUTMEGUSHER_SANITIZE} -g1
+                        -fno-omit-frame-pointer -fno-sanitize-recover=all)
     add_link_options(-fsanitize=${NUTMEGUSHER_SANITIZE})
     if(NUTMEGUSHER_SANITIZE MATCHES "thread")
         add_compile_options(-Wno-tsan)
