Divide the entry of routed requests by its jobs

Text was moved, members became fields of `entry_request`; no decision was changed.

Ruled out: one class with a base for each job, as most steps need the same fields and nothing varies.

--- /dev/null
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -0,0 +1,153 @@
+#include "nutmegusher/routed/entry_answer.hpp"
+
+#include <array>
+#include <span>
+#include <utility>
+
+namespace nutmegusher::routed::internal
+{
+
+namespace
+{
+
+using node::call_reason;
+using node::refusal;
+
+constexpr std::size_t chunk_bytes = 16384;
+constexpr unsigned status_server_error = 500;
+// Nothing can be routed without a document of routes; fetching one takes a
+// round trip to a control host.
+constexpr duration retry_after_no_routes = std::chrono::milliseconds(500);
+// After this process has stopped, the caller's next connection reaches another
+// one.
+constexpr duration retry_after_stopping = std::chrono::milliseconds(100);
+
+void note_end(entry_request& request, bool failed)
+{
+    if (failed && request.call.metadata.sub_call)
+    {
+        request.state.errors.on_failed_call();
+    }
+}
+
+} // namespace
+
+void note_cancelled(const entry_request& request)
+{
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    const auto now = host_clock().now();
+    const auto since = request.exchange.left_at();
+    request.state.process.request_metrics.cancelled(
+        node::call_side::entry,
+        request.metrics_class(),
+        request.phase,
+        now - since);
+    log_event(
+        event::request_cancelled,
+        {{"request", request.call.metadata.id},
+         {"route", request.metrics_class().str()},
+         {"phase", node::to_string(request.phase)},
+         {"age_ms", milliseconds(now - request.arrived).count()},
+         {"ended_ms", milliseconds(now - since).count()}});
+}
+
+refusal stopping(const entry_request& request)
+{
+    return {
+        call_reason::leaving,
+        request.may_have_run ? call_outcome::unknown : call_outcome::not_run,
+        retry_after_stopping};
+}
+
+refusal no_routes_known()
+{
+    return {
+        call_reason::starting, call_outcome::not_run, retry_after_no_routes};
+}
+
+asio::awaitable<void> give_up(entry_request& request, refusal details)
+{
+    if (request.error_answer)
+    {
+        co_await forward_answer(request, *std::move(request.error_answer));
+        co_return;
+    }
+    log_event(
+        event::request_refused,
+        {{"request", request.call.metadata.id},
+         {"route", request.metrics_class().str()},
+         {"service", request.service.str()},
+         {"reason", node::to_string(details.reason)},
+         {"outcome", node::to_string(details.result)},
+         {"tries", static_cast<std::uint64_t>(request.tried.size())},
+         {"version", request.view->routes().version()}});
+    co_await refuse(request, details);
+}
+
+asio::awaitable<void> refuse(entry_request& request, refusal details)
+{
+    note_end(request, true);
+    request.state.process.request_metrics.refused(
+        node::call_side::entry,
+        request.metrics_class(),
+        details.reason,
+        details.result,
+        request.sent_tries);
+    auto head = request.state.names.refuse(details);
+    if (!request.call.metadata.id.empty())
+    {
+        head.fields.push_back(
+            {request.state.names.request_id, request.call.metadata.id});
+    }
+    co_await request.exchange.answer(std::move(head), "");
+}
+
+asio::awaitable<void>
+forward_answer(entry_request& request, routed_answer answer)
+{
+    note_end(request, answer.head.status >= status_server_error);
+    if (!request.call.metadata.sub_call)
+    {
+        const auto elapsed = host_clock().now() - request.arrived;
+        request.state.shed.on_answer(
+            request.route->rank, request.route->hash, elapsed);
+    }
+    request.state.process.request_metrics.completed(
+        node::call_side::entry,
+        request.metrics_class(),
+        host_clock().now() - request.arrived,
+        request.sent_tries + 1);
+    if (!answer.rest)
+    {
+        co_await request.exchange.answer(std::move(answer.head), answer.body);
+        co_return;
+    }
+    request.phase = node::request_phase::answering;
+    bool open = co_await request.exchange.begin_answer(
+        std::move(answer.head), answer.length);
+    const auto first_bytes = std::as_bytes(std::span(answer.body));
+    open = open && co_await request.exchange.write_some(first_bytes);
+    std::array<std::byte, chunk_bytes> chunk;
+    while (open)
+    {
+        const auto got = co_await answer.rest->read_some(chunk);
+        if (!got)
+        {
+            co_await wire::interruption_point();
+            log_event(
+                event::answer_broken,
+                {{"request", request.call.metadata.id},
+                 {"route", request.route->name}});
+            co_return;
+        }
+        if (*got == 0)
+        {
+            co_await request.exchange.end_answer();
+            co_return;
+        }
+        open =
+            co_await request.exchange.write_some(std::span(chunk).first(*got));
+    }
+}
+
+} // namespace nutmegusher::routed::internal
--- /dev/null
+++ b/nutmegusher/routed/entry_answer.hpp
@@ -0,0 +1,34 @@
+// Ends a request at its entry with an answer.
+#ifndef NUTMEGUSHER_ROUTED_ENTRY_ANSWER_HPP
+#define NUTMEGUSHER_ROUTED_ENTRY_ANSWER_HPP
+
+#include "nutmegusher/routed/entry_request.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace nutmegusher::routed::internal
+{
+
+// Refuses the request, or forwards the upstream's error answer if it has one.
+asio::awaitable<void> give_up(entry_request& request, node::refusal details);
+
+// Writes a refusal.
+asio::awaitable<void> refuse(entry_request& request, node::refusal details);
+
+// Writes an upstream's answer.
+asio::awaitable<void>
+forward_answer(entry_request& request, routed_answer answer);
+
+// Records that the caller has left, and that all work on its request has ended.
+void note_cancelled(const entry_request& request);
+
+// The refusal of a request while this process stops; daemons on other hosts can
+// serve the caller.
+[[nodiscard]] node::refusal stopping(const entry_request& request);
+
+// The refusal of a request while no document of routes is known.
+[[nodiscard]] node::refusal no_routes_known();
+
+} // namespace nutmegusher::routed::internal
+
+#endif
