Serve teams: keys, ranks and allotments over all daemons

Cause: documents with teams were refused at `resources.26.resource_type`, so nothing of the shifted deployment was served.

- Document: teams with digests of their keys, rank, rate and burst; routes that admit callers without a key.
Checks name the field and never a key.
The upstream gets the team's name from us, never the key, whatever the caller sent.
- Revocation: where operators bound it, requests with a key are refused as not run once the configuration may be older than nine tenths of the bound.
The age is that of proved knowledge, plus the time for which the host or its control host was suspended, which the steady clock doesn't count.
- Allotments: the leader of the configuration's log owns a bucket per team; daemons hold a few tokens, bounded in sum by a part of what operators allow beyond an allotment, and ask for more.
A new owner begins with empty buckets and counts what daemons bring along.
- Ranks: by team before route, on the scale of ten; a unit of a shed level stays a rank of routes.

Ruled out for the allotment: a fixed part for each daemon (a team of 5 a second over 71 daemons would be refused nearly whole); a question for each request (every request waits, and an owner's loss stops all teams).

Tests here: the package's own (49), with 200 random histories of owners, cuts, freezes, restarts, lost answers and changed limits; two controls without a part of the mechanism break the bound.

--- a/nutmegusher/base/base.hpp
+++ b/nutmegusher/base/base.hpp
@@ -15,5 +15,6 @@
 #include "nutmegusher/base/events.hpp"
 #include "nutmegusher/base/identifier.hpp"
 #include "nutmegusher/base/random.hpp"
+#include "nutmegusher/base/uptime_clock.hpp"
 
 #endif
--- a/nutmegusher/control/control.hpp
+++ b/nutmegusher/control/control.hpp
@@ -28,5 +28,6 @@
 #include "nutmegusher/control/route_check.hpp"
 #include "nutmegusher/control/state_machine.hpp"
 #include "nutmegusher/control/storage_error.hpp"
+#include "nutmegusher/control/team_check.hpp"
 
 #endif
--- a/nutmegusher/control/replica.hpp
+++ b/nutmegusher/control/replica.hpp
@@ -337,6 +337,11 @@
     // round that was sent less than an election timeout ago.
     [[nodiscard]] bool holds_lease(time_point now) const;
 
+    // While this replica leads and has committed an entry of its term: a time
+    // at which no later term had a leader yet, as a majority acknowledged a
+    // heartbeat round that was sent then.
+    [[nodiscard]] std::optional<time_point> leadership_confirmed_at() const;
+
 private:
     // One message with entries that isn't acknowledged yet.
     struct in_flight_message
--- a/nutmegusher/control/replica_leader.cpp
+++ b/nutmegusher/control/replica_leader.cpp
@@ -442,6 +442,15 @@
     return role_ == replica_role::leader && now < lease_end();
 }
 
+std::optional<time_point> replica::leadership_confirmed_at() const
+{
+    if (role_ != replica_role::leader || !own_term_committed())
+    {
+        return std::nullopt;
+    }
+    return majority_acknowledged_at();
+}
+
 std::vector<follower_progress> replica::progress(time_point now) const
 {
     std::vector<follower_progress> all;
--- a/nutmegusher/control/route_check.cpp
+++ b/nutmegusher/control/route_check.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/control/route_check.hpp"
 
+#include "nutmegusher/control/team_check.hpp"
+
 #include <cmath>
 #include <set>
 #include <string>
@@ -108,7 +110,7 @@
                 messages::problem_overlapping_match, route, "path_prefix");
         }
     }
-    return std::nullopt;
+    return check_teams(document);
 }
 
 } // namespace nutmegusher
--- /dev/null
+++ b/nutmegusher/node/allotment_gate.hpp
@@ -0,0 +1,62 @@
+// The teams' tokens of this process, for all worker threads.
+#ifndef NUTMEGUSHER_NODE_ALLOTMENT_GATE_HPP
+#define NUTMEGUSHER_NODE_ALLOTMENT_GATE_HPP
+
+#include "nutmegusher/base/base.hpp"
+#include "nutmegusher/teams/teams.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace nutmegusher::node
+{
+
+namespace asio = boost::asio;
+
+// An `allotment_holder` with the waits of requests for it. Thread-safe.
+class allotment_gate
+{
+public:
+    explicit allotment_gate(host_id self);
+
+    // Takes a token for a request of the team. Waits for the owner's answer, at
+    // most for `max_wait`; still `pending` then.
+    asio::awaitable<token_result> take(std::string team, duration max_wait);
+
+    // Gives a token back whose request didn't run and won't.
+    void refund(const std::string& team);
+
+    // The owner that the last sync has named; empty if unknown.
+    void set_owner(std::optional<asio::ip::tcp::endpoint> owner);
+    [[nodiscard]] std::optional<asio::ip::tcp::endpoint> owner() const;
+
+    // For `allotment_client`; see `allotment_holder`. The time until the next
+    // exchange may be negative.
+    [[nodiscard]] std::optional<duration> until_next_exchange() const;
+    [[nodiscard]] messages::allotment_request make_request(incarnation run);
+    bool on_reply(const messages::allotment_reply& reply);
+    void on_no_reply();
+    void stop();
+
+    [[nodiscard]] boost::json::value dump() const;
+
+    // Called when a request waits. Set before the workers run.
+    std::function<void()> on_waiting = [] {};
+
+private:
+    class waiting_request;
+
+    mutable std::mutex mutex_;
+    allotment_holder holder_;
+    std::optional<asio::ip::tcp::endpoint> owner_;
+};
+
+} // namespace nutmegusher::node
+
+#endif
--- /dev/null
+++ b/nutmegusher/node/allotment_server.cpp
@@ -0,0 +1,142 @@
+#include "nutmegusher/node/allotment_server.hpp"
+
+#include "nutmegusher/node/peer_message.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <sstream>
+#include <utility>
+
+namespace nutmegusher::node
+{
+
+namespace
+{
+
+constexpr std::size_t max_request_bytes = 1024 * 1024;
+// A lower limit must be in force within seconds of its acceptance.
+constexpr duration follow_interval = std::chrono::milliseconds(50);
+
+std::string to_text(const std::optional<asio::ip::tcp::endpoint>& address)
+{
+    std::ostringstream text;
+    if (address)
+    {
+        text << *address;
+    }
+    return text.str();
+}
+
+} // namespace
+
+allotment_server::allotment_server(
+    allotment_source source, const allotment_bounds& bounds)
+    : source_(std::move(source))
+    , bounds_(bounds)
+{
+}
+
+asio::awaitable<void>
+allotment_server::serve(const std::shared_ptr<wire::server_stream>& stream)
+{
+    const auto body = co_await read_message(*stream, max_request_bytes);
+    messages::allotment_request request;
+    if (!body || !request.ParseFromString(*body) || request.host().empty())
+    {
+        co_await send_bad_request(*stream);
+        co_return;
+    }
+    const auto reply = answer(request).SerializeAsString();
+    co_await write_message(*stream, reply);
+}
+
+asio::awaitable<void> allotment_server::follow()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (true)
+    {
+        {
+            const auto leadership = source_.leadership();
+            const std::scoped_lock lock(mutex_);
+            static_cast<void>(current_owner(leadership));
+        }
+        timer.expires_after(follow_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+messages::allotment_reply
+allotment_server::answer(const messages::allotment_request& request)
+{
+    const auto leadership = source_.leadership();
+    const std::scoped_lock lock(mutex_);
+    auto* const owner = current_owner(leadership);
+    if (owner != nullptr)
+    {
+        return owner->answer(request, uptime_clock().now());
+    }
+    messages::allotment_reply reply;
+    reply.set_sequence(request.sequence());
+    reply.set_owner(to_text(leadership.leader));
+    return reply;
+}
+
+allotment_owner*
+allotment_server::current_owner(const configuration_leadership& leadership)
+{
+    if (!leadership.confirmed_at)
+    {
+        return nullptr;
+    }
+    const auto confirmed_at = *leadership.confirmed_at;
+    const auto age =
+        host_clock().now() - confirmed_at + suspensions_.since(confirmed_at);
+    if (age >= times_.ownership_lifetime)
+    {
+        return nullptr;
+    }
+    const auto now = uptime_clock().now();
+    const bool is_new = !owner_ || owner_->term() != leadership.term;
+    if (is_new)
+    {
+        owner_.emplace(leadership.term, now, bounds_, times_);
+    }
+    const auto present = source_.present();
+    if (is_new || present != limits_at_)
+    {
+        limits_at_ = present;
+        owner_->set_limits(source_.teams().teams(), now);
+    }
+    return &*owner_;
+}
+
+boost::json::value allotment_server::dump()
+{
+    const auto leadership = source_.leadership();
+    const std::scoped_lock lock(mutex_);
+    auto* const owner = current_owner(leadership);
+    if (owner == nullptr)
+    {
+        return nullptr;
+    }
+    boost::json::array teams;
+    for (const auto& each : owner->state(uptime_clock().now()))
+    {
+        teams.push_back(boost::json::object{
+            {"team", each.team},
+            {"rate", each.limit.rate},
+            {"burst", each.limit.burst},
+            {"available", each.available},
+            {"held", each.held}});
+    }
+    return boost::json::object{
+        {"term", owner->term()},
+        {"daemons", owner->holders()},
+        {"teams", std::move(teams)}};
+}
+
+} // namespace nutmegusher::node
--- a/nutmegusher/node/call.hpp
+++ b/nutmegusher/node/call.hpp
@@ -49,10 +49,12 @@
     no_such_class,
     no_such_service,
     no_such_route,
+    unknown_key, // no key, or one that no team has
     in_progress,
     key_reused,
     too_large,
     fair_share,
+    over_allotment, // the team has used its allotment
     overload,
     overload_deeper, // a sub-call of it was refused for overload
     leaving,
@@ -61,6 +63,8 @@
     other_upstream, // the host contacted now serves another service
     starting,
     claims_unavailable,
+    allotment_unavailable, // no owner of allotments has answered
+    configuration_old,     // a key may have been removed since
     deadline,
     upstream_refused, // the upstream refused it without running it
     upstream_failed,
--- a/nutmegusher/node/configuration_controller.cpp
+++ b/nutmegusher/node/configuration_controller.cpp
@@ -41,6 +41,7 @@
     : revision_(from.revision())
     , message_(from)
     , routes_(route_table::create(from.routes()))
+    , teams_(team_table::create(from.routes()))
 {
     for (const auto& item : from.classes())
     {
--- a/nutmegusher/node/configuration_controller.hpp
+++ b/nutmegusher/node/configuration_controller.hpp
@@ -11,6 +11,7 @@
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/messages/configuration.pb.h"
 #include "nutmegusher/routes/routes.hpp"
+#include "nutmegusher/teams/teams.hpp"
 
 #include <cstdint>
 #include <map>
@@ -39,7 +40,7 @@
     std::uint64_t hash = 0;
 };
 
-// All classes and routes at one revision.
+// All classes, routes and teams at one revision.
 class configuration_view
 {
 public:
@@ -67,6 +68,11 @@
         return routes_;
     }
 
+    [[nodiscard]] const team_table& teams() const
+    {
+        return teams_;
+    }
+
     [[nodiscard]] const messages::configuration& message() const
     {
         return message_;
@@ -76,6 +82,7 @@
     revision revision_;
     messages::configuration message_;
     route_table routes_;
+    team_table teams_;
     std::vector<class_entry> classes_;
     std::unordered_map<std::string, std::vector<std::size_t>> by_service_;
 };
--- a/nutmegusher/node/control_logs.cpp
+++ b/nutmegusher/node/control_logs.cpp
@@ -298,6 +298,11 @@
     return loop_->known_current_at();
 }
 
+configuration_leadership control_logs::leadership() const
+{
+    return loop_->leadership();
+}
+
 std::vector<control_address> control_logs::members() const
 {
     return loop_->status().members;
--- a/nutmegusher/node/control_logs.hpp
+++ b/nutmegusher/node/control_logs.hpp
@@ -70,6 +70,15 @@
     asio::ip::tcp::endpoint address;
 };
 
+// Who leads the configuration's log, as far as this host knows.
+struct configuration_leadership
+{
+    std::uint64_t term = 0;
+    std::optional<asio::ip::tcp::endpoint> leader;
+    // Set if this host leads: see `replica::leadership_confirmed_at`.
+    std::optional<time_point> confirmed_at;
+};
+
 enum class replace_outcome : std::uint8_t
 {
     replaced,
@@ -147,6 +156,8 @@
     // that nothing is proved yet.
     [[nodiscard]] time_point known_current_at() const;
 
+    [[nodiscard]] configuration_leadership leadership() const;
+
     // Returns the members of the configuration's group.
     [[nodiscard]] std::vector<control_address> members() const;
 
--- a/nutmegusher/node/control_loop.cpp
+++ b/nutmegusher/node/control_loop.cpp
@@ -232,6 +232,7 @@
         {
             known_current_at_ =
                 core.known_current_at().time_since_epoch().count();
+            publish_leadership(core);
         });
     if (members_changed_)
     {
--- a/nutmegusher/node/control_loop.hpp
+++ b/nutmegusher/node/control_loop.hpp
@@ -79,6 +79,8 @@
         return time_point(duration(known_current_at_.load()));
     }
 
+    [[nodiscard]] configuration_leadership leadership() const;
+
     // For operators. Kept apart from `status`, as it is much larger and each
     // sync copies the status.
     [[nodiscard]] boost::json::value state() const;
@@ -241,6 +243,7 @@
     [[nodiscard]] bool hand_over_groups();
 
     // See control_state.cpp.
+    void publish_leadership(const replica& core);
     void publish_status();
     [[nodiscard]] boost::json::value describe();
 
@@ -286,6 +289,7 @@
     std::atomic<duration::rep> known_current_at_ = 0;
     mutable std::mutex status_mutex_;
     control_status status_;
+    configuration_leadership leadership_;
     boost::json::value state_;
 };
 
--- a/nutmegusher/node/control_service.cpp
+++ b/nutmegusher/node/control_service.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/node/control_service.hpp"
 
+#include "nutmegusher/node/allotment_server.hpp"
 #include "nutmegusher/node/control_logs.hpp"
 #include "nutmegusher/node/crash_store.hpp"
 #include "nutmegusher/node/json_messages.hpp"
@@ -22,6 +23,7 @@
 constexpr duration hand_over_limit = std::chrono::seconds(3);
 // The maximum number of changes that `history` returns.
 constexpr std::size_t max_history = 1000;
+constexpr std::string_view allotment_path = "/control/allotment";
 constexpr std::string_view sync_path = "/control/sync";
 constexpr std::string_view registry_path = "/control/registry";
 
@@ -138,6 +140,7 @@
     }
 
     control_source make_source();
+    allotment_source make_allotment_source();
     [[nodiscard]] json::value describe() const;
     [[nodiscard]] json::value history() const;
     [[nodiscard]] json::value rollout() const;
@@ -147,10 +150,12 @@
     worker& lease_worker;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work_guard;
+    suspension_meter suspensions;
     std::unique_ptr<control_logs> logs;
     // Used only on `thread` once that runs.
     std::optional<file_disk> crash_disk;
     std::unique_ptr<sync_server> syncs;
+    std::unique_ptr<allotment_server> allotments;
     std::thread thread;
 };
 
@@ -209,16 +214,45 @@
         }
         return hosts;
     };
+    // A daemon takes the time that this host was suspended for time in which
+    // nothing was accepted.
     source.known_current_at = [this]
     {
-        return logs->known_current_at();
+        const auto at = logs->known_current_at();
+        return at - suspensions.since(at);
+    };
+    source.allotment_owner = [this]
+    {
+        const auto leader = logs->leadership().leader;
+        return leader ? to_text(*leader) : std::string();
+    };
+    return source;
+}
+
+allotment_source control_service::state::make_allotment_source()
+{
+    allotment_source source;
+    source.leadership = [this]
+    {
+        return logs->leadership();
+    };
+    source.present = [this]
+    {
+        return logs->at();
+    };
+    source.teams = [this]
+    {
+        return team_table::create(logs->present().routes());
     };
     return source;
 }
 
 json::value control_service::state::describe() const
 {
-    return json::object{{"logs", logs->state()}, {"registry", syncs->dump()}};
+    return json::object{
+        {"logs", logs->state()},
+        {"registry", syncs->dump()},
+        {"allotments", allotments->dump()}};
 }
 
 json::value control_service::state::history() const
@@ -314,6 +348,8 @@
         load_crashes(
             *made->crash_disk, host_clock().now(), wall_milliseconds()));
     made->syncs->restore(kept);
+    made->allotments = std::make_unique<allotment_server>(
+        made->make_allotment_source(), configured.allotments);
     made->logs->on_revision(
         [syncs = made->syncs.get()](revision)
         {
@@ -321,6 +357,7 @@
         });
     lease_worker.tasks.spawn(
         made->syncs->exchange_leases(lease_worker.peers, lease_worker.tasks));
+    lease_worker.tasks.spawn(made->allotments->follow());
     auto& context = made->context;
     made->thread = std::thread(
         [&context]
@@ -350,6 +387,11 @@
         co_await state_->syncs->serve(stream);
         co_return;
     }
+    if (path == allotment_path)
+    {
+        co_await state_->allotments->serve(stream);
+        co_return;
+    }
     if (!co_await state_->logs->handle(stream))
     {
         wire::response_head head{404, {}};
--- a/nutmegusher/node/control_state.cpp
+++ b/nutmegusher/node/control_state.cpp
@@ -123,6 +123,23 @@
     return state_;
 }
 
+configuration_leadership control_loop::leadership() const
+{
+    const std::scoped_lock lock(status_mutex_);
+    return leadership_;
+}
+
+void control_loop::publish_leadership(const replica& core)
+{
+    configuration_leadership current;
+    current.term = core.term();
+    current.confirmed_at = core.leadership_confirmed_at();
+    current.leader = current.confirmed_at ? std::optional(settings_.address)
+                                          : leader_address(0);
+    const std::scoped_lock lock(status_mutex_);
+    leadership_ = std::move(current);
+}
+
 void control_loop::publish_status()
 {
     control_status status;
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -397,6 +397,10 @@
     auto& tasks = state_->first().tasks;
     tasks.spawn(state_->sync->run());
     tasks.spawn(state_->sync->monitor_age());
+    if (state_->shared.configured.listen.callers)
+    {
+        tasks.spawn(state_->allotments->run());
+    }
     if (!state_->optional_extension)
     {
         tasks.spawn(state_->run_ticks());
--- a/nutmegusher/node/daemon_state.hpp
+++ b/nutmegusher/node/daemon_state.hpp
@@ -2,6 +2,7 @@
 #ifndef NUTMEGUSHER_NODE_DAEMON_STATE_HPP
 #define NUTMEGUSHER_NODE_DAEMON_STATE_HPP
 
+#include "nutmegusher/node/allotment_client.hpp"
 #include "nutmegusher/node/control_service.hpp"
 #include "nutmegusher/node/daemon.hpp"
 #include "nutmegusher/node/http_server.hpp"
@@ -57,6 +58,16 @@
                 });
         };
         shared.crashes.on_change = shared.request_sync;
+        allotments = std::make_unique<allotment_client>(first());
+        shared.allotments.on_waiting = [this]
+        {
+            asio::post(
+                first().context,
+                [this]
+                {
+                    allotments->wake();
+                });
+        };
     }
 
     // The worker that also runs the tasks that exist once per process: signals,
@@ -107,6 +118,7 @@
     std::vector<std::unique_ptr<worker>> workers;
     std::vector<listeners> listeners_by_worker;
     std::unique_ptr<sync_client> sync;
+    std::unique_ptr<allotment_client> allotments;
     std::unique_ptr<control_service> control;
     std::unique_ptr<http_server> operators;
     std::unique_ptr<http_server> metrics_server;
--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -169,6 +169,7 @@
         break;
     case stop_step::closing_callers:
         shared.admission.set_leaving(true);
+        allotments->stop();
         co_await close_callers();
         if (control)
         {
@@ -291,6 +292,7 @@
 daemon::state::end(const stop_sequence& stop, open_counts left)
 {
     sync->stop();
+    allotments->stop();
     for (std::size_t i = 0; i < workers.size(); ++i)
     {
         co_await asio::co_spawn(
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -117,6 +117,31 @@
         "66000",
         "when the supervisor kills the process after the stop has begun; what "
         "is in flight an eleventh of it before is cut"},
+    known_setting{
+        "teams",
+        "revocation_ms",
+        "0",
+        "how long after its removal from the configuration a key may still let "
+        "requests in, on every host; requests with a key are refused where the "
+        "configuration may be older than nine tenths of it; 0: no bound"},
+    known_setting{
+        "teams",
+        "allotment_window_s",
+        "5",
+        "length of the windows in which allotments are bounded, seconds, 0.1 "
+        "to "
+        "3600; on control hosts, as the two below"},
+    known_setting{
+        "teams",
+        "allotment_overage",
+        "0.1",
+        "what may run in a window beyond an allotment, as a fraction of it, 0 "
+        "to 10"},
+    known_setting{
+        "teams",
+        "allotment_slack",
+        "20",
+        "requests that may run in a window beyond that, 0 to 1000000"},
     known_setting{
         "measurement",
         "naive",
@@ -135,6 +160,11 @@
 constexpr std::uint32_t default_killed_after_ms = 66000;
 constexpr std::uint32_t min_killed_after_ms = 1000;
 constexpr std::uint32_t max_port = 65535;
+constexpr std::uint32_t max_revocation_ms = 3600000;
+constexpr double min_allotment_window_s = 0.1;
+constexpr double max_allotment_window_s = 3600;
+constexpr double max_allotment_overage = 10;
+constexpr double max_allotment_slack = 1000000;
 constexpr std::uint32_t max_body_bytes = 16777216;
 
 std::string_view problem_text(settings_problem problem)
@@ -156,7 +186,7 @@
     case settings_problem::bad_address:
         return "isn't ip:port";
     case settings_problem::bad_number:
-        return "isn't a non-negative integer";
+        return "isn't a non-negative number";
     case settings_problem::out_of_range:
         return "out of range";
     case settings_problem::bad_name:
@@ -280,6 +310,46 @@
     return shutdown;
 }
 
+leaf::result<team_settings> read_teams(const settings_reader& in)
+{
+    team_settings teams;
+    BOOST_LEAF_AUTO(
+        revocation,
+        in.count("teams", "revocation_ms", 0, 0, max_revocation_ms));
+    // The last tenth is for clocks that run at unequal speeds.
+    teams.max_configuration_age =
+        std::chrono::milliseconds(revocation) * 9 / 10;
+    return teams;
+}
+
+leaf::result<allotment_bounds> read_allotments(const settings_reader& in)
+{
+    allotment_bounds bounds;
+    using seconds = std::chrono::duration<double>;
+    BOOST_LEAF_AUTO(
+        window,
+        in.fraction(
+            "teams",
+            "allotment_window_s",
+            seconds(bounds.window).count(),
+            min_allotment_window_s,
+            max_allotment_window_s));
+    bounds.window = std::chrono::duration_cast<duration>(seconds(window));
+    BOOST_LEAF_ASSIGN(
+        bounds.overage,
+        in.fraction(
+            "teams",
+            "allotment_overage",
+            bounds.overage,
+            0,
+            max_allotment_overage));
+    BOOST_LEAF_ASSIGN(
+        bounds.slack,
+        in.fraction(
+            "teams", "allotment_slack", bounds.slack, 0, max_allotment_slack));
+    return bounds;
+}
+
 leaf::result<settings> read_all(const settings_reader& in)
 {
     settings all;
@@ -313,6 +383,8 @@
             max_lines_per_second));
     BOOST_LEAF_ASSIGN(all.limits, read_limits(in));
     BOOST_LEAF_ASSIGN(all.shutdown, read_shutdown(in));
+    BOOST_LEAF_ASSIGN(all.teams, read_teams(in));
+    BOOST_LEAF_ASSIGN(all.allotments, read_allotments(in));
     BOOST_LEAF_AUTO(
         own, in.choice("listen", "dialect", "own", "platform", true));
     all.dialect = own ? "own" : "platform";
--- a/nutmegusher/node/settings.hpp
+++ b/nutmegusher/node/settings.hpp
@@ -9,6 +9,7 @@
 #define NUTMEGUSHER_NODE_SETTINGS_HPP
 
 #include "nutmegusher/base/base.hpp"
+#include "nutmegusher/teams/teams.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -141,6 +142,14 @@
     duration limit = std::chrono::seconds(60);
 };
 
+// Teams, on daemons.
+struct team_settings
+{
+    // Requests with a key are refused once the daemon's configuration may lack
+    // changes that are older than this; zero: never.
+    duration max_configuration_age{0};
+};
+
 struct settings
 {
     host_settings host;
@@ -151,6 +160,9 @@
     limit_settings limits;
     upstream_settings upstream;
     shutdown_settings shutdown;
+    team_settings teams;
+    // On control hosts.
+    allotment_bounds allotments;
     // Names and formats that the listeners speak to callers, upstreams and
     // operators: "own" or "platform".
     std::string dialect = "own";
--- a/nutmegusher/node/settings_reader.hpp
+++ b/nutmegusher/node/settings_reader.hpp
@@ -236,6 +236,33 @@
         return parsed;
     }
 
+    // A number that may have a fraction.
+    [[nodiscard]] leaf::result<double> fraction(
+        const std::string& section,
+        const std::string& key,
+        double default_value,
+        double min_value,
+        double max_value) const
+    {
+        const auto value = text(section, key);
+        if (!value)
+        {
+            return default_value;
+        }
+        double parsed = 0;
+        const auto* const end = value->data() + value->size();
+        const auto [rest, code] = std::from_chars(value->data(), end, parsed);
+        if (code != std::errc() || rest != end)
+        {
+            return fail(section, key, *value, settings_problem::bad_number);
+        }
+        if (!(parsed >= min_value && parsed <= max_value))
+        {
+            return fail(section, key, *value, settings_problem::out_of_range);
+        }
+        return parsed;
+    }
+
     // Returns true for `true_text`, false for `false_text`, and `default_value`
     // if the key is absent.
     [[nodiscard]] leaf::result<bool> choice(
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -372,6 +372,7 @@
     const std::chrono::milliseconds after(reply.current_after_ms());
     const auto current_at = sent_at + after;
     hedges_.advance_current_at(current_at);
+    shared.age_of_configuration.advance(current_at);
     return host_clock().now() - current_at <= max_accepted_age;
 }
 
@@ -411,6 +412,8 @@
         leaders.push_back(parse_endpoint(leader));
     }
     worker_.shared.claims.update(std::move(leaders), std::move(addresses));
+    worker_.shared.allotments.set_owner(
+        parse_endpoint(reply.allotment_owner()));
     if (!hosts.empty())
     {
         schedule_.set_hosts(hosts);
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/node/sync_server.hpp"
 
+#include "nutmegusher/node/peer_message.hpp"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
@@ -8,8 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 
-#include <array>
-
 namespace nutmegusher::node
 {
 
@@ -24,51 +24,11 @@
 constexpr duration exchange_timeout = std::chrono::milliseconds(500);
 // Added to a deadline, so that the clock has passed it when the timer fires.
 constexpr duration clock_resolution = std::chrono::milliseconds(1);
-constexpr std::size_t chunk_bytes = 16384;
 constexpr std::size_t max_request_bytes = 1024 * 1024;
 // The maximum time that a control host holds a sync, whatever the daemon asks
 // for.
 constexpr duration max_wait = std::chrono::seconds(5);
 
-asio::awaitable<std::optional<std::string>>
-read_all(wire::server_stream& stream)
-{
-    std::string text;
-    std::array<std::byte, chunk_bytes> chunk;
-    while (text.size() <= max_request_bytes)
-    {
-        const auto read_size = co_await stream.read_some(chunk);
-        if (!read_size)
-        {
-            co_return std::nullopt;
-        }
-        if (*read_size == 0)
-        {
-            co_return text;
-        }
-        text.append(reinterpret_cast<const char*>(chunk.data()), *read_size);
-    }
-    co_return std::nullopt;
-}
-
-asio::awaitable<void>
-write_all(wire::server_stream& stream, const std::string& body)
-{
-    wire::response_head head{200, {}};
-    const auto head_written =
-        co_await stream.write_head(std::move(head), body.empty());
-    if (head_written && !body.empty())
-    {
-        co_await stream.write(std::as_bytes(std::span(body)), true);
-    }
-}
-
-asio::awaitable<void> send_bad_request(wire::server_stream& stream)
-{
-    wire::response_head head{400, {}};
-    co_await stream.write_head(std::move(head), true);
-}
-
 lease_options make_lease_options(const control_source& source)
 {
     lease_options options;
@@ -117,7 +77,7 @@
 asio::awaitable<void>
 sync_server::serve(const std::shared_ptr<wire::server_stream>& stream)
 {
-    const auto body = co_await read_all(*stream);
+    const auto body = co_await read_message(*stream, max_request_bytes);
     if (!body)
     {
         co_await send_bad_request(*stream);
@@ -148,7 +108,7 @@
             update.set_crash_stamp(crashes_.stamp());
             reply = update.SerializeAsString();
         }
-        co_await write_all(*stream, reply);
+        co_await write_message(*stream, reply);
         co_return;
     }
     messages::sync_request request;
@@ -159,7 +119,7 @@
     }
     const auto reply = co_await answer(std::move(request));
     const auto text = reply.SerializeAsString();
-    co_await write_all(*stream, text);
+    co_await write_message(*stream, text);
 }
 
 asio::awaitable<messages::sync_reply>
@@ -212,6 +172,7 @@
     {
         reply.add_claim_leaders(std::move(leader));
     }
+    reply.set_allotment_owner(source_.allotment_owner());
     for (auto& host : source_.control_hosts())
     {
         *reply.add_control_hosts() = std::move(host);
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -38,6 +38,11 @@
     // "ip:port" of the leaders by claim group; empty where unknown.
     std::function<std::vector<std::string>()> claim_leaders;
     std::function<std::vector<messages::control_host>()> control_hosts;
+    // "ip:port" of the owner of the teams' allotments; empty if unknown.
+    std::function<std::string()> allotment_owner = []
+    {
+        return std::string();
+    };
     // Returns a time on this host's clock: its state includes everything that a
     // majority had accepted by then.
     std::function<time_point()> known_current_at;
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -5,7 +5,9 @@
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/execution/execution.hpp"
 #include "nutmegusher/node/admission_gate.hpp"
+#include "nutmegusher/node/allotment_gate.hpp"
 #include "nutmegusher/node/claim_client.hpp"
+#include "nutmegusher/node/configuration_age.hpp"
 #include "nutmegusher/node/configuration_controller.hpp"
 #include "nutmegusher/node/crash_tracker.hpp"
 #include "nutmegusher/node/metrics.hpp"
@@ -37,6 +39,8 @@
     const settings configured;
     const incarnation run;
     configuration_controller configuration;
+    configuration_age age_of_configuration;
+    allotment_gate allotments;
     own_upstream upstream;
     admission_gate admission;
     request_ledger ledger;
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -46,7 +46,7 @@
     node::worker& worker, routed_state& state, node::caller_exchange& exchange)
 {
     entry_request request(worker, state, exchange);
-    request.view = state.process.configuration.current();
+    request.take_view();
     if (!co_await internal::read_request(request))
     {
         co_return; // the caller has gone or was refused
--- a/nutmegusher/routed/entry_admission.cpp
+++ b/nutmegusher/routed/entry_admission.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/routed/entry_admission.hpp"
 
 #include "nutmegusher/routed/entry_answer.hpp"
+#include "nutmegusher/routed/entry_team.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -127,7 +128,8 @@
     // Requires: the request waits and isn't admitted yet.
     bool try_enter()
     {
-        admitted_ = request_.state.slow_start.enter(request_.route->rank);
+        admitted_ =
+            request_.state.slow_start.enter(request_.call.metadata.rank);
         return admitted_;
     }
 
@@ -164,12 +166,12 @@
         return std::nullopt;
     }
     const auto level = request.state.path_levels.level(request.route->hash);
-    const auto lower_ranks =
-        request.view->routes().ranks_below(request.route->rank);
-    const double shed_share = level - static_cast<double>(lower_ranks);
+    const auto rank = request.call.metadata.rank;
+    const double shed_share =
+        request.view->teams().ranks().shed_share(level, rank);
     const double fraction = request_fraction(request.facts());
     if (!request.state.shed.decide(
-            request.route->rank, request.route->hash, shed_share, fraction))
+            rank, request.route->hash, shed_share, fraction))
     {
         return std::nullopt;
     }
@@ -238,11 +240,13 @@
 {
     explicit state(entry_request& request)
         : request(request)
+        , token(request)
         , slow_start(request)
     {
     }
 
     entry_request& request;
+    allotment_token token;
     std::optional<suspect_guard> suspect;
     slow_start_admission slow_start;
 };
@@ -263,6 +267,11 @@
     {
         co_return stopping(request);
     }
+    // Before anything that a team's excess could take from others.
+    if (const auto rejection = co_await state_->token.take())
+    {
+        co_return rejection;
+    }
     if (const auto rejection = check_shedding(request))
     {
         co_return rejection;
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -105,12 +105,13 @@
 asio::awaitable<void>
 forward_answer(entry_request& request, routed_answer answer)
 {
+    request.answered_by_upstream = true;
     note_end(request, answer.head.status >= status_server_error);
     if (!request.call.metadata.sub_call)
     {
         const auto elapsed = host_clock().now() - request.arrived;
         request.state.shed.on_answer(
-            request.route->rank, request.route->hash, elapsed);
+            request.call.metadata.rank, request.route->hash, elapsed);
     }
     request.state.process.request_metrics.completed(
         node::call_side::entry,
--- a/nutmegusher/routed/entry_reading.cpp
+++ b/nutmegusher/routed/entry_reading.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/routed/entry_reading.hpp"
 
 #include "nutmegusher/routed/entry_answer.hpp"
+#include "nutmegusher/routed/entry_team.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,15 +30,19 @@
 // Largest body accepted before the configured limit is known.
 constexpr std::uint64_t max_body_bytes_without_routes = 65536;
 
-bool is_forwarded(std::string_view name, const request_dialect& names)
+bool is_forwarded(const entry_request& request, std::string_view name)
 {
+    const auto& names = request.state.names;
+    const bool is_key =
+        name == names.authorization && !request.view->teams().empty();
     return name != "host" && name != "connection" &&
            name != "transfer-encoding" && name != "keep-alive" &&
            name != "expect" && name != "upgrade" && name != "te" &&
            name != "trailer" && name != "content-length" &&
            name != "proxy-connection" && name != names.request_id &&
            name != names.time_left && name != names.expected_upstream &&
-           name != names.caller_service && !name.starts_with("nutmeg-");
+           name != names.caller_service && name != names.team && !is_key &&
+           !name.starts_with("nutmeg-");
 }
 
 void copy_forwarded_fields(entry_request& request)
@@ -47,7 +52,7 @@
     request.call.head.path = head.path;
     for (const auto& item : head.fields)
     {
-        if (is_forwarded(item.name, request.state.names))
+        if (is_forwarded(request, item.name))
         {
             request.call.head.fields.push_back(item);
         }
@@ -73,7 +78,10 @@
     const auto& configured = request.state.process.configured;
     metadata.caller_service = configured.upstream.service;
     metadata.caller_data_center = configured.host.data_center;
-    metadata.rank = request.route->rank;
+    metadata.team = request.caller_team ? request.caller_team->name : "";
+    metadata.rank = request.view->teams().ranks().rank_of(
+        request.caller_team ? request.caller_team->rank : std::nullopt,
+        request.route->rank);
     metadata.repeatable = request.route->repeatable;
     metadata.bulk = request.route->bulk;
     metadata.target = request.route->target;
@@ -99,6 +107,10 @@
     {
         return refusal{call_reason::no_such_route};
     }
+    if (const auto rejection = identify_team(request))
+    {
+        return rejection;
+    }
     return read_metadata(request);
 }
 
@@ -114,7 +126,7 @@
     {
         timer.expires_after(routes_poll_interval);
         co_await timer.async_wait(asio::use_awaitable);
-        request.view = request.state.process.configuration.current();
+        request.take_view();
     }
 }
 
--- a/nutmegusher/routed/entry_request.hpp
+++ b/nutmegusher/routed/entry_request.hpp
@@ -31,6 +31,13 @@
     entry_request(const entry_request&) = delete;
     entry_request& operator=(const entry_request&) = delete;
 
+    // Takes the configuration in force, and before it its age.
+    void take_view();
+
+    // Whether an upstream may have begun to work on the request, or says that
+    // it didn't.
+    [[nodiscard]] bool may_have_reached_upstream() const;
+
     // Whether the daemon had a document of routes when `view` was taken.
     [[nodiscard]] bool has_routes() const
     {
@@ -60,6 +67,11 @@
     // Keeps `route` alive.
     std::shared_ptr<const node::configuration_view> view;
     const request_route* route = nullptr;
+    // Null: the request has no key. `view` keeps it alive.
+    const team* caller_team = nullptr;
+    // Upper bound when `view` was taken; known only where requests with a key
+    // need it.
+    duration configuration_age{0};
     service_name service;
     routed_call call;
     std::vector<upstream_handle> tried;
@@ -67,6 +79,7 @@
     std::uint32_t sent_tries = 0;
     std::size_t refusals = 0;
     bool may_have_run = false;
+    bool answered_by_upstream = false;
     // The try that is in flight.
     std::optional<peer_feedback> current_try;
     std::optional<node::refusal> last_failure;
--- a/nutmegusher/routed/peer_fields.cpp
+++ b/nutmegusher/routed/peer_fields.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view id_field = "nutmeg-call";
 constexpr std::string_view caller_field = "nutmeg-caller";
 constexpr std::string_view data_center_field = "nutmeg-from";
+constexpr std::string_view team_field = "nutmeg-caller-team";
 constexpr std::string_view load_field = "nutmeg-load";
 constexpr std::string_view shed_field = "nutmeg-shed";
 constexpr std::string_view sub_call_field = "nutmeg-sub-call";
@@ -169,6 +170,10 @@
     add(to, service_field, metadata.service.str());
     add(to, caller_field, metadata.caller_service.str());
     add(to, data_center_field, metadata.caller_data_center.str());
+    if (!metadata.team.empty())
+    {
+        add(to, team_field, metadata.team);
+    }
 }
 
 bool has_metadata(const wire::headers& fields)
@@ -211,6 +216,7 @@
         service_name(wire::find_header(from, caller_field).value_or(""));
     metadata.caller_data_center = data_center_name(
         wire::find_header(from, data_center_field).value_or(""));
+    metadata.team = wire::find_header(from, team_field).value_or("");
     metadata.rank = static_cast<std::uint8_t>(rank);
     metadata.repeatable = (flags & repeatable_bit) != 0;
     metadata.bulk = (flags & bulk_bit) != 0;
--- a/nutmegusher/routed/request_dialect.hpp
+++ b/nutmegusher/routed/request_dialect.hpp
@@ -21,6 +21,11 @@
     std::string time_left = "nutmeg-timeout-ms";
     // Sent to the upstream: the service on the host where the request began.
     std::string caller_service = "nutmeg-caller-service";
+    // Sent to the upstream: the name of the team whose key the request has.
+    std::string team = "nutmeg-team";
+    // On requests: the key, as `bearer_key` reads it. Not forwarded where there
+    // are teams.
+    std::string authorization = "authorization";
     // Sent to the upstream: the id of the upstream that is meant; any other
     // refuses.
     std::string expected_upstream = "nutmeg-expected-upstream";
--- a/nutmegusher/routed/routed_call.hpp
+++ b/nutmegusher/routed/routed_call.hpp
@@ -35,6 +35,8 @@
     // centre.
     service_name caller_service;
     data_center_name caller_data_center;
+    // The team whose key the request has; empty: none.
+    std::string team;
     std::uint8_t rank = 0;
     bool repeatable = false;
     bool bulk = false;
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -385,6 +385,10 @@
         add(names.time_left, node::to_milliseconds(call_.metadata.time_left()));
         add(names.expected_upstream, to.id);
         add(names.caller_service, call_.metadata.caller_service.str());
+        if (!call_.metadata.team.empty())
+        {
+            add(names.team, call_.metadata.team);
+        }
         request.body = call_.body;
         request.needs_fresh_connection = !call_.metadata.repeatable;
         request.echoed_field = names.request_id;
--- a/nutmegusher/routes/route_table.cpp
+++ b/nutmegusher/routes/route_table.cpp
@@ -1,7 +1,6 @@
 #include "nutmegusher/routes/route_table.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -33,6 +32,7 @@
     result.path_prefix = from.path_prefix();
     result.repeatable = from.repeatable();
     result.bulk = from.bulk();
+    result.anonymous = from.anonymous();
     result.deadline = std::chrono::milliseconds(from.deadline_ms());
     result.target = std::chrono::milliseconds(from.target_ms());
     result.rank = static_cast<std::uint8_t>(std::min(from.rank(), lowest_rank));
@@ -85,9 +85,7 @@
     for (const auto& each : document.routes())
     {
         const auto host = lower_case_host(each.host());
-        auto route = to_route(each);
-        result.ranks_.insert(route.rank);
-        result.by_host_[host].push_back(std::move(route));
+        result.by_host_[host].push_back(to_route(each));
     }
     for (auto& [host, routes] : result.by_host_)
     {
@@ -121,12 +119,6 @@
     return found == host_routes->second.end() ? nullptr : &*found;
 }
 
-std::size_t route_table::ranks_below(std::uint8_t rank) const
-{
-    return static_cast<std::size_t>(
-        std::distance(ranks_.upper_bound(rank), ranks_.end()));
-}
-
 std::vector<service_name> route_table::services() const
 {
     std::set<service_name> all;
--- a/nutmegusher/routes/route_table.hpp
+++ b/nutmegusher/routes/route_table.hpp
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -32,6 +31,8 @@
     bool repeatable = false;
     // Whether answers are long transfers.
     bool bulk = false;
+    // Whether requests need no key where there are teams.
+    bool anonymous = false;
     // The longest time that a caller waits for an answer.
     duration deadline{0};
     // The latency within which an answer is on time; zero: none is set.
@@ -76,16 +77,12 @@
         return limits_;
     }
 
-    // How many distinct ranks less important than this one the routes have.
-    [[nodiscard]] std::size_t ranks_below(std::uint8_t rank) const;
-
     // All services that routes go to, each once.
     [[nodiscard]] std::vector<service_name> services() const;
 
 private:
     std::uint64_t version_ = 0;
     messages::request_limits limits_;
-    std::set<std::uint8_t> ranks_;
     // Keyed by host; longest prefix first.
     std::unordered_map<std::string, std::vector<request_route>> by_host_;
 };
