--- a/nutmegusher/control/route_document_test.cpp
+++ b/nutmegusher/control/route_document_test.cpp
@@ -1,9 +1,11 @@
 // Route documents: which are refused, and which of several is in force.
 #include "nutmegusher/control/control.hpp"
+#include "nutmegusher/teams/teams.hpp"
 
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <limits>
 
 namespace nutmegusher
 {
@@ -112,6 +114,96 @@
     }
 }
 
+messages::team& add_team(
+    messages::route_document& to,
+    const std::string& name,
+    const std::string& key)
+{
+    auto& team = *to.add_teams();
+    team.set_name(name);
+    team.add_key_digests(key_digest::of(key).bytes());
+    return team;
+}
+
+TEST(team_check, names_what_is_wrong)
+{
+    const double infinite = std::numeric_limits<double>::infinity();
+    const double no_number = std::numeric_limits<double>::quiet_NaN();
+    struct invalid_teams
+    {
+        messages::change_problem problem;
+        std::string field;
+        std::function<void(messages::route_document&)> corrupt;
+    };
+    const std::vector<invalid_teams> all{
+        {messages::problem_empty_name,
+         "teams.name",
+         [](auto& it)
+         {
+             add_team(it, "", "k9");
+         }},
+        {messages::problem_bad_name,
+         "teams.name",
+         [](auto& it)
+         {
+             add_team(it, "a\r\nb", "k9");
+         }},
+        {messages::problem_repeated_name,
+         "teams.audit.name",
+         [](auto& it)
+         {
+             add_team(it, "audit", "k9");
+         }},
+        {messages::problem_bad_key,
+         "teams.empty.keys",
+         [](auto& it)
+         {
+             add_team(it, "empty", "k9").add_key_digests("");
+         }},
+        {messages::problem_shared_key,
+         "teams.other.keys",
+         [](auto& it)
+         {
+             add_team(it, "other", "k1");
+         }},
+        {messages::problem_shared_key,
+         "teams.twice.keys",
+         [](auto& it)
+         {
+             auto& team = add_team(it, "twice", "k9");
+             team.add_key_digests(team.key_digests(0));
+         }},
+        {messages::problem_bad_allotment,
+         "teams.audit.rate",
+         [](auto& it)
+         {
+             it.mutable_teams(0)->set_rate(-1);
+         }},
+        {messages::problem_bad_allotment,
+         "teams.audit.rate",
+         [&](auto& it)
+         {
+             it.mutable_teams(0)->set_rate(infinite);
+         }},
+        {messages::problem_bad_allotment,
+         "teams.audit.burst",
+         [&](auto& it)
+         {
+             it.mutable_teams(0)->set_burst(no_number);
+         }}};
+    for (const auto& each : all)
+    {
+        auto invalid = document(1, 0);
+        add_team(invalid, "audit", "k1");
+        ASSERT_FALSE(check_routes(invalid));
+        each.corrupt(invalid);
+        const auto problem = check_routes(invalid);
+        ASSERT_TRUE(problem);
+        EXPECT_EQ(problem->problem, each.problem) << problem->field;
+        EXPECT_EQ(problem->field, each.field);
+    }
+}
+
 TEST(route_documents, the_same_document_sent_again_is_acknowledged_again)
 {
     configuration_store store;
--- a/nutmegusher/routed/test_path.hpp
+++ b/nutmegusher/routed/test_path.hpp
@@ -132,8 +132,10 @@
 class routed_node
 {
 public:
-    explicit routed_node(const std::string& host)
-        : shared(make_settings(host), incarnation(1))
+    explicit routed_node(
+        const std::string& host,
+        duration max_configuration_age = duration::zero())
+        : shared(make_settings(host, max_configuration_age), incarnation(1))
         , worker(shared, 0)
         , state(shared, request_dialect(), [] {})
     {
@@ -176,7 +178,9 @@
             });
     }
 
-    static node::settings make_settings(const std::string& host)
+    static node::settings make_settings(
+        const std::string& host,
+        duration max_configuration_age = duration::zero())
     {
         node::settings result;
         result.host.id = host_id(host);
@@ -184,6 +188,7 @@
         result.host.region = region_name("region");
         result.upstream.service = service_name("members");
         result.dialect = "test";
+        result.teams.max_configuration_age = max_configuration_age;
         return result;
     }
 
@@ -207,7 +212,7 @@
     void start_without_routes(scripted_upstream::script script)
     {
         upstream = std::make_unique<scripted_upstream>(std::move(script));
-        entry = std::make_unique<routed_node>("entry");
+        entry = std::make_unique<routed_node>("entry", max_configuration_age);
         upstream_node = std::make_unique<routed_node>("beside");
         announce(*upstream_node, *upstream);
         entry->start();
@@ -293,11 +298,16 @@
     ask(const std::string& path,
         const std::string& id,
         const std::string& body = "") const
+    {
+        return ask(make_request(path, id, body));
+    }
+
+    [[nodiscard]] text_response ask(const text_request& request) const
     {
         asio::io_context context;
         tcp::socket socket(context);
         socket.connect(entry->caller_server->local_endpoint());
-        http::write(socket, make_request(path, id, body));
+        http::write(socket, request);
         beast::flat_buffer buffer;
         text_response answer;
         boost::system::error_code failed;
@@ -306,6 +316,8 @@
         return answer;
     }
 
+    // Of the entry's settings.
+    duration max_configuration_age{0};
     std::vector<messages::upstream_record> records;
     std::unique_ptr<scripted_upstream> upstream;
     std::unique_ptr<scripted_upstream> other_upstream;
