--- a/nutmegusher/ctl/command.hpp
+++ b/nutmegusher/ctl/command.hpp
@@ -86,6 +86,7 @@
 void add_replace_options(cxxopts::OptionAdder& add);
 exit_code show_upstreams(const command_context& context);
 exit_code show_dump(const command_context& context);
+exit_code show_teams(const command_context& context);
 exit_code drain(const command_context& context);
 exit_code show_quarantine(const command_context& context);
 void add_release_options(cxxopts::OptionAdder& add);
--- a/nutmegusher/ctl/control_commands.cpp
+++ b/nutmegusher/ctl/control_commands.cpp
@@ -67,6 +67,11 @@
     return get_and_print(context, "/v1/dump");
 }
 
+exit_code show_teams(const command_context& context)
+{
+    return get_and_print(context, "/v1/teams");
+}
+
 exit_code drain(const command_context& context)
 {
     const auto reply = context.client.post_once("/v1/drain", "");
--- a/nutmegusher/ctl/control_commands_test.cpp
+++ b/nutmegusher/ctl/control_commands_test.cpp
@@ -50,6 +50,16 @@
         R"({"old":"c2","new":"c4","address":"127.0.0.4:9"})");
 }
 
+TEST_F(ctl_test, teams_shows_the_allotments)
+{
+    script_reply(
+        "/v1/teams",
+        200,
+        R"({"term": 3, "teams": [{"team": "audit", "rate": 5, "held": 2}]})");
+    EXPECT_EQ(run_with_address("teams"), exit_code::success);
+    EXPECT_THAT(out.str(), HasSubstr("audit"));
+}
+
 TEST_F(ctl_test, quarantine_is_listed_and_released_by_digest)
 {
     script_reply(
--- a/nutmegusher/node/allotment_server.cpp
+++ b/nutmegusher/node/allotment_server.cpp
@@ -104,6 +104,7 @@
     if (is_new)
     {
         owner_.emplace(leadership.term, now, bounds_, times_);
+        log_event(event::allotments_owned, {{"term", leadership.term}});
     }
     const auto present = source_.present();
     if (is_new || present != limits_at_)
--- a/nutmegusher/node/control_service.cpp
+++ b/nutmegusher/node/control_service.cpp
@@ -450,6 +450,10 @@
     {
         return state_->rollout();
     };
+    made.allotments = [this]
+    {
+        return state_->allotments->dump();
+    };
     made.replace = [this](std::string body)
     {
         return state_->replace(std::move(body));
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -188,6 +188,7 @@
         {"classes", shared.request_metrics.dump()},
         {"quarantine", quarantined(current_worker, callbacks)},
         {"crash_records", shared.crashes.size()},
+        {"allotments", shared.allotments.dump()},
         {"sync", callbacks.sync()}};
     if (const auto own = shared.upstream.record())
     {
@@ -302,6 +303,10 @@
     {
         co_return answer_if(callbacks.control.rollout);
     }
+    if (path == "/v1/teams")
+    {
+        co_return answer_if(callbacks.control.allotments);
+    }
     if (path == "/v1/control")
     {
         co_return answer_if(callbacks.control.state);
