--- a/nutmegusher/routed/team_path_test.cpp
+++ b/nutmegusher/routed/team_path_test.cpp
@@ -69,11 +69,11 @@
     void start_with_teams()
     {
         start_without_routes(recording_script());
-        document_.set_version(1);
-        add_route(document_, "/views/", true);
-        add_route(document_, "/pay/", false);
-        add_route(document_, "/open/", true);
-        document_.mutable_routes(2)->set_anonymous(true);
+        document.set_version(1);
+        add_route(document, "/views/", true);
+        add_route(document, "/pay/", false);
+        add_route(document, "/open/", true);
+        document.mutable_routes(2)->set_anonymous(true);
         add_team("treasury", first_key);
         add_team("audit", second_key);
         install();
@@ -81,7 +81,7 @@
 
     void add_team(const std::string& name, const std::string& key)
     {
-        auto& team = *document_.add_teams();
+        auto& team = *document.add_teams();
         team.set_name(name);
         team.add_key_digests(key_digest::of(key).bytes());
     }
@@ -91,7 +91,7 @@
     {
         messages::configuration_delta delta;
         delta.mutable_full()->set_revision(++revision_);
-        *delta.mutable_full()->mutable_routes() = document_;
+        *delta.mutable_full()->mutable_routes() = document;
         entry->shared.configuration.accept(delta);
         entry->shared.age_of_configuration.advance(host_clock().now());
     }
@@ -120,7 +120,7 @@
         return arrived_;
     }
 
-    messages::route_document document_;
+    messages::route_document document;
 
 private:
     scripted_upstream::script recording_script()
@@ -193,7 +193,7 @@
 TEST_F(team_path, without_teams_the_field_is_forwarded)
 {
     start_with_teams();
-    document_.clear_teams();
+    document.clear_teams();
     install();
     EXPECT_EQ(status_with("/views/1", "other"), 200);
     const auto requests = arrived();
@@ -207,12 +207,12 @@
     start_with_teams();
     EXPECT_EQ(status_with("/views/1", first_key), 200);
     // The key moves to the other team.
-    document_.mutable_teams(1)->add_key_digests(
-        document_.teams(0).key_digests(0));
-    document_.mutable_teams(0)->clear_key_digests();
+    document.mutable_teams(1)->add_key_digests(
+        document.teams(0).key_digests(0));
+    document.mutable_teams(0)->clear_key_digests();
     install();
     EXPECT_EQ(status_with("/views/2", first_key), 200);
-    document_.mutable_teams(1)->clear_key_digests();
+    document.mutable_teams(1)->clear_key_digests();
     install();
     EXPECT_EQ(status_with("/views/3", first_key), 401);
     const auto requests = arrived();
@@ -251,10 +251,10 @@
 TEST_F(team_path, refuses_requests_beyond_the_allotment)
 {
     start_with_teams();
-    document_.mutable_teams(0)->set_rate(1);
-    document_.mutable_teams(0)->set_burst(4);
+    document.mutable_teams(0)->set_rate(1);
+    document.mutable_teams(0)->set_burst(4);
     install();
-    const owner_stub owner(entry->shared.allotments, document_);
+    const owner_stub owner(entry->shared.allotments, document);
     std::map<unsigned, std::size_t> counts;
     for (int i = 0; i < 12; ++i)
     {
@@ -278,7 +278,7 @@
 TEST_F(team_path, refuses_requests_of_limited_teams_without_an_owner)
 {
     start_with_teams();
-    document_.mutable_teams(0)->set_rate(100);
+    document.mutable_teams(0)->set_rate(100);
     install();
     const auto refused =
         ask_with("/views/1", {std::string("Bearer ") + first_key});
