--- a/nutmegusher/routed/team_path_test.cpp
+++ b/nutmegusher/routed/team_path_test.cpp
@@ -63,6 +63,42 @@
     std::thread thread_;
 };
 
+// Answers one request to the owner, and no further one.
+void grant_once(node::allotment_gate& gate, std::uint32_t tokens)
+{
+    auto wait = gate.until_next_exchange();
+    while (!wait || *wait > duration::zero())
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+        wait = gate.until_next_exchange();
+    }
+    const auto request = gate.make_request(incarnation(1));
+    messages::allotment_reply reply;
+    reply.set_accepted(true);
+    reply.set_term(1);
+    reply.set_sequence(request.sequence());
+    auto& grant = *reply.add_grants();
+    grant.set_team(request.holdings(0).team());
+    grant.set_granted(tokens);
+    EXPECT_TRUE(gate.on_reply(reply));
+}
+
+std::size_t tokens_of(const node::allotment_gate& gate)
+{
+    const auto dump = gate.dump();
+    return static_cast<std::size_t>(dump.at("tokens").as_double());
+}
+
+template <class Condition>
+void wait_until(const Condition& condition)
+{
+    const auto until = host_clock().now() + seconds(1);
+    while (!condition() && host_clock().now() < until)
+    {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+}
+
 class team_path : public routed_path
 {
 protected:
@@ -288,6 +324,59 @@
     EXPECT_EQ(arrived().size(), 0);
 }
 
+// The call may have started there in that moment.
+TEST_F(team_path, a_call_that_is_interrupted_at_a_peer_keeps_its_token)
+{
+    constexpr std::uint32_t granted = 10;
+    constexpr std::size_t slots = 4;
+    std::atomic<std::size_t> running = 0;
+    std::promise<void> released;
+    const auto release = released.get_future().share();
+    start_without_routes(
+        [&running, release](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            if (read_request(socket, buffer))
+            {
+                ++running;
+                release.wait();
+            }
+        });
+    document.set_version(1);
+    add_route(document, "/views/", true);
+    add_team("treasury", first_key);
+    document.mutable_teams(0)->set_rate(100);
+    install();
+    auto& gate = entry->shared.allotments;
+    std::vector<std::unique_ptr<tcp::socket>> callers;
+    asio::io_context context;
+    for (std::size_t i = 0; i <= slots; ++i)
+    {
+        auto request = make_request("/views/1", "id-" + std::to_string(i), "");
+        request.set("authorization", std::string("Bearer ") + first_key);
+        auto& socket =
+            *callers.emplace_back(std::make_unique<tcp::socket>(context));
+        socket.connect(entry->caller_server->local_endpoint());
+        http::write(socket, request);
+        if (i == 0)
+        {
+            grant_once(gate, granted);
+        }
+    }
+    wait_until(
+        [&]
+        {
+            return running == slots && tokens_of(gate) == granted - slots - 1;
+        });
+    EXPECT_EQ(tokens_of(gate), granted - slots - 1);
+    // Time for the last call to reach the queue of the other daemon.
+    std::this_thread::sleep_for(milliseconds(200));
+    callers.back()->close();
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_EQ(tokens_of(gate), granted - slots - 1);
+    released.set_value();
+}
+
 TEST_F(team_path, keys_are_in_no_metric_and_no_dump)
 {
     start_with_teams();
