--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -89,8 +89,7 @@
         event::configuration_current, "configuration_current", severity::info},
     event_description{
         event::quarantine_not_kept, "quarantine_not_kept", severity::warning},
-    event_description{
-        event::allotments_owned, "allotments_owned", severity::info},
+    event_description{event::quotas_owned, "quotas_owned", severity::info},
     event_description{
         event::upstream_announced, "upstream_announced", severity::info},
     event_description{
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -58,7 +58,7 @@
     configuration_may_be_old = 217,
     configuration_current = 218,
     quarantine_not_kept = 219,
-    allotments_owned = 220,
+    quotas_owned = 220,
     upstream_announced = 300,
     upstream_leaving = 301,
     upstream_lost = 302,
--- a/nutmegusher/control/route_document_test.cpp
+++ b/nutmegusher/control/route_document_test.cpp
@@ -173,19 +173,19 @@
              auto& team = add_team(it, "twice", "k9");
              team.add_key_digests(team.key_digests(0));
          }},
-        {messages::problem_bad_allotment,
+        {messages::problem_bad_quota,
          "teams.audit.rate",
          [](auto& it)
          {
              it.mutable_teams(0)->set_rate(-1);
          }},
-        {messages::problem_bad_allotment,
+        {messages::problem_bad_quota,
          "teams.audit.rate",
          [&](auto& it)
          {
              it.mutable_teams(0)->set_rate(infinite);
          }},
-        {messages::problem_bad_allotment,
+        {messages::problem_bad_quota,
          "teams.audit.burst",
          [&](auto& it)
          {
--- a/nutmegusher/control/team_check.cpp
+++ b/nutmegusher/control/team_check.cpp
@@ -88,11 +88,11 @@
         }
         if (!is_amount(team.rate()))
         {
-            return make_problem(messages::problem_bad_allotment, team, "rate");
+            return make_problem(messages::problem_bad_quota, team, "rate");
         }
         if (!is_amount(team.burst()))
         {
-            return make_problem(messages::problem_bad_allotment, team, "burst");
+            return make_problem(messages::problem_bad_quota, team, "burst");
         }
     }
     return std::nullopt;
--- a/nutmegusher/control/team_check.hpp
+++ b/nutmegusher/control/team_check.hpp
@@ -12,7 +12,7 @@
 
 // Returns the first problem; no value if each team has a name of its own, keys
 // that aren't empty and that no other team has and it has only once, and an
-// allotment of finite numbers of at least 0. Fields name teams, never keys.
+// quota of finite numbers of at least 0. Fields name teams, never keys.
 [[nodiscard]] std::optional<configuration_problem>
 check_teams(const messages::route_document& document);
 
--- a/nutmegusher/ctl/command_table.cpp
+++ b/nutmegusher/ctl/command_table.cpp
@@ -49,7 +49,7 @@
      add_upstreams_options,
      show_upstreams},
     {"teams",
-     "shows the teams' allotments, at the control host that owns them",
+     "shows the teams' quotas, at the control host that owns them",
      "",
      "",
      add_no_options,
--- a/nutmegusher/ctl/control_commands_test.cpp
+++ b/nutmegusher/ctl/control_commands_test.cpp
@@ -50,7 +50,7 @@
         R"({"old":"c2","new":"c4","address":"127.0.0.4:9"})");
 }
 
-TEST_F(ctl_test, teams_shows_the_allotments)
+TEST_F(ctl_test, teams_shows_the_quotas)
 {
     script_reply(
         "/v1/teams",
--- a/nutmegusher/node/call.cpp
+++ b/nutmegusher/node/call.cpp
@@ -35,7 +35,7 @@
     reason_text{call_reason::key_reused, "key-reused", 422},
     reason_text{call_reason::too_large, "too-large", 413},
     reason_text{call_reason::fair_share, "fair-share", 429},
-    reason_text{call_reason::over_allotment, "over-allotment", 429},
+    reason_text{call_reason::over_quota, "over-quota", 429},
     reason_text{call_reason::overload, "overload", 503},
     reason_text{call_reason::overload_deeper, "overload-deeper", 503},
     reason_text{call_reason::leaving, "leaving", 503},
@@ -44,8 +44,7 @@
     reason_text{call_reason::other_upstream, "other-upstream", 503},
     reason_text{call_reason::starting, "starting", 503},
     reason_text{call_reason::claims_unavailable, "claims-unavailable", 503},
-    reason_text{
-        call_reason::allotment_unavailable, "allotment-unavailable", 503},
+    reason_text{call_reason::quota_unavailable, "quota-unavailable", 503},
     reason_text{call_reason::configuration_old, "configuration-old", 503},
     reason_text{call_reason::deadline, "deadline", 504},
     reason_text{call_reason::upstream_refused, "upstream-refused", 503},
--- a/nutmegusher/node/call.hpp
+++ b/nutmegusher/node/call.hpp
@@ -54,7 +54,7 @@
     key_reused,
     too_large,
     fair_share,
-    over_allotment, // the team has used its allotment
+    over_quota, // the team has used its quota
     overload,
     overload_deeper, // a sub-call of it was refused for overload
     leaving,
@@ -63,8 +63,8 @@
     other_upstream, // the host contacted now serves another service
     starting,
     claims_unavailable,
-    allotment_unavailable, // no owner of allotments has answered
-    configuration_old,     // a key may have been removed since
+    quota_unavailable, // no owner of quotas has answered
+    configuration_old, // a key may have been removed since
     deadline,
     upstream_refused, // the upstream refused it without running it
     upstream_failed,
--- a/nutmegusher/node/control_service.cpp
+++ b/nutmegusher/node/control_service.cpp
@@ -1,9 +1,10 @@
 #include "nutmegusher/node/control_service.hpp"
 
-#include "nutmegusher/node/allotment_server.hpp"
 #include "nutmegusher/node/control_logs.hpp"
 #include "nutmegusher/node/crash_store.hpp"
 #include "nutmegusher/node/json_messages.hpp"
+#include "nutmegusher/node/quota_client.hpp"
+#include "nutmegusher/node/quota_server.hpp"
 #include "nutmegusher/node/sync_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,7 +24,6 @@
 constexpr duration hand_over_limit = std::chrono::seconds(3);
 // The maximum number of changes that `history` returns.
 constexpr std::size_t max_history = 1000;
-constexpr std::string_view allotment_path = "/control/allotment";
 constexpr std::string_view sync_path = "/control/sync";
 constexpr std::string_view registry_path = "/control/registry";
 
@@ -140,7 +140,7 @@
     }
 
     control_source make_source();
-    allotment_source make_allotment_source();
+    quota_source make_quota_source();
     [[nodiscard]] json::value describe() const;
     [[nodiscard]] json::value history() const;
     [[nodiscard]] json::value rollout() const;
@@ -155,7 +155,7 @@
     // Used only on `thread` once that runs.
     std::optional<file_disk> crash_disk;
     std::unique_ptr<sync_server> syncs;
-    std::unique_ptr<allotment_server> allotments;
+    std::unique_ptr<quota_server> quotas;
     std::thread thread;
 };
 
@@ -221,7 +221,7 @@
         const auto at = logs->known_current_at();
         return at - suspensions.since(at);
     };
-    source.allotment_owner = [this]
+    source.quota_owner = [this]
     {
         const auto leader = logs->leadership().leader;
         return leader ? to_text(*leader) : std::string();
@@ -229,9 +229,9 @@
     return source;
 }
 
-allotment_source control_service::state::make_allotment_source()
+quota_source control_service::state::make_quota_source()
 {
-    allotment_source source;
+    quota_source source;
     source.leadership = [this]
     {
         return logs->leadership();
@@ -252,7 +252,7 @@
     return json::object{
         {"logs", logs->state()},
         {"registry", syncs->dump()},
-        {"allotments", allotments->dump()}};
+        {"quotas", quotas->dump()}};
 }
 
 json::value control_service::state::history() const
@@ -348,8 +348,8 @@
         load_crashes(
             *made->crash_disk, host_clock().now(), wall_milliseconds()));
     made->syncs->restore(kept);
-    made->allotments = std::make_unique<allotment_server>(
-        made->make_allotment_source(), configured.allotments);
+    made->quotas = std::make_unique<quota_server>(
+        made->make_quota_source(), configured.quotas);
     made->logs->on_revision(
         [syncs = made->syncs.get()](revision)
         {
@@ -357,7 +357,7 @@
         });
     lease_worker.tasks.spawn(
         made->syncs->exchange_leases(lease_worker.peers, lease_worker.tasks));
-    lease_worker.tasks.spawn(made->allotments->follow());
+    lease_worker.tasks.spawn(made->quotas->follow());
     auto& context = made->context;
     made->thread = std::thread(
         [&context]
@@ -387,9 +387,9 @@
         co_await state_->syncs->serve(stream);
         co_return;
     }
-    if (path == allotment_path)
+    if (path == quota_path)
     {
-        co_await state_->allotments->serve(stream);
+        co_await state_->quotas->serve(stream);
         co_return;
     }
     if (!co_await state_->logs->handle(stream))
@@ -450,9 +450,9 @@
     {
         return state_->rollout();
     };
-    made.allotments = [this]
+    made.quotas = [this]
     {
-        return state_->allotments->dump();
+        return state_->quotas->dump();
     };
     made.replace = [this](std::string body)
     {
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -399,7 +399,7 @@
     tasks.spawn(state_->sync->monitor_age());
     if (state_->shared.configured.listen.callers)
     {
-        tasks.spawn(state_->allotments->run());
+        tasks.spawn(state_->quotas->run());
     }
     if (!state_->optional_extension)
     {
--- a/nutmegusher/node/daemon_state.hpp
+++ b/nutmegusher/node/daemon_state.hpp
@@ -2,11 +2,11 @@
 #ifndef NUTMEGUSHER_NODE_DAEMON_STATE_HPP
 #define NUTMEGUSHER_NODE_DAEMON_STATE_HPP
 
-#include "nutmegusher/node/allotment_client.hpp"
 #include "nutmegusher/node/control_service.hpp"
 #include "nutmegusher/node/daemon.hpp"
 #include "nutmegusher/node/http_server.hpp"
 #include "nutmegusher/node/operator_api.hpp"
+#include "nutmegusher/node/quota_client.hpp"
 #include "nutmegusher/node/stop_sequence.hpp"
 #include "nutmegusher/node/sync_client.hpp"
 #include "nutmegusher/node/worker.hpp"
@@ -58,14 +58,14 @@
                 });
         };
         shared.crashes.on_change = shared.request_sync;
-        allotments = std::make_unique<allotment_client>(first());
-        shared.allotments.on_waiting = [this]
+        quotas = std::make_unique<quota_client>(first());
+        shared.quotas.on_waiting = [this]
         {
             asio::post(
                 first().context,
                 [this]
                 {
-                    allotments->wake();
+                    quotas->wake();
                 });
         };
     }
@@ -118,7 +118,7 @@
     std::vector<std::unique_ptr<worker>> workers;
     std::vector<listeners> listeners_by_worker;
     std::unique_ptr<sync_client> sync;
-    std::unique_ptr<allotment_client> allotments;
+    std::unique_ptr<quota_client> quotas;
     std::unique_ptr<control_service> control;
     std::unique_ptr<http_server> operators;
     std::unique_ptr<http_server> metrics_server;
--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -169,7 +169,7 @@
         break;
     case stop_step::closing_callers:
         shared.admission.set_leaving(true);
-        allotments->stop();
+        quotas->stop();
         co_await close_callers();
         if (control)
         {
@@ -292,7 +292,7 @@
 daemon::state::end(const stop_sequence& stop, open_counts left)
 {
     sync->stop();
-    allotments->stop();
+    quotas->stop();
     for (std::size_t i = 0; i < workers.size(); ++i)
     {
         co_await asio::co_spawn(
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -188,7 +188,7 @@
         {"classes", shared.request_metrics.dump()},
         {"quarantine", quarantined(current_worker, callbacks)},
         {"crash_records", shared.crashes.size()},
-        {"allotments", shared.allotments.dump()},
+        {"quotas", shared.quotas.dump()},
         {"sync", callbacks.sync()}};
     if (const auto own = shared.upstream.record())
     {
@@ -305,7 +305,7 @@
     }
     if (path == "/v1/teams")
     {
-        co_return answer_if(callbacks.control.allotments);
+        co_return answer_if(callbacks.control.quotas);
     }
     if (path == "/v1/control")
     {
--- a/nutmegusher/node/operator_api.hpp
+++ b/nutmegusher/node/operator_api.hpp
@@ -33,8 +33,8 @@
     std::function<boost::json::value()> state;
     std::function<boost::json::value()> history;
     std::function<boost::json::value()> rollout;
-    // The teams' allotments; null on a host that doesn't own them.
-    std::function<boost::json::value()> allotments;
+    // The teams' quotas; null on a host that doesn't own them.
+    std::function<boost::json::value()> quotas;
     // Handles the body of `POST /v1/control/replace`; returns the status and
     // body of the answer.
     std::function<asio::awaitable<std::pair<unsigned, boost::json::value>>(
--- a/nutmegusher/node/allotment_client.cpp
+++ b/nutmegusher/node/quota_client.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/node/allotment_client.hpp"
+#include "nutmegusher/node/quota_client.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,35 +12,34 @@
 {
 
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
-constexpr std::string_view allotment_path = "/control/allotment";
 // Many round trips; short against the time that requests wait for a token.
 constexpr duration exchange_timeout = std::chrono::milliseconds(250);
 
 } // namespace
 
-allotment_client::allotment_client(worker& owner)
+quota_client::quota_client(worker& owner)
     : worker_(owner)
     , timer_(owner.context)
 {
 }
 
-void allotment_client::wake()
+void quota_client::wake()
 {
     timer_.cancel();
 }
 
-void allotment_client::stop()
+void quota_client::stop()
 {
     stopped_ = true;
-    worker_.shared.allotments.stop();
+    worker_.shared.quotas.stop();
     wake();
 }
 
-asio::awaitable<void> allotment_client::run()
+asio::awaitable<void> quota_client::run()
 {
     while (!stopped_)
     {
-        const auto wait = worker_.shared.allotments.until_next_exchange();
+        const auto wait = worker_.shared.quotas.until_next_exchange();
         if (wait && *wait <= duration::zero())
         {
             co_await exchange();
@@ -50,19 +49,19 @@
         const auto until =
             host_clock().now() + std::min<duration>(
                                      wait.value_or(duration::max() / 4),
-                                     allotment_holder::refill_interval);
+                                     quota_holder::refill_interval);
         timer_.expires_at(wait ? until : time_point::max());
         co_await timer_.async_wait(as_tuple_awaitable);
     }
-    if (worker_.shared.allotments.until_next_exchange())
+    if (worker_.shared.quotas.until_next_exchange())
     {
         co_await exchange();
     }
 }
 
-std::optional<endpoint> allotment_client::choose_target()
+std::optional<endpoint> quota_client::choose_target()
 {
-    auto named = worker_.shared.allotments.owner();
+    auto named = worker_.shared.quotas.owner();
     if (named != named_by_sync_)
     {
         named_by_sync_ = named;
@@ -80,9 +79,9 @@
     return hosts[next_host_++ % hosts.size()];
 }
 
-asio::awaitable<void> allotment_client::exchange()
+asio::awaitable<void> quota_client::exchange()
 {
-    auto& gate = worker_.shared.allotments;
+    auto& gate = worker_.shared.quotas;
     const auto target = choose_target();
     const auto request =
         gate.make_request(incarnation(worker_.shared.upstream.run()));
@@ -92,9 +91,9 @@
     if (target)
     {
         answer = co_await wire::call(
-            worker_.peers, *target, allotment_path, body, exchange_timeout);
+            worker_.peers, *target, quota_path, body, exchange_timeout);
     }
-    messages::allotment_reply reply;
+    messages::quota_reply reply;
     if (!answer || !reply.ParseFromString(*answer))
     {
         gate.on_no_reply();
--- a/nutmegusher/node/allotment_client.hpp
+++ b/nutmegusher/node/quota_client.hpp
@@ -1,6 +1,6 @@
-// A daemon's exchange with the owner of the teams' allotments.
-#ifndef NUTMEGUSHER_NODE_ALLOTMENT_CLIENT_HPP
-#define NUTMEGUSHER_NODE_ALLOTMENT_CLIENT_HPP
+// A daemon's exchange with the owner of the teams' quotas.
+#ifndef NUTMEGUSHER_NODE_QUOTA_CLIENT_HPP
+#define NUTMEGUSHER_NODE_QUOTA_CLIENT_HPP
 
 #include "nutmegusher/node/worker.hpp"
 
@@ -10,18 +10,23 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace nutmegusher::node
 {
 
-// Sends the requests of the process's `allotment_gate` to the owner, one at a
+// Where control hosts serve `quota_request`. The path keeps its first name, as
+// hosts of different releases talk to each other during an update.
+inline constexpr std::string_view quota_path = "/control/allotment";
+
+// Sends the requests of the process's `quota_gate` to the owner, one at a
 // time, and looks for another owner where it doesn't answer. Idle while no
-// request of a team with an allotment arrives.
-class allotment_client
+// request of a team with a quota arrives.
+class quota_client
 {
 public:
     // Runs on the worker `owner`, which must outlive it.
-    explicit allotment_client(worker& owner);
+    explicit quota_client(worker& owner);
 
     // Exchanges until `stop`.
     asio::awaitable<void> run();
--- a/nutmegusher/node/allotment_gate.cpp
+++ b/nutmegusher/node/quota_gate.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/node/allotment_gate.hpp"
+#include "nutmegusher/node/quota_gate.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -20,10 +20,10 @@
 } // namespace
 
 // A request that waits, until it is destroyed.
-class allotment_gate::waiting_request
+class quota_gate::waiting_request
 {
 public:
-    waiting_request(allotment_gate& gate, const std::string& team)
+    waiting_request(quota_gate& gate, const std::string& team)
         : gate_(gate)
         , team_(team)
     {
@@ -45,17 +45,17 @@
     }
 
 private:
-    allotment_gate& gate_;
+    quota_gate& gate_;
     const std::string& team_;
 };
 
-allotment_gate::allotment_gate(host_id self)
+quota_gate::quota_gate(host_id self)
     : holder_(std::move(self))
 {
 }
 
 asio::awaitable<token_result>
-allotment_gate::take(std::string team, duration max_wait)
+quota_gate::take(std::string team, duration max_wait)
 {
     token_result result;
     {
@@ -79,25 +79,25 @@
     co_return result;
 }
 
-void allotment_gate::refund(const std::string& team)
+void quota_gate::refund(const std::string& team)
 {
     const std::scoped_lock lock(mutex_);
     holder_.refund(team, uptime_clock().now());
 }
 
-void allotment_gate::set_owner(std::optional<asio::ip::tcp::endpoint> owner)
+void quota_gate::set_owner(std::optional<asio::ip::tcp::endpoint> owner)
 {
     const std::scoped_lock lock(mutex_);
     owner_ = std::move(owner);
 }
 
-std::optional<asio::ip::tcp::endpoint> allotment_gate::owner() const
+std::optional<asio::ip::tcp::endpoint> quota_gate::owner() const
 {
     const std::scoped_lock lock(mutex_);
     return owner_;
 }
 
-std::optional<duration> allotment_gate::until_next_exchange() const
+std::optional<duration> quota_gate::until_next_exchange() const
 {
     const std::scoped_lock lock(mutex_);
     const auto now = uptime_clock().now();
@@ -105,31 +105,31 @@
     return next ? std::optional<duration>(*next - now) : std::nullopt;
 }
 
-messages::allotment_request allotment_gate::make_request(incarnation run)
+messages::quota_request quota_gate::make_request(incarnation run)
 {
     const std::scoped_lock lock(mutex_);
     return holder_.make_request(run, uptime_clock().now());
 }
 
-bool allotment_gate::on_reply(const messages::allotment_reply& reply)
+bool quota_gate::on_reply(const messages::quota_reply& reply)
 {
     const std::scoped_lock lock(mutex_);
     return holder_.on_reply(reply, uptime_clock().now());
 }
 
-void allotment_gate::on_no_reply()
+void quota_gate::on_no_reply()
 {
     const std::scoped_lock lock(mutex_);
     holder_.on_no_reply();
 }
 
-void allotment_gate::stop()
+void quota_gate::stop()
 {
     const std::scoped_lock lock(mutex_);
     holder_.stop();
 }
 
-boost::json::value allotment_gate::dump() const
+boost::json::value quota_gate::dump() const
 {
     const std::scoped_lock lock(mutex_);
     return boost::json::object{
--- a/nutmegusher/node/allotment_gate.hpp
+++ b/nutmegusher/node/quota_gate.hpp
@@ -1,6 +1,6 @@
 // The teams' tokens of this process, for all worker threads.
-#ifndef NUTMEGUSHER_NODE_ALLOTMENT_GATE_HPP
-#define NUTMEGUSHER_NODE_ALLOTMENT_GATE_HPP
+#ifndef NUTMEGUSHER_NODE_QUOTA_GATE_HPP
+#define NUTMEGUSHER_NODE_QUOTA_GATE_HPP
 
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/teams/teams.hpp"
@@ -19,11 +19,11 @@
 
 namespace asio = boost::asio;
 
-// An `allotment_holder` with the waits of requests for it. Thread-safe.
-class allotment_gate
+// An `quota_holder` with the waits of requests for it. Thread-safe.
+class quota_gate
 {
 public:
-    explicit allotment_gate(host_id self);
+    explicit quota_gate(host_id self);
 
     // Takes a token for a request of the team. Waits for the owner's answer, at
     // most for `max_wait`; still `pending` then.
@@ -36,11 +36,11 @@
     void set_owner(std::optional<asio::ip::tcp::endpoint> owner);
     [[nodiscard]] std::optional<asio::ip::tcp::endpoint> owner() const;
 
-    // For `allotment_client`; see `allotment_holder`. The time until the next
+    // For `quota_client`; see `quota_holder`. The time until the next
     // exchange may be negative.
     [[nodiscard]] std::optional<duration> until_next_exchange() const;
-    [[nodiscard]] messages::allotment_request make_request(incarnation run);
-    bool on_reply(const messages::allotment_reply& reply);
+    [[nodiscard]] messages::quota_request make_request(incarnation run);
+    bool on_reply(const messages::quota_reply& reply);
     void on_no_reply();
     void stop();
 
@@ -53,7 +53,7 @@
     class waiting_request;
 
     mutable std::mutex mutex_;
-    allotment_holder holder_;
+    quota_holder holder_;
     std::optional<asio::ip::tcp::endpoint> owner_;
 };
 
--- a/nutmegusher/node/allotment_server.cpp
+++ b/nutmegusher/node/quota_server.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/node/allotment_server.hpp"
+#include "nutmegusher/node/quota_server.hpp"
 
 #include "nutmegusher/node/peer_message.hpp"
 
@@ -33,18 +33,17 @@
 
 } // namespace
 
-allotment_server::allotment_server(
-    allotment_source source, const allotment_bounds& bounds)
+quota_server::quota_server(quota_source source, const quota_bounds& bounds)
     : source_(std::move(source))
     , bounds_(bounds)
 {
 }
 
 asio::awaitable<void>
-allotment_server::serve(const std::shared_ptr<wire::server_stream>& stream)
+quota_server::serve(const std::shared_ptr<wire::server_stream>& stream)
 {
     const auto body = co_await read_message(*stream, max_request_bytes);
-    messages::allotment_request request;
+    messages::quota_request request;
     if (!body || !request.ParseFromString(*body) || request.host().empty())
     {
         co_await send_bad_request(*stream);
@@ -54,7 +53,7 @@
     co_await write_message(*stream, reply);
 }
 
-asio::awaitable<void> allotment_server::follow()
+asio::awaitable<void> quota_server::follow()
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (true)
@@ -69,8 +68,8 @@
     }
 }
 
-messages::allotment_reply
-allotment_server::answer(const messages::allotment_request& request)
+messages::quota_reply
+quota_server::answer(const messages::quota_request& request)
 {
     const auto leadership = source_.leadership();
     const std::scoped_lock lock(mutex_);
@@ -79,14 +78,14 @@
     {
         return owner->answer(request, uptime_clock().now());
     }
-    messages::allotment_reply reply;
+    messages::quota_reply reply;
     reply.set_sequence(request.sequence());
     reply.set_owner(to_text(leadership.leader));
     return reply;
 }
 
-allotment_owner*
-allotment_server::current_owner(const configuration_leadership& leadership)
+quota_owner*
+quota_server::current_owner(const configuration_leadership& leadership)
 {
     if (!leadership.confirmed_at)
     {
@@ -104,7 +103,7 @@
     if (is_new)
     {
         owner_.emplace(leadership.term, now, bounds_, times_);
-        log_event(event::allotments_owned, {{"term", leadership.term}});
+        log_event(event::quotas_owned, {{"term", leadership.term}});
     }
     const auto present = source_.present();
     if (is_new || present != limits_at_)
@@ -115,7 +114,7 @@
     return &*owner_;
 }
 
-boost::json::value allotment_server::dump()
+boost::json::value quota_server::dump()
 {
     const auto leadership = source_.leadership();
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/node/allotment_server.hpp
+++ b/nutmegusher/node/quota_server.hpp
@@ -1,6 +1,6 @@
-// A control host's side of the exchange on the teams' allotments.
-#ifndef NUTMEGUSHER_NODE_ALLOTMENT_SERVER_HPP
-#define NUTMEGUSHER_NODE_ALLOTMENT_SERVER_HPP
+// A control host's side of the exchange on the teams' quotas.
+#ifndef NUTMEGUSHER_NODE_QUOTA_SERVER_HPP
+#define NUTMEGUSHER_NODE_QUOTA_SERVER_HPP
 
 #include "nutmegusher/node/control_logs.hpp"
 #include "nutmegusher/node/suspension_meter.hpp"
@@ -19,21 +19,21 @@
 {
 
 // What the server needs of the replicated logs. Safe from every thread.
-struct allotment_source
+struct quota_source
 {
     std::function<configuration_leadership()> leadership;
     std::function<revision()> present;
     std::function<team_table()> teams;
 };
 
-// Owns all allotments while this host leads the configuration's log and a
+// Owns all quotas while this host leads the configuration's log and a
 // majority has lately confirmed that. Thread-safe.
-class allotment_server
+class quota_server
 {
 public:
-    allotment_server(allotment_source source, const allotment_bounds& bounds);
+    quota_server(quota_source source, const quota_bounds& bounds);
 
-    // Serves "/control/allotment".
+    // Serves `quota_path`.
     asio::awaitable<void>
     serve(const std::shared_ptr<wire::server_stream>& stream);
 
@@ -45,18 +45,18 @@
     [[nodiscard]] boost::json::value dump();
 
 private:
-    [[nodiscard]] messages::allotment_reply
-    answer(const messages::allotment_request& request);
+    [[nodiscard]] messages::quota_reply
+    answer(const messages::quota_request& request);
     // Returns null if this host isn't the owner. Requires: the lock is held.
-    [[nodiscard]] allotment_owner*
+    [[nodiscard]] quota_owner*
     current_owner(const configuration_leadership& leadership);
 
-    const allotment_source source_;
-    const allotment_bounds bounds_;
-    const allotment_times times_;
+    const quota_source source_;
+    const quota_bounds bounds_;
+    const quota_times times_;
     suspension_meter suspensions_;
     std::mutex mutex_;
-    std::optional<allotment_owner> owner_;
+    std::optional<quota_owner> owner_;
     // The revision of the limits that `owner_` has.
     revision limits_at_;
 };
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -126,20 +126,20 @@
         "configuration may be older than nine tenths of it; 0: no bound"},
     known_setting{
         "teams",
-        "allotment_window_s",
+        "quota_window_s",
         "5",
-        "length of the windows in which allotments are bounded, seconds, 0.1 "
+        "length of the windows in which quotas are bounded, seconds, 0.1 "
         "to "
         "3600; on control hosts, as the two below"},
     known_setting{
         "teams",
-        "allotment_overage",
+        "quota_overage",
         "0.1",
-        "what may run in a window beyond an allotment, as a fraction of it, 0 "
+        "what may run in a window beyond a quota, as a fraction of it, 0 "
         "to 10"},
     known_setting{
         "teams",
-        "allotment_slack",
+        "quota_slack",
         "20",
         "requests that may run in a window beyond that, 0 to 1000000"},
     known_setting{
@@ -161,10 +161,10 @@
 constexpr std::uint32_t min_killed_after_ms = 1000;
 constexpr std::uint32_t max_port = 65535;
 constexpr std::uint32_t max_revocation_ms = 3600000;
-constexpr double min_allotment_window_s = 0.1;
-constexpr double max_allotment_window_s = 3600;
-constexpr double max_allotment_overage = 10;
-constexpr double max_allotment_slack = 1000000;
+constexpr double min_quota_window_s = 0.1;
+constexpr double max_quota_window_s = 3600;
+constexpr double max_quota_overage = 10;
+constexpr double max_quota_slack = 1000000;
 constexpr std::uint32_t max_body_bytes = 16777216;
 
 std::string_view problem_text(settings_problem problem)
@@ -322,31 +322,26 @@
     return teams;
 }
 
-leaf::result<allotment_bounds> read_allotments(const settings_reader& in)
+leaf::result<quota_bounds> read_quotas(const settings_reader& in)
 {
-    allotment_bounds bounds;
+    quota_bounds bounds;
     using seconds = std::chrono::duration<double>;
     BOOST_LEAF_AUTO(
         window,
         in.fraction(
             "teams",
-            "allotment_window_s",
+            "quota_window_s",
             seconds(bounds.window).count(),
-            min_allotment_window_s,
-            max_allotment_window_s));
+            min_quota_window_s,
+            max_quota_window_s));
     bounds.window = std::chrono::duration_cast<duration>(seconds(window));
     BOOST_LEAF_ASSIGN(
         bounds.overage,
         in.fraction(
-            "teams",
-            "allotment_overage",
-            bounds.overage,
-            0,
-            max_allotment_overage));
+            "teams", "quota_overage", bounds.overage, 0, max_quota_overage));
     BOOST_LEAF_ASSIGN(
         bounds.slack,
-        in.fraction(
-            "teams", "allotment_slack", bounds.slack, 0, max_allotment_slack));
+        in.fraction("teams", "quota_slack", bounds.slack, 0, max_quota_slack));
     return bounds;
 }
 
@@ -384,7 +379,7 @@
     BOOST_LEAF_ASSIGN(all.limits, read_limits(in));
     BOOST_LEAF_ASSIGN(all.shutdown, read_shutdown(in));
     BOOST_LEAF_ASSIGN(all.teams, read_teams(in));
-    BOOST_LEAF_ASSIGN(all.allotments, read_allotments(in));
+    BOOST_LEAF_ASSIGN(all.quotas, read_quotas(in));
     BOOST_LEAF_AUTO(
         own, in.choice("listen", "dialect", "own", "platform", true));
     all.dialect = own ? "own" : "platform";
--- a/nutmegusher/node/settings.hpp
+++ b/nutmegusher/node/settings.hpp
@@ -162,7 +162,7 @@
     shutdown_settings shutdown;
     team_settings teams;
     // On control hosts.
-    allotment_bounds allotments;
+    quota_bounds quotas;
     // Names and formats that the listeners speak to callers, upstreams and
     // operators: "own" or "platform".
     std::string dialect = "own";
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -412,8 +412,7 @@
         leaders.push_back(parse_endpoint(leader));
     }
     worker_.shared.claims.update(std::move(leaders), std::move(addresses));
-    worker_.shared.allotments.set_owner(
-        parse_endpoint(reply.allotment_owner()));
+    worker_.shared.quotas.set_owner(parse_endpoint(reply.quota_owner()));
     if (!hosts.empty())
     {
         schedule_.set_hosts(hosts);
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -172,7 +172,7 @@
     {
         reply.add_claim_leaders(std::move(leader));
     }
-    reply.set_allotment_owner(source_.allotment_owner());
+    reply.set_quota_owner(source_.quota_owner());
     for (auto& host : source_.control_hosts())
     {
         *reply.add_control_hosts() = std::move(host);
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -38,8 +38,8 @@
     // "ip:port" of the leaders by claim group; empty where unknown.
     std::function<std::vector<std::string>()> claim_leaders;
     std::function<std::vector<messages::control_host>()> control_hosts;
-    // "ip:port" of the owner of the teams' allotments; empty if unknown.
-    std::function<std::string()> allotment_owner = []
+    // "ip:port" of the owner of the teams' quotas; empty if unknown.
+    std::function<std::string()> quota_owner = []
     {
         return std::string();
     };
--- a/nutmegusher/node/worker.cpp
+++ b/nutmegusher/node/worker.cpp
@@ -8,7 +8,7 @@
 controllers::controllers(const settings& from, incarnation run)
     : configured(from)
     , run(run)
-    , allotments(from.host.id)
+    , quotas(from.host.id)
     , upstream(from.host, from.listen.peers, run)
     , admission(
           stable_hash(from.host.id.str(), run.value()), from.measurement.naive)
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -5,7 +5,6 @@
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/execution/execution.hpp"
 #include "nutmegusher/node/admission_gate.hpp"
-#include "nutmegusher/node/allotment_gate.hpp"
 #include "nutmegusher/node/claim_client.hpp"
 #include "nutmegusher/node/configuration_age.hpp"
 #include "nutmegusher/node/configuration_controller.hpp"
@@ -13,6 +12,7 @@
 #include "nutmegusher/node/metrics.hpp"
 #include "nutmegusher/node/own_upstream.hpp"
 #include "nutmegusher/node/pressure_controller.hpp"
+#include "nutmegusher/node/quota_gate.hpp"
 #include "nutmegusher/node/route_controller.hpp"
 #include "nutmegusher/node/settings.hpp"
 #include "nutmegusher/node/upstream_client.hpp"
@@ -40,7 +40,7 @@
     const incarnation run;
     configuration_controller configuration;
     configuration_age age_of_configuration;
-    allotment_gate allotments;
+    quota_gate quotas;
     own_upstream upstream;
     admission_gate admission;
     request_ledger ledger;
--- a/nutmegusher/routed/entry_admission.cpp
+++ b/nutmegusher/routed/entry_admission.cpp
@@ -246,7 +246,7 @@
     }
 
     entry_request& request;
-    allotment_token token;
+    quota_token token;
     std::optional<suspect_guard> suspect;
     slow_start_admission slow_start;
 };
--- a/nutmegusher/routed/entry_team.cpp
+++ b/nutmegusher/routed/entry_team.cpp
@@ -16,7 +16,7 @@
 // Syncs with another control host begin within that time.
 constexpr duration retry_after_old_configuration =
     std::chrono::milliseconds(500);
-// A new owner of allotments is elected within that time.
+// A new owner of quotas is elected within that time.
 constexpr duration retry_after_no_owner = std::chrono::milliseconds(300);
 // The part of a request's target that it may wait for a token.
 constexpr int token_wait_divisor = 2;
@@ -80,27 +80,27 @@
     return std::nullopt;
 }
 
-allotment_token::allotment_token(entry_request& request)
+quota_token::quota_token(entry_request& request)
     : request_(request)
 {
 }
 
-allotment_token::~allotment_token()
+quota_token::~quota_token()
 {
     if (taken_ && !request_.may_have_reached_upstream())
     {
-        request_.state.process.allotments.refund(request_.caller_team->name);
+        request_.state.process.quotas.refund(request_.caller_team->name);
     }
 }
 
-asio::awaitable<std::optional<refusal>> allotment_token::take()
+asio::awaitable<std::optional<refusal>> quota_token::take()
 {
     const auto* const team = request_.caller_team;
     if (team == nullptr || !team->limit.is_limited())
     {
         co_return std::nullopt;
     }
-    const auto result = co_await request_.state.process.allotments.take(
+    const auto result = co_await request_.state.process.quotas.take(
         team->name, max_token_wait(request_));
     taken_ = result.state == token_state::taken;
     if (taken_)
@@ -110,12 +110,10 @@
     if (result.state == token_state::refused)
     {
         co_return refusal{
-            call_reason::over_allotment,
-            call_outcome::not_run,
-            result.retry_after};
+            call_reason::over_quota, call_outcome::not_run, result.retry_after};
     }
     co_return refusal{
-        call_reason::allotment_unavailable,
+        call_reason::quota_unavailable,
         call_outcome::not_run,
         jittered(retry_after_no_owner, request_.worker.random)};
 }
--- a/nutmegusher/routed/entry_team.hpp
+++ b/nutmegusher/routed/entry_team.hpp
@@ -1,4 +1,4 @@
-// The team of a request at its entry, and its allotment.
+// The team of a request at its entry, and its quota.
 #ifndef NUTMEGUSHER_ROUTED_ENTRY_TEAM_HPP
 #define NUTMEGUSHER_ROUTED_ENTRY_TEAM_HPP
 
@@ -21,18 +21,18 @@
 [[nodiscard]] std::optional<node::refusal>
 identify_team(entry_request& request);
 
-// A token of the team's allotment. Destroyed, it goes back if the request has
+// A token of the team's quota. Destroyed, it goes back if the request has
 // not run and won't.
-class allotment_token
+class quota_token
 {
 public:
-    explicit allotment_token(entry_request& request);
-    allotment_token(const allotment_token&) = delete;
-    allotment_token& operator=(const allotment_token&) = delete;
-    ~allotment_token();
+    explicit quota_token(entry_request& request);
+    quota_token(const quota_token&) = delete;
+    quota_token& operator=(const quota_token&) = delete;
+    ~quota_token();
 
-    // Takes a token, if the team has an allotment. Returns the refusal if it
-    // has used it, or if no owner of allotments answers in time.
+    // Takes a token, if the team has a quota. Returns the refusal if it
+    // has used it, or if no owner of quotas answers in time.
     asio::awaitable<std::optional<node::refusal>> take();
 
 private:
--- a/nutmegusher/routed/team_path_test.cpp
+++ b/nutmegusher/routed/team_path_test.cpp
@@ -18,13 +18,13 @@
 constexpr const char* first_key = "k3y-of-the-treasury";
 constexpr const char* second_key = "k3y-of-the-audit";
 
-// Takes the part of the owner of allotments.
+// Takes the part of the owner of quotas.
 class owner_stub
 {
 public:
-    owner_stub(node::allotment_gate& gate, const messages::route_document& of)
+    owner_stub(node::quota_gate& gate, const messages::route_document& of)
         : gate_(gate)
-        , owner_(1, uptime_clock().now() - seconds(10), allotment_bounds())
+        , owner_(1, uptime_clock().now() - seconds(10), quota_bounds())
         , teams_(team_table::create(of).teams())
         , thread_(
               [this]
@@ -56,15 +56,15 @@
         }
     }
 
-    node::allotment_gate& gate_;
-    allotment_owner owner_;
+    node::quota_gate& gate_;
+    quota_owner owner_;
     const std::vector<team> teams_;
     std::atomic<bool> stopping_ = false;
     std::thread thread_;
 };
 
 // Answers one request to the owner, and no further one.
-void grant_once(node::allotment_gate& gate, std::uint32_t tokens)
+void grant_once(node::quota_gate& gate, std::uint32_t tokens)
 {
     auto wait = gate.until_next_exchange();
     while (!wait || *wait > duration::zero())
@@ -73,7 +73,7 @@
         wait = gate.until_next_exchange();
     }
     const auto request = gate.make_request(incarnation(1));
-    messages::allotment_reply reply;
+    messages::quota_reply reply;
     reply.set_accepted(true);
     reply.set_term(1);
     reply.set_sequence(request.sequence());
@@ -83,7 +83,7 @@
     EXPECT_TRUE(gate.on_reply(reply));
 }
 
-std::size_t tokens_of(const node::allotment_gate& gate)
+std::size_t tokens_of(const node::quota_gate& gate)
 {
     const auto dump = gate.dump();
     return static_cast<std::size_t>(dump.at("tokens").as_double());
@@ -284,13 +284,13 @@
     EXPECT_EQ(status_with("/views/1", first_key), 200);
 }
 
-TEST_F(team_path, refuses_requests_beyond_the_allotment)
+TEST_F(team_path, refuses_requests_beyond_the_quota)
 {
     start_with_teams();
     document.mutable_teams(0)->set_rate(1);
     document.mutable_teams(0)->set_burst(4);
     install();
-    const owner_stub owner(entry->shared.allotments, document);
+    const owner_stub owner(entry->shared.quotas, document);
     std::map<unsigned, std::size_t> counts;
     for (int i = 0; i < 12; ++i)
     {
@@ -320,7 +320,7 @@
         ask_with("/views/1", {std::string("Bearer ") + first_key});
     EXPECT_EQ(refused.result_int(), 503);
     EXPECT_EQ(refused["nutmeg-outcome"], "not-run");
-    EXPECT_EQ(refused["nutmeg-reason"], "allotment-unavailable");
+    EXPECT_EQ(refused["nutmeg-reason"], "quota-unavailable");
     EXPECT_EQ(arrived().size(), 0);
 }
 
@@ -347,7 +347,7 @@
     add_team("treasury", first_key);
     document.mutable_teams(0)->set_rate(100);
     install();
-    auto& gate = entry->shared.allotments;
+    auto& gate = entry->shared.quotas;
     std::vector<std::unique_ptr<tcp::socket>> callers;
     asio::io_context context;
     for (std::size_t i = 0; i <= slots; ++i)
@@ -387,7 +387,7 @@
         shared.request_metrics.exposition().find("k3y"), std::string::npos);
     for (const auto& dump :
          {shared.request_metrics.dump(),
-          shared.allotments.dump(),
+          shared.quotas.dump(),
           shared.routes.dump()})
     {
         EXPECT_EQ(boost::json::serialize(dump).find("k3y"), std::string::npos);
--- a/nutmegusher/teams/allotment.hpp
+++ b/nutmegusher/teams/quota.hpp
@@ -1,7 +1,7 @@
 // How many requests of a team all daemons together let in, and the times that
 // the owner and the holders of its tokens agree on.
-#ifndef NUTMEGUSHER_TEAMS_ALLOTMENT_HPP
-#define NUTMEGUSHER_TEAMS_ALLOTMENT_HPP
+#ifndef NUTMEGUSHER_TEAMS_QUOTA_HPP
+#define NUTMEGUSHER_TEAMS_QUOTA_HPP
 
 #include "nutmegusher/base/base.hpp"
 
@@ -11,8 +11,8 @@
 namespace nutmegusher
 {
 
-// A team's allotment.
-struct allotment
+// A team's quota.
+struct quota
 {
     // Requests a second; 0: no limit.
     double rate = 0;
@@ -30,23 +30,23 @@
         return std::max(burst, 1 + rate * min_burst_seconds);
     }
 
-    friend bool operator==(const allotment&, const allotment&) = default;
+    friend bool operator==(const quota&, const quota&) = default;
 
     // Without any burst, requests that arrive together would be refused.
     static constexpr double min_burst_seconds = 0.1;
 };
 
-// What operators allow beyond an allotment. In any window of that length, at
+// What operators allow beyond a quota. In any window of that length, at
 // most `(rate * window + burst) * (1 + overage) + slack` requests of a team may
 // run.
-struct allotment_bounds
+struct quota_bounds
 {
     duration window = std::chrono::seconds(5);
     double overage = 0.1;
     double slack = 20;
 
     // The requests that may run in a window beyond `rate * window + burst`.
-    [[nodiscard]] double excess(const allotment& of) const
+    [[nodiscard]] double excess(const quota& of) const
     {
         const std::chrono::duration<double> seconds(window);
         return overage * (of.rate * seconds.count() + of.burst) + slack;
@@ -54,7 +54,7 @@
 };
 
 // The same at all hosts.
-struct allotment_times
+struct quota_times
 {
     // How long a holder may use its tokens after it sent the last request that
     // the owner has answered.
--- a/nutmegusher/teams/allotment_holder.cpp
+++ b/nutmegusher/teams/quota_holder.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/teams/allotment_holder.hpp"
+#include "nutmegusher/teams/quota_holder.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -28,19 +28,19 @@
 
 } // namespace
 
-allotment_holder::allotment_holder(host_id self, const allotment_times& times)
+quota_holder::quota_holder(host_id self, const quota_times& times)
     : self_(std::move(self))
     , times_(times)
 {
 }
 
-double allotment_holder::demand_of(const stock& of, time_point now)
+double quota_holder::demand_of(const stock& of, time_point now)
 {
     const double elapsed = std::max(seconds_of(now - of.demand_at), 0.0);
     return of.demand * std::exp(-elapsed / demand_seconds);
 }
 
-std::uint32_t allotment_holder::target_of(const stock& of, time_point now) const
+std::uint32_t quota_holder::target_of(const stock& of, time_point now) const
 {
     const double demand = demand_of(of, now);
     if (stopped_ || demand < min_demand)
@@ -51,7 +51,7 @@
     return static_cast<std::uint32_t>(std::min(target, max_stock));
 }
 
-void allotment_holder::expire(time_point now)
+void quota_holder::expire(time_point now)
 {
     if (now < expires_at_)
     {
@@ -63,7 +63,7 @@
     }
 }
 
-token_result allotment_holder::take(stock& from, time_point now)
+token_result quota_holder::take(stock& from, time_point now)
 {
     if (from.held > 0)
     {
@@ -78,7 +78,7 @@
     return {token_state::pending, duration::zero()};
 }
 
-token_result allotment_holder::arrive(const std::string& team, time_point now)
+token_result quota_holder::arrive(const std::string& team, time_point now)
 {
     expire(now);
     auto& from = stocks_[team];
@@ -92,19 +92,19 @@
     return result;
 }
 
-token_result allotment_holder::poll(const std::string& team, time_point now)
+token_result quota_holder::poll(const std::string& team, time_point now)
 {
     expire(now);
     return take(stocks_[team], now);
 }
 
-void allotment_holder::leave(const std::string& team)
+void quota_holder::leave(const std::string& team)
 {
     auto& from = stocks_[team];
     from.waiting -= std::min<std::uint32_t>(from.waiting, 1);
 }
 
-void allotment_holder::refund(const std::string& team, time_point now)
+void quota_holder::refund(const std::string& team, time_point now)
 {
     const auto found = stocks_.find(team);
     if (found == stocks_.end() || found->second.used <= found->second.reported)
@@ -116,7 +116,7 @@
     to.held += now < expires_at_ ? 1 : 0;
 }
 
-std::optional<time_point> allotment_holder::next_exchange(time_point now) const
+std::optional<time_point> quota_holder::next_exchange(time_point now) const
 {
     if (in_flight_)
     {
@@ -149,12 +149,12 @@
     return earliest;
 }
 
-messages::allotment_request
-allotment_holder::make_request(incarnation run, time_point now)
+messages::quota_request
+quota_holder::make_request(incarnation run, time_point now)
 {
     expire(now);
     forget_idle(now);
-    messages::allotment_request request;
+    messages::quota_request request;
     request.set_host(self_.str());
     request.set_incarnation(run.value());
     request.set_sequence(++sequence_);
@@ -179,7 +179,7 @@
     return request;
 }
 
-void allotment_holder::forget_idle(time_point now)
+void quota_holder::forget_idle(time_point now)
 {
     std::erase_if(
         stocks_,
@@ -191,8 +191,7 @@
         });
 }
 
-bool allotment_holder::on_reply(
-    const messages::allotment_reply& reply, time_point now)
+bool quota_holder::on_reply(const messages::quota_reply& reply, time_point now)
 {
     if (!in_flight_ || reply.sequence() != sequence_)
     {
@@ -230,18 +229,18 @@
 }
 
 // The owner may have received the request, so what it reports as used stays so.
-void allotment_holder::on_no_reply()
+void quota_holder::on_no_reply()
 {
     in_flight_ = false;
     failed_ = true;
 }
 
-void allotment_holder::stop()
+void quota_holder::stop()
 {
     stopped_ = true;
 }
 
-double allotment_holder::held(time_point now) const
+double quota_holder::held(time_point now) const
 {
     double sum = 0;
     for (const auto& [team, of] : stocks_)
--- a/nutmegusher/teams/allotment_holder.hpp
+++ b/nutmegusher/teams/quota_holder.hpp
@@ -1,6 +1,6 @@
-// The tokens that one daemon holds: see `allotment_owner`.
+// The tokens that one daemon holds: see `quota_owner`.
 //
-//     allotment_holder tokens(host, run);
+//     quota_holder tokens(host, run);
 //     switch (tokens.arrive(team, now).state)
 //     {
 //     case token_state::taken: serve();       // later maybe `refund`
@@ -15,11 +15,11 @@
 // Without an owner the tokens at hand still let requests in, until they end.
 //
 // Times are of a clock that keeps running while the host is suspended.
-#ifndef NUTMEGUSHER_TEAMS_ALLOTMENT_HOLDER_HPP
-#define NUTMEGUSHER_TEAMS_ALLOTMENT_HOLDER_HPP
+#ifndef NUTMEGUSHER_TEAMS_QUOTA_HOLDER_HPP
+#define NUTMEGUSHER_TEAMS_QUOTA_HOLDER_HPP
 
-#include "nutmegusher/messages/allotment.pb.h"
-#include "nutmegusher/teams/allotment.hpp"
+#include "nutmegusher/messages/quota.pb.h"
+#include "nutmegusher/teams/quota.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,7 +34,7 @@
 {
     // The request took a token.
     taken,
-    // The team has used its allotment.
+    // The team has used its quota.
     refused,
     // The owner has to be asked.
     pending
@@ -47,10 +47,10 @@
     duration retry_after{0};
 };
 
-class allotment_holder
+class quota_holder
 {
 public:
-    explicit allotment_holder(host_id self, const allotment_times& times = {});
+    explicit quota_holder(host_id self, const quota_times& times = {});
 
     // Decides on a request of the team. If it is pending, it counts as waiting
     // until `leave`.
@@ -71,12 +71,12 @@
     [[nodiscard]] std::optional<time_point> next_exchange(time_point now) const;
 
     // Makes the next request, which is in flight from now on.
-    [[nodiscard]] messages::allotment_request
+    [[nodiscard]] messages::quota_request
     make_request(incarnation run, time_point now);
 
     // Applies a reply. Returns false if it isn't the current owner's, or not
     // for the request in flight.
-    bool on_reply(const messages::allotment_reply& reply, time_point now);
+    bool on_reply(const messages::quota_reply& reply, time_point now);
 
     // The request in flight was lost, or its reply.
     void on_no_reply();
@@ -125,7 +125,7 @@
     target_of(const stock& of, time_point now) const;
 
     host_id self_;
-    allotment_times times_;
+    quota_times times_;
     std::unordered_map<std::string, stock> stocks_;
     std::uint64_t term_ = 0;
     std::uint64_t sequence_ = 0;
--- a/nutmegusher/teams/allotment_holder_test.cpp
+++ b/nutmegusher/teams/quota_holder_test.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/teams/allotment_holder.hpp"
+#include "nutmegusher/teams/quota_holder.hpp"
 
 #include <gtest/gtest.h>
 
@@ -11,21 +11,21 @@
 
 const std::string audit = "audit";
 
-class allotment_holder_test : public ::testing::Test
+class quota_holder_test : public ::testing::Test
 {
 protected:
-    messages::allotment_request ask()
+    messages::quota_request ask()
     {
         return holder.make_request(incarnation(1), clock.now());
     }
 
     // Answers the request in flight.
     bool answer(
-        const messages::allotment_request& request,
+        const messages::quota_request& request,
         std::uint32_t granted,
         std::uint32_t retry_after_ms = 0)
     {
-        messages::allotment_reply reply;
+        messages::quota_reply reply;
         reply.set_accepted(true);
         reply.set_term(term);
         reply.set_sequence(request.sequence());
@@ -55,11 +55,11 @@
     }
 
     manual_clock clock;
-    allotment_holder holder{host_id("a")};
+    quota_holder holder{host_id("a")};
     std::uint64_t term = 1;
 };
 
-TEST_F(allotment_holder_test, asks_at_once_for_a_request_that_waits)
+TEST_F(quota_holder_test, asks_at_once_for_a_request_that_waits)
 {
     EXPECT_FALSE(holder.next_exchange(clock.now()));
     EXPECT_EQ(arrive(), token_state::pending);
@@ -73,7 +73,7 @@
     EXPECT_EQ(arrive(), token_state::pending);
 }
 
-TEST_F(allotment_holder_test, serves_from_its_stock)
+TEST_F(quota_holder_test, serves_from_its_stock)
 {
     fill(3);
     EXPECT_EQ(arrive(), token_state::taken);
@@ -84,7 +84,7 @@
     EXPECT_GT(request.holdings(0).stock(), 0);
 }
 
-TEST_F(allotment_holder_test, refuses_at_once_after_a_refusal)
+TEST_F(quota_holder_test, refuses_at_once_after_a_refusal)
 {
     EXPECT_EQ(arrive(), token_state::pending);
     EXPECT_TRUE(answer(ask(), 0, 250));
@@ -97,29 +97,29 @@
     EXPECT_EQ(arrive(), token_state::pending);
 }
 
-TEST_F(allotment_holder_test, tokens_end_without_an_owner)
+TEST_F(quota_holder_test, tokens_end_without_an_owner)
 {
     fill(3);
-    clock.advance(allotment_times().holding_lifetime - milliseconds(1));
+    clock.advance(quota_times().holding_lifetime - milliseconds(1));
     EXPECT_EQ(arrive(), token_state::taken);
     clock.advance(milliseconds(1));
     EXPECT_EQ(arrive(), token_state::pending);
 }
 
 // The time counts from the request, as the owner may have answered at once.
-TEST_F(allotment_holder_test, a_late_reply_prolongs_less)
+TEST_F(quota_holder_test, a_late_reply_prolongs_less)
 {
     EXPECT_EQ(arrive(), token_state::pending);
     const auto request = ask();
-    clock.advance(allotment_times().holding_lifetime);
+    clock.advance(quota_times().holding_lifetime);
     EXPECT_TRUE(answer(request, 3));
     EXPECT_EQ(holder.poll(audit, clock.now()).state, token_state::pending);
 }
 
-TEST_F(allotment_holder_test, tokens_that_ended_do_not_come_back)
+TEST_F(quota_holder_test, tokens_that_ended_do_not_come_back)
 {
     fill(3);
-    clock.advance(allotment_times().holding_lifetime - milliseconds(10));
+    clock.advance(quota_times().holding_lifetime - milliseconds(10));
     const auto request = ask();
     EXPECT_GT(request.holdings(0).held(), 0);
     clock.advance(milliseconds(20));
@@ -127,7 +127,7 @@
     EXPECT_EQ(arrive(), token_state::pending);
 }
 
-TEST_F(allotment_holder_test, ignores_replies_of_an_earlier_owner)
+TEST_F(quota_holder_test, ignores_replies_of_an_earlier_owner)
 {
     term = 5;
     fill(1);
@@ -136,7 +136,7 @@
     EXPECT_EQ(holder.held(clock.now()), 1);
 }
 
-TEST_F(allotment_holder_test, ignores_replies_to_earlier_requests)
+TEST_F(quota_holder_test, ignores_replies_to_earlier_requests)
 {
     EXPECT_EQ(arrive(), token_state::pending);
     const auto first = ask();
@@ -147,7 +147,7 @@
     EXPECT_EQ(holder.held(clock.now()), 1);
 }
 
-TEST_F(allotment_holder_test, reports_again_what_may_not_have_arrived)
+TEST_F(quota_holder_test, reports_again_what_may_not_have_arrived)
 {
     fill(3);
     EXPECT_EQ(arrive(), token_state::taken);
@@ -157,7 +157,7 @@
     EXPECT_EQ(ask().holdings(0).used(), 2);
 }
 
-TEST_F(allotment_holder_test, takes_a_token_back_before_it_is_reported)
+TEST_F(quota_holder_test, takes_a_token_back_before_it_is_reported)
 {
     fill(1);
     EXPECT_EQ(arrive(), token_state::taken);
@@ -166,7 +166,7 @@
 }
 
 // The owner may have counted the token as used and handed out another one.
-TEST_F(allotment_holder_test, takes_no_token_back_that_was_reported)
+TEST_F(quota_holder_test, takes_no_token_back_that_was_reported)
 {
     fill(1);
     EXPECT_EQ(arrive(), token_state::taken);
@@ -177,14 +177,14 @@
     EXPECT_EQ(holder.held(clock.now()), 0);
 }
 
-TEST_F(allotment_holder_test, gives_everything_back_when_it_stops)
+TEST_F(quota_holder_test, gives_everything_back_when_it_stops)
 {
     fill(3);
     holder.stop();
     EXPECT_EQ(ask().holdings(0).held(), 0);
 }
 
-TEST_F(allotment_holder_test, forgets_teams_without_requests)
+TEST_F(quota_holder_test, forgets_teams_without_requests)
 {
     fill(1);
     EXPECT_EQ(arrive(), token_state::taken);
--- a/nutmegusher/teams/allotment_model_test.hpp
+++ b/nutmegusher/teams/quota_model_test.hpp
@@ -1,11 +1,11 @@
-// A model of daemons, owners of allotments and the network between them, for
+// A model of daemons, owners of quotas and the network between them, for
 // tests: random histories of requests and faults.
 //
 //     history run(seed, {});
 //     run.run();
 //     EXPECT_LE(run.worst_excess(), 1);
-#ifndef NUTMEGUSHER_TEAMS_ALLOTMENT_MODEL_TEST_HPP
-#define NUTMEGUSHER_TEAMS_ALLOTMENT_MODEL_TEST_HPP
+#ifndef NUTMEGUSHER_TEAMS_QUOTA_MODEL_TEST_HPP
+#define NUTMEGUSHER_TEAMS_QUOTA_MODEL_TEST_HPP
 
 #include "nutmegusher/teams/teams.hpp"
 
@@ -18,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-namespace nutmegusher::allotment_model
+namespace nutmegusher::quota_model
 {
 
 using std::chrono::milliseconds;
@@ -44,7 +44,7 @@
 // `ownership_lifetime`.
 struct control_host
 {
-    std::unique_ptr<allotment_owner> owner;
+    std::unique_ptr<quota_owner> owner;
     time_point acts_until;
 };
 
@@ -54,8 +54,8 @@
     std::size_t daemon = 0;
     std::size_t control = 0;
     std::uint64_t run = 0;
-    messages::allotment_request request;
-    messages::allotment_reply reply;
+    messages::quota_request request;
+    messages::quota_reply reply;
     bool is_reply = false;
 };
 
@@ -74,7 +74,7 @@
 
 struct daemon_host
 {
-    std::unique_ptr<allotment_holder> holder;
+    std::unique_ptr<quota_holder> holder;
     std::uint64_t run = 1;
     std::size_t believed_owner = 0;
     time_point reply_due;
@@ -94,7 +94,7 @@
 struct limit_change
 {
     time_point at;
-    allotment limit;
+    quota limit;
 };
 
 class history
@@ -110,7 +110,7 @@
             start(i);
         }
         controls_.resize(3);
-        for (const auto& [name, limit] : std::map<std::string, allotment>{
+        for (const auto& [name, limit] : std::map<std::string, quota>{
                  {"large", {400, 400}}, {"small", {5, 5}}, {"tiny", {1, 0}}})
         {
             teams_.push_back({name, std::nullopt, limit});
@@ -195,8 +195,7 @@
     // force in it or a holding's lifetime before.
     [[nodiscard]] double allowed(const std::string& team, time_point at) const
     {
-        const auto from =
-            at - bounds_.window - allotment_times().holding_lifetime;
+        const auto from = at - bounds_.window - quota_times().holding_lifetime;
         double most = 0;
         const auto& changes = limits_.at(team);
         for (std::size_t i = 0; i < changes.size(); ++i)
@@ -219,7 +218,7 @@
     void start(std::size_t index)
     {
         auto& host = hosts_[index];
-        host.holder = std::make_unique<allotment_holder>(
+        host.holder = std::make_unique<quota_holder>(
             host_id("h" + std::to_string(index)));
         host.asked = false;
         host.pending.clear();
@@ -234,13 +233,12 @@
         {
             each.acts_until = std::min(
                 each.acts_until,
-                clock_.now() + up_to(allotment_times().ownership_lifetime));
+                clock_.now() + up_to(quota_times().ownership_lifetime));
         }
         auto& elected = controls_[index];
         const auto since =
             options_.owner_waits ? clock_.now() : clock_.now() - seconds(10);
-        elected.owner =
-            std::make_unique<allotment_owner>(++term_, since, bounds_);
+        elected.owner = std::make_unique<quota_owner>(++term_, since, bounds_);
         elected.owner->set_limits(teams_, since);
         elected.acts_until = time_point::max();
         leader_ = index;
@@ -492,7 +490,7 @@
     }
 
     const model_options options_;
-    const allotment_bounds bounds_;
+    const quota_bounds bounds_;
     random_engine engine_;
     manual_clock clock_;
     std::vector<daemon_host> hosts_;
@@ -509,6 +507,6 @@
     double losses_ = 0;
 };
 
-} // namespace nutmegusher::allotment_model
+} // namespace nutmegusher::quota_model
 
 #endif
--- a/nutmegusher/teams/allotment_owner.cpp
+++ b/nutmegusher/teams/quota_owner.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/teams/allotment_owner.hpp"
+#include "nutmegusher/teams/quota_owner.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -47,11 +47,11 @@
 
 } // namespace
 
-allotment_owner::allotment_owner(
+quota_owner::quota_owner(
     std::uint64_t term,
     time_point now,
-    const allotment_bounds& bounds,
-    const allotment_times& times)
+    const quota_bounds& bounds,
+    const quota_times& times)
     : term_(term)
     , bounds_(bounds)
     , times_(times)
@@ -60,7 +60,7 @@
 {
 }
 
-void allotment_owner::refill(account& of, time_point now) const
+void quota_owner::refill(account& of, time_point now) const
 {
     const auto from = std::max(of.updated_at, accrues_from_);
     if (now > from)
@@ -73,9 +73,9 @@
 
 // A team that appears begins with an empty bucket: it may have been removed a
 // moment ago.
-void allotment_owner::set_limits(std::span<const team> teams, time_point now)
+void quota_owner::set_limits(std::span<const team> teams, time_point now)
 {
-    std::unordered_map<std::string_view, allotment> limits;
+    std::unordered_map<std::string_view, quota> limits;
     for (const auto& each : teams)
     {
         limits.emplace(each.name, each.limit);
@@ -96,14 +96,14 @@
     }
 }
 
-double allotment_owner::max_held(const account& of, time_point now) const
+double quota_owner::max_held(const account& of, time_point now) const
 {
     const double excess = bounds_.excess(of.limit);
     return now < settled_from_ ? of.brought_along + reserve_share * excess
                                : held_share * excess;
 }
 
-void allotment_owner::release(holder& of)
+void quota_owner::release(holder& of)
 {
     for (const auto& [team, held] : of.held)
     {
@@ -116,7 +116,7 @@
     of.held.clear();
 }
 
-void allotment_owner::expire(time_point now)
+void quota_owner::expire(time_point now)
 {
     for (auto each = holders_.begin(); each != holders_.end();)
     {
@@ -131,8 +131,8 @@
 }
 
 // Returns null if a later request of the host has been answered.
-allotment_owner::holder* allotment_owner::find_holder(
-    const messages::allotment_request& request, time_point now)
+quota_owner::holder*
+quota_owner::find_holder(const messages::quota_request& request, time_point now)
 {
     auto& found = holders_[request.host()];
     if (request.incarnation() < found.incarnation ||
@@ -153,11 +153,11 @@
     return &found;
 }
 
-messages::allotment_reply allotment_owner::answer(
-    const messages::allotment_request& request, time_point now)
+messages::quota_reply
+quota_owner::answer(const messages::quota_request& request, time_point now)
 {
     expire(now);
-    messages::allotment_reply reply;
+    messages::quota_reply reply;
     reply.set_term(term_);
     reply.set_sequence(request.sequence());
     if (request.term() > term_)
@@ -186,11 +186,11 @@
 
 // Tokens that aren't recorded may be kept only while they can be an earlier
 // owner's.
-void allotment_owner::introduce(
+void quota_owner::introduce(
     holder& from,
-    const messages::allotment_request& request,
+    const messages::quota_request& request,
     time_point now,
-    messages::allotment_reply& reply)
+    messages::quota_reply& reply)
 {
     release(from);
     from.confirmed = false;
@@ -209,7 +209,7 @@
     }
 }
 
-void allotment_owner::confirm(holder& from, time_point now)
+void quota_owner::confirm(holder& from, time_point now)
 {
     if (std::exchange(from.confirmed, true) || now >= settled_from_)
     {
@@ -227,8 +227,8 @@
 
 // What was held and is neither held nor used any more was never used: the
 // holder gave it back, or never received it.
-void allotment_owner::settle(
-    holder& from, const messages::allotment_request& request, time_point now)
+void quota_owner::settle(
+    holder& from, const messages::quota_request& request, time_point now)
 {
     std::unordered_map<std::string_view, const messages::team_holding*>
         reported;
@@ -258,7 +258,7 @@
     }
 }
 
-messages::team_grant allotment_owner::grant(
+messages::team_grant quota_owner::grant(
     holder& from, const messages::team_holding& holding, time_point now)
 {
     messages::team_grant granted;
@@ -308,7 +308,7 @@
 }
 
 // Refused callers come back one after another, at the team's rate.
-void allotment_owner::refuse(
+void quota_owner::refuse(
     account& of,
     std::uint32_t requests,
     time_point now,
@@ -322,9 +322,9 @@
     grant.set_ask_after_ms(to_milliseconds(ask_again_after));
 }
 
-std::vector<allotment_state> allotment_owner::state(time_point now) const
+std::vector<quota_state> quota_owner::state(time_point now) const
 {
-    std::vector<allotment_state> all;
+    std::vector<quota_state> all;
     for (const auto& [team, of] : accounts_)
     {
         auto current = of;
@@ -334,7 +334,7 @@
     std::sort(
         all.begin(),
         all.end(),
-        [](const allotment_state& left, const allotment_state& right)
+        [](const quota_state& left, const quota_state& right)
         {
             return left.team < right.team;
         });
--- a/nutmegusher/teams/allotment_owner.hpp
+++ b/nutmegusher/teams/quota_owner.hpp
@@ -1,12 +1,12 @@
-// The owner of all teams' allotments: hands out tokens, each of which lets in
+// The owner of all teams' quotas: hands out tokens, each of which lets in
 // one request of a team.
 //
-//     allotment_owner owner(term, now, bounds);
+//     quota_owner owner(term, now, bounds);
 //     owner.set_limits(table.teams(), now);
 //     const auto reply = owner.answer(request, now);
 //
 // Pattern of load: one team sends many times its usual, at all daemons at once,
-// each of which sees a small part. A fixed part of the allotment for each
+// each of which sees a small part. A fixed part of the quota for each
 // daemon would refuse nearly all requests of a small team whose callers are at
 // a few daemons; a question for each request would cost a round trip and stop
 // the team while there is no owner.
@@ -14,7 +14,7 @@
 // - A token bucket per team: `rate` tokens a second, at most `burst`.
 // - A daemon holds a few tokens of the teams that it serves, and asks for more
 //   as it uses them. The tokens of a team that are held anywhere are bounded by
-//   a part of what operators allow beyond the allotment. So in any window no
+//   a part of what operators allow beyond the quota. So in any window no
 //   more requests run than tokens were held when it began and handed out in it.
 // - Tokens end `holding_lifetime` after their holder's last exchange with the
 //   owner. Unused ones that a holder reports go back into the bucket.
@@ -27,11 +27,11 @@
 // confirms by the next one that it accepts no reply of an earlier term.
 //
 // Times are of a clock that keeps running while the host is suspended.
-#ifndef NUTMEGUSHER_TEAMS_ALLOTMENT_OWNER_HPP
-#define NUTMEGUSHER_TEAMS_ALLOTMENT_OWNER_HPP
+#ifndef NUTMEGUSHER_TEAMS_QUOTA_OWNER_HPP
+#define NUTMEGUSHER_TEAMS_QUOTA_OWNER_HPP
 
-#include "nutmegusher/messages/allotment.pb.h"
-#include "nutmegusher/teams/allotment.hpp"
+#include "nutmegusher/messages/quota.pb.h"
+#include "nutmegusher/teams/quota.hpp"
 #include "nutmegusher/teams/team_table.hpp"
 
 #include <cstddef>
@@ -44,25 +44,25 @@
 namespace nutmegusher
 {
 
-// The state of one team's allotment, for the state dump.
-struct allotment_state
+// The state of one team's quota, for the state dump.
+struct quota_state
 {
     std::string team;
-    allotment limit;
+    quota limit;
     // Tokens that may be handed out now, and those that daemons hold.
     double available = 0;
     double held = 0;
 };
 
-class allotment_owner
+class quota_owner
 {
 public:
     // `term` grows with each change of the owner.
-    allotment_owner(
+    quota_owner(
         std::uint64_t term,
         time_point now,
-        const allotment_bounds& bounds,
-        const allotment_times& times = {});
+        const quota_bounds& bounds,
+        const quota_times& times = {});
 
     [[nodiscard]] std::uint64_t term() const
     {
@@ -74,10 +74,10 @@
 
     // Settles what the daemon holds and has used, and grants what it asks for.
     // Requires: this host is the owner now.
-    [[nodiscard]] messages::allotment_reply
-    answer(const messages::allotment_request& request, time_point now);
+    [[nodiscard]] messages::quota_reply
+    answer(const messages::quota_request& request, time_point now);
 
-    [[nodiscard]] std::vector<allotment_state> state(time_point now) const;
+    [[nodiscard]] std::vector<quota_state> state(time_point now) const;
 
     [[nodiscard]] std::size_t holders() const
     {
@@ -93,7 +93,7 @@
 private:
     struct account
     {
-        allotment limit;
+        quota limit;
         double tokens = 0;
         time_point updated_at;
         double held = 0;
@@ -112,18 +112,15 @@
         std::unordered_map<std::string, double> held;
     };
 
-    holder*
-    find_holder(const messages::allotment_request& request, time_point now);
+    holder* find_holder(const messages::quota_request& request, time_point now);
     void introduce(
         holder& from,
-        const messages::allotment_request& request,
+        const messages::quota_request& request,
         time_point now,
-        messages::allotment_reply& reply);
+        messages::quota_reply& reply);
     void confirm(holder& from, time_point now);
     void settle(
-        holder& from,
-        const messages::allotment_request& request,
-        time_point now);
+        holder& from, const messages::quota_request& request, time_point now);
     [[nodiscard]] messages::team_grant
     grant(holder& from, const messages::team_holding& holding, time_point now);
     void refuse(
@@ -137,8 +134,8 @@
     [[nodiscard]] double max_held(const account& of, time_point now) const;
 
     std::uint64_t term_;
-    allotment_bounds bounds_;
-    allotment_times times_;
+    quota_bounds bounds_;
+    quota_times times_;
     // When the earlier owner has stopped, and when its tokens have ended.
     time_point accrues_from_;
     time_point settled_from_;
--- a/nutmegusher/teams/allotment_owner_test.cpp
+++ b/nutmegusher/teams/quota_owner_test.cpp
@@ -1,4 +1,4 @@
-#include "nutmegusher/teams/allotment_owner.hpp"
+#include "nutmegusher/teams/quota_owner.hpp"
 
 #include <gtest/gtest.h>
 
@@ -16,24 +16,24 @@
 constexpr double burst = 50;
 
 // An owner whose predecessor's tokens have ended.
-class allotment_owner_test : public ::testing::Test
+class quota_owner_test : public ::testing::Test
 {
 protected:
-    allotment_owner_test()
-        : owner(7, clock.now(), allotment_bounds())
+    quota_owner_test()
+        : owner(7, clock.now(), quota_bounds())
     {
         set_limit({rate, burst});
         clock.advance(seconds(5));
     }
 
-    void set_limit(const allotment& limit)
+    void set_limit(const quota& limit)
     {
         const std::vector<team> teams{{"audit", std::nullopt, limit}};
         owner.set_limits(teams, clock.now());
     }
 
     // Sends one request of the host.
-    messages::allotment_reply
+    messages::quota_reply
     ask(const std::string& host,
         std::uint32_t held,
         std::uint32_t used,
@@ -41,7 +41,7 @@
         std::uint32_t stock = 0)
     {
         auto& sequence = sequences[host];
-        messages::allotment_request request;
+        messages::quota_request request;
         request.set_host(host);
         request.set_incarnation(1);
         request.set_sequence(++sequence);
@@ -80,12 +80,12 @@
     }
 
     manual_clock clock;
-    allotment_owner owner;
+    quota_owner owner;
     std::uint64_t term = 7;
     std::map<std::string, std::uint64_t> sequences;
 };
 
-TEST_F(allotment_owner_test, grants_no_more_than_the_bucket_holds)
+TEST_F(quota_owner_test, grants_no_more_than_the_bucket_holds)
 {
     empty_bucket();
     EXPECT_EQ(granted("c", 0, 0, 30), 0);
@@ -93,7 +93,7 @@
     EXPECT_EQ(granted("c", 0, 0, 30), 10);
 }
 
-TEST_F(allotment_owner_test, refused_requests_come_back_at_the_rate)
+TEST_F(quota_owner_test, refused_requests_come_back_at_the_rate)
 {
     empty_bucket();
     const auto first = ask("b", 0, 0, 10);
@@ -102,7 +102,7 @@
     EXPECT_EQ(second.grants(0).retry_after_ms(), 200);
 }
 
-TEST_F(allotment_owner_test, credits_tokens_that_were_not_used)
+TEST_F(quota_owner_test, credits_tokens_that_were_not_used)
 {
     EXPECT_EQ(granted("a", 0, 0, 0, 30), 30);
     EXPECT_DOUBLE_EQ(held(), 30);
@@ -112,7 +112,7 @@
 }
 
 // A reply that is lost leaves the holder without the tokens.
-TEST_F(allotment_owner_test, credits_tokens_of_a_lost_reply)
+TEST_F(quota_owner_test, credits_tokens_of_a_lost_reply)
 {
     EXPECT_EQ(granted("a", 0, 0, 20), 20);
     EXPECT_EQ(granted("a", 0, 0, 20), 20);
@@ -120,11 +120,10 @@
     EXPECT_DOUBLE_EQ(owner.state(clock.now()).front().available, 30);
 }
 
-TEST_F(allotment_owner_test, bounds_the_tokens_that_are_held)
+TEST_F(quota_owner_test, bounds_the_tokens_that_are_held)
 {
-    const allotment_bounds bounds;
-    const double most =
-        allotment_owner::held_share * bounds.excess({rate, burst});
+    const quota_bounds bounds;
+    const double most = quota_owner::held_share * bounds.excess({rate, burst});
     for (int i = 0; i < 100; ++i)
     {
         granted("h" + std::to_string(i), 0, 0, 0, 5);
@@ -135,7 +134,7 @@
 }
 
 // More requests wait than tokens may be held at once; the bucket isn't empty.
-TEST_F(allotment_owner_test, does_not_refuse_requests_that_wait_for_others)
+TEST_F(quota_owner_test, does_not_refuse_requests_that_wait_for_others)
 {
     set_limit({rate, 2 * burst});
     clock.advance(seconds(5));
@@ -146,10 +145,10 @@
     EXPECT_EQ(granted("a", 0, first, 60 - first), 60 - first);
 }
 
-TEST_F(allotment_owner_test, drops_the_tokens_of_a_silent_holder)
+TEST_F(quota_owner_test, drops_the_tokens_of_a_silent_holder)
 {
     EXPECT_EQ(granted("a", 0, 0, 0, 30), 30);
-    clock.advance(allotment_times().holding_lifetime);
+    clock.advance(quota_times().holding_lifetime);
     EXPECT_EQ(granted("b", 0, 0, 1), 1);
     EXPECT_DOUBLE_EQ(held(), 1);
     // The holder comes back with tokens that have ended.
@@ -157,62 +156,62 @@
     EXPECT_EQ(reply.grants(0).kept(), 0);
 }
 
-TEST_F(allotment_owner_test, refuses_requests_that_were_overtaken)
+TEST_F(quota_owner_test, refuses_requests_that_were_overtaken)
 {
     EXPECT_EQ(granted("a", 0, 0, 5), 5);
     sequences["a"] = 0;
     EXPECT_FALSE(ask("a", 0, 0, 5).accepted());
 }
 
-TEST_F(allotment_owner_test, refuses_daemons_that_know_a_later_owner)
+TEST_F(quota_owner_test, refuses_daemons_that_know_a_later_owner)
 {
     term = 8;
     EXPECT_FALSE(ask("a", 0, 0, 5).accepted());
 }
 
-TEST_F(allotment_owner_test, a_changed_document_keeps_the_tokens_of_a_team)
+TEST_F(quota_owner_test, a_changed_document_keeps_the_tokens_of_a_team)
 {
     empty_bucket();
     set_limit({rate, burst});
     EXPECT_EQ(granted("b", 0, 0, 50), 0);
 }
 
-TEST_F(allotment_owner_test, holders_give_back_what_a_lower_limit_forbids)
+TEST_F(quota_owner_test, holders_give_back_what_a_lower_limit_forbids)
 {
     EXPECT_EQ(granted("a", 0, 0, 0, 30), 30);
     set_limit({1, 1});
     const auto reply = ask("a", 30, 0, 0);
-    const allotment_bounds bounds;
+    const quota_bounds bounds;
     EXPECT_LE(
         reply.grants(0).kept(),
-        allotment_owner::held_share * bounds.excess({1, 1}));
+        quota_owner::held_share * bounds.excess({1, 1}));
     EXPECT_EQ(granted("b", 0, 0, 10), 0);
 }
 
-TEST_F(allotment_owner_test, grants_everything_without_a_limit)
+TEST_F(quota_owner_test, grants_everything_without_a_limit)
 {
     set_limit({});
     EXPECT_EQ(granted("a", 0, 0, 1000), 1000);
 }
 
-TEST_F(allotment_owner_test, refuses_a_team_that_is_gone)
+TEST_F(quota_owner_test, refuses_a_team_that_is_gone)
 {
     owner.set_limits({}, clock.now());
     EXPECT_EQ(granted("a", 0, 0, 10), 0);
 }
 
 // The owner of a term that has just begun.
-class new_allotment_owner_test : public allotment_owner_test
+class new_quota_owner_test : public quota_owner_test
 {
 protected:
-    new_allotment_owner_test()
+    new_quota_owner_test()
     {
-        owner = allotment_owner(9, clock.now(), allotment_bounds());
+        owner = quota_owner(9, clock.now(), quota_bounds());
         set_limit({rate, burst});
     }
 };
 
-TEST_F(new_allotment_owner_test, learns_what_a_daemon_brings_along)
+TEST_F(new_quota_owner_test, learns_what_a_daemon_brings_along)
 {
     const auto first = ask("a", 30, 4, 5);
     EXPECT_TRUE(first.accepted());
@@ -222,11 +221,11 @@
     EXPECT_DOUBLE_EQ(held(), 30);
 }
 
-TEST_F(new_allotment_owner_test, has_no_tokens_while_the_earlier_one_may_act)
+TEST_F(new_quota_owner_test, has_no_tokens_while_the_earlier_one_may_act)
 {
     ask("a", 0, 0, 0);
     term = 9;
-    clock.advance(allotment_times().ownership_lifetime);
+    clock.advance(quota_times().ownership_lifetime);
     EXPECT_EQ(granted("a", 0, 0, 5), 0);
     clock.advance(milliseconds(100));
     EXPECT_EQ(granted("a", 0, 0, 5), 5);
@@ -234,14 +233,14 @@
 
 // Before all tokens of the earlier owner have ended, stocks stay as large as
 // those that are known, and a reserve.
-TEST_F(new_allotment_owner_test, lets_stocks_grow_only_later)
+TEST_F(new_quota_owner_test, lets_stocks_grow_only_later)
 {
     ask("a", 10, 0, 0);
     term = 9;
     clock.advance(seconds(1));
-    const allotment_bounds bounds;
+    const quota_bounds bounds;
     const double reserve =
-        allotment_owner::reserve_share * bounds.excess({rate, burst});
+        quota_owner::reserve_share * bounds.excess({rate, burst});
     ask("a", 10, 0, 0, 100);
     EXPECT_LE(held(), 10 + reserve);
     clock.advance(seconds(2));
@@ -249,16 +248,16 @@
     EXPECT_GT(held(), 10 + reserve);
 }
 
-TEST_F(new_allotment_owner_test, confirms_before_it_counts_what_was_brought)
+TEST_F(new_quota_owner_test, confirms_before_it_counts_what_was_brought)
 {
     ask("a", 30, 0, 0);
     clock.advance(seconds(1));
     // Not confirmed: the daemon may still follow the earlier owner.
     ask("b", 0, 0, 0);
     term = 9;
-    const allotment_bounds bounds;
+    const quota_bounds bounds;
     const double reserve =
-        allotment_owner::reserve_share * bounds.excess({rate, burst});
+        quota_owner::reserve_share * bounds.excess({rate, burst});
     EXPECT_LE(held() + granted("b", 0, 0, 100), 30 + reserve);
 }
 
--- a/nutmegusher/teams/allotment_property_test.cpp
+++ b/nutmegusher/teams/quota_property_test.cpp
@@ -1,6 +1,6 @@
-// No team may have more requests run than its allotment and what operators
+// No team may have more requests run than its quota and what operators
 // allow beyond it, whatever happens to daemons, owners and the network.
-#include "nutmegusher/teams/allotment_model_test.hpp"
+#include "nutmegusher/teams/quota_model_test.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -12,10 +12,10 @@
 namespace
 {
 
-using allotment_model::history;
-using allotment_model::model_options;
+using quota_model::history;
+using quota_model::model_options;
 
-RC_GTEST_PROP(allotment_property, no_window_exceeds_the_allotment, ())
+RC_GTEST_PROP(quota_property, no_window_exceeds_the_quota, ())
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     history run(seed, {});
@@ -37,19 +37,19 @@
     return worst;
 }
 
-TEST(allotment_property, the_histories_hold_with_the_mechanism)
+TEST(quota_property, the_histories_hold_with_the_mechanism)
 {
     EXPECT_LE(worst_of_histories({}), 1);
 }
 
-TEST(allotment_property, an_owner_that_does_not_wait_breaks_the_allotment)
+TEST(quota_property, an_owner_that_does_not_wait_breaks_the_quota)
 {
     model_options options;
     options.owner_waits = false;
     EXPECT_GT(worst_of_histories(options), 1);
 }
 
-TEST(allotment_property, daemons_that_do_not_wait_break_the_allotment)
+TEST(quota_property, daemons_that_do_not_wait_break_the_quota)
 {
     model_options options;
     options.daemons_wait = false;
--- a/nutmegusher/teams/team_table.hpp
+++ b/nutmegusher/teams/team_table.hpp
@@ -3,8 +3,8 @@
 #define NUTMEGUSHER_TEAMS_TEAM_TABLE_HPP
 
 #include "nutmegusher/messages/configuration.pb.h"
-#include "nutmegusher/teams/allotment.hpp"
 #include "nutmegusher/teams/key_digest.hpp"
+#include "nutmegusher/teams/quota.hpp"
 #include "nutmegusher/teams/rank_scale.hpp"
 
 #include <cstddef>
@@ -24,7 +24,7 @@
     std::string name;
     // 0 is refused last.
     std::optional<std::uint8_t> rank;
-    allotment limit;
+    quota limit;
 };
 
 // Finds the team of a key by one look-up in a hash table.
--- a/nutmegusher/teams/team_table_test.cpp
+++ b/nutmegusher/teams/team_table_test.cpp
@@ -43,7 +43,7 @@
     const auto* const treasury = table.find("treasury");
     ASSERT_NE(treasury, nullptr);
     EXPECT_EQ(treasury->rank, 0);
-    EXPECT_EQ(treasury->limit, (allotment{373, 100}));
+    EXPECT_EQ(treasury->limit, (quota{373, 100}));
     const auto* const audit = table.find("audit");
     ASSERT_NE(audit, nullptr);
     EXPECT_FALSE(audit->rank);
