Log what an upstream is refused by, and which one refused a request

303 now has longest_hold_ms and refused_by_estimate, and is written when the latter grows; 400 has last_host. No decision changes.

--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -163,6 +163,7 @@
     {
         if (misses_deadline(call, duration::zero(), now))
         {
+            ++refused_by_estimate_;
             return {refuse(refusal_reason::deadline, call, now), outcomes_};
         }
         start(call, now);
@@ -388,6 +389,16 @@
     return outcomes_;
 }
 
+duration slot_queue::longest_slot_time() const
+{
+    double longest = 0;
+    for (const auto& [work_class, slot_time] : slot_times_)
+    {
+        longest = std::max(longest, slot_time);
+    }
+    return from_seconds(longest);
+}
+
 slot_queue_state slot_queue::state() const
 {
     slot_queue_state result{
@@ -398,7 +409,8 @@
         shed_.demand(),
         shed_.level(),
         from_seconds(mean_slot_time_),
-        meter_.limit()};
+        meter_.limit(),
+        refused_by_estimate_};
     if (result.rate_limit && limit_ > 0)
     {
         const double slots = std::max(std::floor(capacity()), 1.0);
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -68,6 +68,8 @@
     duration slot_time{0};
     // In calls a second.
     std::optional<double> rate_limit;
+    // Calls refused because of their class's estimate, though a slot was free.
+    std::uint64_t refused_by_estimate = 0;
 };
 
 // The spans that member functions return are valid until the next member
@@ -135,6 +137,9 @@
 
     [[nodiscard]] slot_queue_state state() const;
 
+    // The longest slot time that is estimated for any class.
+    [[nodiscard]] duration longest_slot_time() const;
+
 private:
     // Ordered by rank, then by deadline, then by arrival.
     struct position
@@ -201,6 +206,7 @@
     // over all classes.
     std::unordered_map<std::uint64_t, double> slot_times_;
     double mean_slot_time_ = 0;
+    std::uint64_t refused_by_estimate_ = 0;
     shed_control shed_;
     std::map<std::uint8_t, retry_after_schedule> retry_schedules_;
     random_engine engine_;
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -80,6 +80,7 @@
          {"reason", node::to_string(details.reason)},
          {"outcome", node::to_string(details.result)},
          {"tries", static_cast<std::uint64_t>(request.tried.size())},
+         {"last_host", request.last_host ? request.last_host->str() : ""},
          {"version", request.view->routes().version()}});
     co_await refuse(request, details);
 }
--- a/nutmegusher/routed/entry_forwarding.cpp
+++ b/nutmegusher/routed/entry_forwarding.cpp
@@ -270,6 +270,7 @@
 asio::awaitable<bool> try_upstream(entry_request& request, node::route to)
 {
     request.tried.push_back(to.handle);
+    request.last_host = to.host;
     upstream_try current(
         request.state.process.routes,
         request.service,
--- a/nutmegusher/routed/entry_request.hpp
+++ b/nutmegusher/routed/entry_request.hpp
@@ -75,6 +75,8 @@
     service_name service;
     routed_call call;
     std::vector<upstream_handle> tried;
+    // Of the upstream that was tried last.
+    std::optional<host_id> last_host;
     node::request_phase phase = node::request_phase::admission;
     std::uint32_t sent_tries = 0;
     std::size_t refusals = 0;
--- a/nutmegusher/routed/slot_gate.cpp
+++ b/nutmegusher/routed/slot_gate.cpp
@@ -121,12 +121,16 @@
 {
     const auto queue_state = queue_.state();
     const bool is_congested =
-        queue_state.waiting > 0 || queue_state.shed_level > 0;
+        queue_state.waiting > 0 || queue_state.shed_level > 0 ||
+        queue_state.refused_by_estimate > logged_refusals_;
     if (!is_congested || now < next_log_)
     {
         return;
     }
     next_log_ = now + log_interval;
+    const auto refused_by_estimate =
+        queue_state.refused_by_estimate - logged_refusals_;
+    logged_refusals_ = queue_state.refused_by_estimate;
     using milliseconds = std::chrono::duration<double, std::milli>;
     log_event(
         event::upstream_pressed,
@@ -135,7 +139,9 @@
          {"waiting", std::uint64_t{queue_state.waiting}},
          {"demand", queue_state.demand},
          {"level", queue_state.shed_level},
-         {"hold_ms", milliseconds(queue_state.slot_time).count()}});
+         {"hold_ms", milliseconds(queue_state.slot_time).count()},
+         {"longest_hold_ms", milliseconds(queue_.longest_slot_time()).count()},
+         {"refused_by_estimate", refused_by_estimate}});
 }
 
 time_point slot_gate::next_event() const
--- a/nutmegusher/routed/slot_gate.hpp
+++ b/nutmegusher/routed/slot_gate.hpp
@@ -69,6 +69,8 @@
     std::uint64_t last_ticket_ = 0;
     node::waiting_calls waiting_;
     time_point next_log_;
+    // `slot_queue_state::refused_by_estimate` at the last log line.
+    std::uint64_t logged_refusals_ = 0;
     // Whether the upstream of this start has answered.
     bool has_answered_ = false;
     std::optional<double> rate_limit_;
