Try a class again that an upstream was refused by an outdated estimate

Cause: slot_queue refuses a call that its class's estimated slot time would make late, and only calls that end change the estimate. After a daemon has stood still for seconds, or an upstream for one, the estimate exceeds the class's time limit; no call starts, none ends, and the class is refused at an idle upstream until a restart. Refusals count as demand, so the entries shed the lowest rank as well.

Now an estimate justifies a refusal only while it is current: while a call of the class runs, or for 100 ms after one has ended. Else one call starts as a trial. A call that ends more than 50 ms after its deadline ran while the process was suspended, and is no sample; one that timed out is a lower bound.

Ruled out: estimates that decay with time, as service_times. They let all calls of the class in at once each half-life while the upstream is still slow; trials cost one slot.

--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -10,14 +10,10 @@
 namespace
 {
 
-// The average covers about eight answers: at tens of calls a second it follows
-// an upstream that becomes slow within a fraction of a second.
-constexpr double slot_time_weight = 1.0 / 8;
-// Before the first answer the slot time is unknown, and no call is refused
-// because of it.
-constexpr double unknown_slot_time = 0.0;
-// Bound on the number of classes with slot times; a deployment has tens.
-constexpr std::size_t max_classes = 4096;
+// A call ends at its deadline at the latest. If its end is noticed later than
+// this after it, the process was suspended meanwhile, and the slot time isn't
+// the upstream's.
+constexpr duration max_deadline_overrun = std::chrono::milliseconds(50);
 // How long an upstream counts as one that makes sub-calls after its last one:
 // the pauses of an idle service are shorter.
 constexpr duration sub_call_retention = std::chrono::seconds(30);
@@ -45,18 +41,12 @@
     return {call.rank, call.deadline, arrivals_ + 1};
 }
 
-double slot_queue::slot_time_of(std::uint64_t work_class) const
-{
-    const auto found = slot_times_.find(work_class);
-    return found == slot_times_.end() ? unknown_slot_time : found->second;
-}
-
 // How many calls a second the upstream can start; 0 if that isn't known.
 double slot_queue::calls_per_second() const
 {
-    const double by_slots = mean_slot_time_ <= 0
-                                ? 0
-                                : static_cast<double>(limit_) / mean_slot_time_;
+    const double slot_time = seconds_of(times_.mean());
+    const double by_slots =
+        slot_time <= 0 ? 0 : static_cast<double>(limit_) / slot_time;
     const auto by_rate = meter_.limit();
     return by_rate && (by_slots <= 0 || *by_rate < by_slots) ? *by_rate
                                                              : by_slots;
@@ -67,9 +57,9 @@
 {
     const auto slots = static_cast<double>(limit_);
     const auto by_rate = meter_.limit();
-    return by_rate && mean_slot_time_ > 0
-               ? std::min(slots, *by_rate * mean_slot_time_)
-               : slots;
+    const double slot_time = seconds_of(times_.mean());
+    return by_rate && slot_time > 0 ? std::min(slots, *by_rate * slot_time)
+                                    : slots;
 }
 
 bool slot_queue::can_start(time_point now) const
@@ -98,7 +88,9 @@
 bool slot_queue::misses_deadline(
     const call_info& call, duration wait, time_point now) const
 {
-    const auto slot_time = from_seconds(slot_time_of(call.work_class));
+    const bool is_current = times_.is_current(call.work_class, now);
+    const auto slot_time =
+        is_current ? times_.expected(call.work_class) : duration::zero();
     return now + wait + slot_time >= call.deadline;
 }
 
@@ -139,8 +131,7 @@
     outcomes_.clear();
     running_.clear();
     meter_.set_limit(std::nullopt, now);
-    slot_times_.clear();
-    mean_slot_time_ = 0;
+    times_.clear();
     useful_ = useful_slots();
     useful_.set_slots(slots_);
     sub_call_at_.reset();
@@ -152,7 +143,7 @@
 arrival_result slot_queue::arrive(const call_info& call, time_point now)
 {
     outcomes_.clear();
-    shed_.on_arrival(from_seconds(slot_time_of(call.work_class)), now);
+    shed_.on_arrival(times_.expected(call.work_class), now);
     update_shed(now);
     if (leaving_ || limit_ == 0)
     {
@@ -186,8 +177,7 @@
     const auto left = call.deadline - now;
     const auto target = call.target > duration::zero() ? call.target : left;
     const auto target_end = now + std::min(target, left);
-    const auto latest_start =
-        target_end - from_seconds(slot_time_of(call.work_class));
+    const auto latest_start = target_end - times_.expected(call.work_class);
     waiting_.emplace(at, waiting_call{call, target_end, latest_start});
     by_latest_start_.emplace(latest_start, at);
     positions_.emplace(call.ticket, at);
@@ -206,8 +196,8 @@
 {
     const auto best = waiting_.begin();
     const auto wait = expected_wait(waiting_.size());
-    const bool all_in_time =
-        mean_slot_time_ > 0 && now + wait <= best->second.target_end;
+    const bool all_in_time = times_.mean() > duration::zero() &&
+                             now + wait <= best->second.target_end;
     return all_in_time ? waiting_.find(by_latest_start_.begin()->second) : best;
 }
 
@@ -218,7 +208,7 @@
     // service may have room.
     shed_.update(
         static_cast<double>(limit_),
-        from_seconds(mean_slot_time_ * waiting),
+        from_seconds(seconds_of(times_.mean()) * waiting),
         now);
 }
 
@@ -241,8 +231,13 @@
 {
     meter_.on_start(now);
     const auto started_under = useful_.on_start(running_.size() + 1);
+    const bool is_trial =
+        now + times_.expected(call.work_class) >= call.deadline;
+    times_.on_start(call.work_class);
     running_.emplace(
-        call.ticket, running_call{call.work_class, now, started_under});
+        call.ticket,
+        running_call{
+            call.work_class, now, call.deadline, is_trial, started_under});
 }
 
 std::span<const queue_outcome>
@@ -254,19 +249,7 @@
     {
         return outcomes_;
     }
-    const auto slot_time = now - found->second.since;
-    if (result == call_result::ok || result == call_result::timed_out)
-    {
-        record_slot_time(found->second.work_class, slot_time);
-    }
-    if (result == call_result::ok && !makes_sub_calls(now))
-    {
-        useful_.on_completion(
-            found->second.work_class,
-            found->second.started_under,
-            slot_time,
-            now);
-    }
+    record_end(found->second, result, now);
     running_.erase(found);
     update_limit(now);
     admit_waiting(now);
@@ -274,17 +257,23 @@
     return outcomes_;
 }
 
-void slot_queue::record_slot_time(std::uint64_t work_class, duration slot_time)
+void slot_queue::record_end(
+    const running_call& ended, call_result result, time_point now)
 {
-    const double seconds = seconds_of(slot_time);
-    const auto move = [seconds](double& mean)
+    const bool is_complete = result == call_result::ok;
+    const bool was_suspended = now > ended.deadline + max_deadline_overrun;
+    if (was_suspended || (!is_complete && result != call_result::timed_out))
     {
-        mean = mean <= 0 ? seconds : mean + (seconds - mean) * slot_time_weight;
-    };
-    move(mean_slot_time_);
-    if (slot_times_.size() < max_classes || slot_times_.contains(work_class))
+        times_.on_end(ended.work_class, now);
+        return;
+    }
+    const auto slot_time = now - ended.since;
+    times_.on_end(
+        ended.work_class, {slot_time, is_complete, ended.is_trial}, now);
+    if (is_complete && !makes_sub_calls(now))
     {
-        move(slot_times_[work_class]);
+        useful_.on_completion(
+            ended.work_class, ended.started_under, slot_time, now);
     }
 }
 
@@ -361,7 +350,10 @@
     auto earliest = time_point::max();
     for (const auto& [at, call] : waiting_)
     {
-        const auto slot_time = from_seconds(slot_time_of(call.info.work_class));
+        const auto work_class = call.info.work_class;
+        const auto slot_time = times_.has_running(work_class)
+                                   ? times_.expected(work_class)
+                                   : duration::zero();
         earliest = std::min(earliest, call.info.deadline - slot_time);
     }
     return earliest;
@@ -389,16 +381,6 @@
     return outcomes_;
 }
 
-duration slot_queue::longest_slot_time() const
-{
-    double longest = 0;
-    for (const auto& [work_class, slot_time] : slot_times_)
-    {
-        longest = std::max(longest, slot_time);
-    }
-    return from_seconds(longest);
-}
-
 slot_queue_state slot_queue::state() const
 {
     slot_queue_state result{
@@ -408,7 +390,7 @@
         leaving_,
         shed_.demand(),
         shed_.level(),
-        from_seconds(mean_slot_time_),
+        times_.mean(),
         meter_.limit(),
         refused_by_estimate_};
     if (result.rate_limit && limit_ > 0)
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -26,7 +26,8 @@
 //   lookups with a target of 120 ms were late behind calls with one of 300 ms.
 // - A call is refused at once if it couldn't finish before its deadline, judged
 //   by the recent slot times of its class; a waiting call is refused as soon as
-//   that becomes true.
+//   that becomes true. An estimate that no call of the class would correct is
+//   ignored; see `slot_times`.
 #ifndef NUTMEGUSHER_POLICY_SLOT_QUEUE_HPP
 #define NUTMEGUSHER_POLICY_SLOT_QUEUE_HPP
 
@@ -36,6 +37,7 @@
 #include "nutmegusher/policy/rate_meter.hpp"
 #include "nutmegusher/policy/retry_after_schedule.hpp"
 #include "nutmegusher/policy/shed_control.hpp"
+#include "nutmegusher/policy/slot_times.hpp"
 #include "nutmegusher/policy/useful_slots.hpp"
 
 #include <cstddef>
@@ -138,7 +140,10 @@
     [[nodiscard]] slot_queue_state state() const;
 
     // The longest slot time that is estimated for any class.
-    [[nodiscard]] duration longest_slot_time() const;
+    [[nodiscard]] duration longest_slot_time() const
+    {
+        return times_.longest();
+    }
 
 private:
     // Ordered by rank, then by deadline, then by arrival.
@@ -166,6 +171,8 @@
     {
         std::uint64_t work_class = 0;
         time_point since;
+        time_point deadline;
+        bool is_trial = false;
         useful_slots::start started_under;
     };
 
@@ -173,7 +180,6 @@
     void add_waiting(const position& at, const call_info& call, time_point now);
     waiting_calls::iterator remove_waiting(waiting_calls::iterator at);
     [[nodiscard]] waiting_calls::iterator next_to_start(time_point now);
-    [[nodiscard]] double slot_time_of(std::uint64_t work_class) const;
     [[nodiscard]] double calls_per_second() const;
     [[nodiscard]] double capacity() const;
     [[nodiscard]] bool can_start(time_point now) const;
@@ -185,7 +191,8 @@
     refuse(refusal_reason reason, const call_info& call, time_point now);
     void start(const call_info& call, time_point now);
     void admit_waiting(time_point now);
-    void record_slot_time(std::uint64_t work_class, duration slot_time);
+    void
+    record_end(const running_call& ended, call_result result, time_point now);
     void update_shed(time_point now);
     [[nodiscard]] bool makes_sub_calls(time_point now) const;
     void update_limit(time_point now);
@@ -202,10 +209,7 @@
     std::set<std::pair<time_point, position>> by_latest_start_;
     std::unordered_map<ticket_id, position> positions_;
     std::unordered_map<ticket_id, running_call> running_;
-    // Exponential moving averages of the slot time, in seconds: per class, and
-    // over all classes.
-    std::unordered_map<std::uint64_t, double> slot_times_;
-    double mean_slot_time_ = 0;
+    internal::slot_times times_;
     std::uint64_t refused_by_estimate_ = 0;
     shed_control shed_;
     std::map<std::uint8_t, retry_after_schedule> retry_schedules_;
