Let the shed level fall while no call arrives

What callers saw: requests of the lowest rank refused at the entries for a service with free slots, long after its load had passed.

Cause: the level is recomputed when a call arrives or ends, with a step cut to 0.25 s, whatever the time since. A high level keeps calls away; the entries forget it after 2 s, send again, and are told the old level.

That no call arrived is known, so the level falls for that time by the demand of arrivals alone.

--- a/nutmegusher/policy/shed_control.cpp
+++ b/nutmegusher/policy/shed_control.cpp
@@ -39,8 +39,8 @@
 // Speeds up the fall of the integral part: unused capacity is lost for good,
 // while the proportional part corrects a level that fell too far at once.
 constexpr double fall_factor = 2.0;
-// The load between two updates that are further apart is unknown; the step is
-// cut to this length.
+// The backlog between two updates that are further apart is unknown; their step
+// is cut to this length.
 constexpr double max_step_seconds = 0.25;
 
 double seconds_of(duration time)
@@ -48,6 +48,12 @@
     return std::chrono::duration<double>(time).count();
 }
 
+duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
 } // namespace
 
 double shed_control::integral_gain(double excess) const
@@ -70,17 +76,46 @@
     }
 }
 
+// Pattern of failure: a high level keeps calls away, and the level falls only
+// when a call arrives. The entries forget it after two seconds, try again with
+// all their requests, and are told the old level.
+//
+// That no call arrived is known, so the level falls for this time as well; only
+// the last step is left to `update`.
+void shed_control::account_for_idle_time(time_point now)
+{
+    const auto step = from_seconds(max_step_seconds);
+    while (now - updated_at_ > step && integral_ > 0)
+    {
+        updated_at_ += step;
+        decay(updated_at_);
+        const double demand = slots_ > 0 ? rate_ / slots_ : 0;
+        const double excess = std::min(demand - target_demand, 0.0);
+        integrate(excess, max_step_seconds);
+    }
+    updated_at_ = std::max(updated_at_, now - step);
+}
+
+void shed_control::integrate(double excess, double step)
+{
+    integral_ = std::clamp(
+        integral_ + integral_gain(excess) * excess * step, 0.0, max_level);
+    level_ = std::clamp(integral_ + proportional_gain * excess, 0.0, max_level);
+}
+
 void shed_control::on_arrival(duration slot_time, time_point now)
 {
+    account_for_idle_time(now);
     decay(now);
     rate_ += seconds_of(slot_time) / window_seconds;
 }
 
 void shed_control::update(double slots, duration backlog, time_point now)
 {
-    const double step =
-        std::min(seconds_of(now - updated_at_), max_step_seconds);
+    account_for_idle_time(now);
+    const double step = seconds_of(now - updated_at_);
     updated_at_ = now;
+    slots_ = slots;
     if (slots <= 0 || step <= 0)
     {
         return;
@@ -90,9 +125,7 @@
     demand_ = slot_time_rate / slots;
     const double excess =
         std::clamp(demand_ - target_demand, -target_demand, max_excess);
-    integral_ = std::clamp(
-        integral_ + integral_gain(excess) * excess * step, 0.0, max_level);
-    level_ = std::clamp(integral_ + proportional_gain * excess, 0.0, max_level);
+    integrate(excess, step);
 }
 
 } // namespace nutmegusher
--- a/nutmegusher/policy/shed_control.hpp
+++ b/nutmegusher/policy/shed_control.hpp
@@ -54,6 +54,8 @@
 
 private:
     void decay(time_point now);
+    void account_for_idle_time(time_point now);
+    void integrate(double excess, double step);
     // The gain of the integral part, in level units per second and unit of
     // excess demand.
     [[nodiscard]] double integral_gain(double excess) const;
@@ -63,6 +65,8 @@
     double rate_ = 0;
     time_point rate_at_;
     time_point updated_at_;
+    // As of the last update.
+    double slots_ = 0;
     double demand_ = 0;
     // The integral part of the level.
     double integral_ = 0;
--- a/nutmegusher/policy/shed_control_test.cpp
+++ b/nutmegusher/policy/shed_control_test.cpp
@@ -167,7 +167,7 @@
 TEST(shed_control, recovers_throughput_after_entries_ignored_the_level)
 {
     saturated_service service;
-    for (int i = 0; i < 2000; ++i)
+    for (int i = 0; i < 10000; ++i)
     {
         service.step(930, false);
     }
@@ -184,6 +184,23 @@
     EXPECT_GT(per_second, 0.85 * 420);
 }
 
+TEST(shed_control, the_level_falls_while_no_call_arrives)
+{
+    time_point now{1h};
+    shed_control control;
+    for (int i = 0; i < 10000; ++i)
+    {
+        now += 1ms;
+        control.on_arrival(200ms, now);
+        control.update(20, 0ms, now);
+    }
+    ASSERT_GT(control.level(), 2);
+    now += 4s;
+    control.on_arrival(20ms, now);
+    control.update(20, 0ms, now);
+    EXPECT_EQ(control.level(), 0);
+}
+
 TEST(shed_control, a_service_with_spare_capacity_sheds_nothing)
 {
     saturated_service service;
