Ask for no shedding because of calls that are refused as too slow

What callers saw: with one upstream of three refusing a class for its estimated slot time, all requests of the lowest rank refused at the entries.

Shedding lesser requests frees no slot that such a call could use.

A call that would wait, or is refused for the length of the queue, counts as before.

--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -143,16 +143,22 @@
 arrival_result slot_queue::arrive(const call_info& call, time_point now)
 {
     outcomes_.clear();
-    shed_.on_arrival(times_.expected(call.work_class), now);
+    const bool is_next = !meter_.limit() || waiting_.empty();
+    const bool may_start = can_start(now) && is_next;
+    const bool too_slow =
+        may_start && misses_deadline(call, duration::zero(), now);
+    if (!too_slow)
+    {
+        shed_.on_arrival(times_.expected(call.work_class), now);
+    }
     update_shed(now);
     if (leaving_ || limit_ == 0)
     {
         return {refuse(refusal_reason::leaving, call, now), outcomes_};
     }
-    const bool is_next = !meter_.limit() || waiting_.empty();
-    if (can_start(now) && is_next)
+    if (may_start)
     {
-        if (misses_deadline(call, duration::zero(), now))
+        if (too_slow)
         {
             ++refused_by_estimate_;
             return {refuse(refusal_reason::deadline, call, now), outcomes_};
--- a/nutmegusher/policy/slot_queue_test.cpp
+++ b/nutmegusher/policy/slot_queue_test.cpp
@@ -162,6 +162,24 @@
     EXPECT_GT(std::get<refused>(verdict).retry_after, 0ms);
 }
 
+// Shedding lesser work frees no slot that a call refused for its slot time
+// could use.
+TEST_F(slots, calls_that_are_refused_as_too_slow_raise_no_level)
+{
+    learn(1, 400ms);
+    for (int i = 0; i < 1000; ++i)
+    {
+        now += 1ms;
+        if (arrive(call(1, 1s, 300ms)) == decision(admitted()))
+        {
+            break;
+        }
+    }
+    EXPECT_EQ(queue.state().running, 1U);
+    EXPECT_LT(queue.state().demand, 1.0);
+    EXPECT_EQ(queue.shed_level(), 0);
+}
+
 TEST_F(slots, a_waiting_call_is_refused_once_it_would_miss_its_deadline)
 {
     learn(1, 100ms);
