Readmit an ejected upstream that gets no short idempotent calls

What callers saw: nothing on record.

Cause: only a short idempotent call probes an ejected upstream. Where all calls of a service at an entry are bulk or may not be repeated, none comes, and up to half of the service gets no calls for the life of the entry.

Any other call probes 2 s after such a one would have. It may end with an unknown outcome: one call for each ejection, whose time doubles up to 8 s with each failed probe.

--- a/nutmegusher/policy/router.cpp
+++ b/nutmegusher/policy/router.cpp
@@ -26,6 +26,10 @@
 // Differences below this are noise of the network and of the host's scheduler.
 constexpr double min_slow_seconds = 0.005;
 
+// How much later than a short idempotent call any other one probes an ejected
+// upstream.
+constexpr duration other_probe_delay = std::chrono::seconds(2);
+
 // How long an upstream that refused because it is leaving gets no calls;
 // membership reports it within about a second.
 constexpr duration leaving_retention = std::chrono::seconds(2);
@@ -283,16 +287,14 @@
     std::span<const upstream_handle> tried,
     time_point now)
 {
-    // The probe may fail, so only a short idempotent call is used: it can be
+    // The probe may fail, so a short idempotent call is preferred: it can be
     // retried.
-    if (!call.repeatable || call.bulk)
-    {
-        return std::nullopt;
-    }
+    const bool can_retry = call.repeatable && !call.bulk;
+    const duration delay = can_retry ? duration(0) : other_probe_delay;
     for (std::size_t index = 0; index < entries_.size(); ++index)
     {
         const entry& each = entries_[index];
-        if (usable(each, tried, now) && each.health.probe_due(now))
+        if (usable(each, tried, now) && each.health.probe_due(now - delay))
         {
             return index;
         }
--- a/nutmegusher/policy/router.hpp
+++ b/nutmegusher/policy/router.hpp
@@ -22,10 +22,10 @@
 //   would overload it.
 // - Outlier ejection: an upstream is ejected if it fails three times in a row,
 //   becomes unresponsive, or is much slower than the median of the others.
-//   Half-open probes (single calls) readmit it. At most half of a service is
-//   ejected, and none while half of the other upstreams fail as well: a fault
-//   of a downstream service, or one on the side of this daemon, doesn't leave
-//   the service without upstreams.
+//   Half-open probes (single calls, short idempotent ones if there are any)
+//   readmit it. At most half of a service is ejected, and none while half of
+//   the other upstreams fail as well: a fault of a downstream service, or one
+//   on the side of this daemon, doesn't leave the service without upstreams.
 #ifndef NUTMEGUSHER_POLICY_ROUTER_HPP
 #define NUTMEGUSHER_POLICY_ROUTER_HPP
 
--- a/nutmegusher/policy/router_test.cpp
+++ b/nutmegusher/policy/router_test.cpp
@@ -116,6 +116,26 @@
     EXPECT_GT(run(100, milliseconds(10))["2"], 0);
 }
 
+TEST_F(routing, readmits_an_upstream_that_gets_no_short_idempotent_calls)
+{
+    for (const bool bulk : {false, true})
+    {
+        route = router();
+        set_up(3, 0);
+        run(30, milliseconds(2));
+        call.repeatable = false;
+        call.bulk = bulk;
+        const auto silent = choose();
+        ASSERT_TRUE(silent);
+        const auto host = route.host(*silent)->str();
+        route.on_start(*silent, false, clock.now());
+        route.on_silent(*silent, false, clock.now());
+        EXPECT_FALSE(run(200, milliseconds(2)).contains(host));
+        run(5000, milliseconds(2));
+        EXPECT_TRUE(run(200, milliseconds(2)).contains(host));
+    }
+}
+
 TEST_F(routing, ejects_a_slow_upstream)
 {
     set_up(4, 0);
