--- a/nutmegusher/policy/slot_queue_recovery_test.cpp
+++ b/nutmegusher/policy/slot_queue_recovery_test.cpp
@@ -43,6 +43,7 @@
 // Three classes that keep 20 slots busy to a half at 200 calls a second.
 constexpr std::size_t slot_count = 20;
 constexpr double calls_per_second = 200;
+constexpr duration caller_patience = 1s;
 const std::vector<simulated_class> classes{
     {1, 2, 700ms, 0.022, 0.80},
     {2, 2, 1s, 0.072, 0.12},
@@ -102,6 +103,11 @@
         return counts_;
     }
 
+    [[nodiscard]] double level() const
+    {
+        return queue_.state().shed_level;
+    }
+
 private:
     struct run
     {
@@ -131,7 +137,11 @@
         apply(queue_.tick(now_));
         while (next_arrival_ <= now_)
         {
-            arrive();
+            // Callers leave a process that doesn't answer.
+            if (now_ - next_arrival_ <= caller_patience)
+            {
+                arrive();
+            }
             const double gap =
                 -std::log(uniform(engine_, 1e-6, 1.0)) / arrival_rate();
             next_arrival_ += to_duration(gap);
@@ -344,10 +354,12 @@
     // Share of the calls that started, of those that arrived in the second
     // after the first one after the last fault.
     double started = 0;
+    // The level two seconds after the last fault.
+    double level = 0;
 
     [[nodiscard]] bool is_complete() const
     {
-        return started >= 0.9;
+        return started >= 0.9 && level <= 0;
     }
 };
 
@@ -364,7 +376,8 @@
     const auto counted = upstream.run_until(last + 2s);
     return {
         static_cast<double>(counted.started) /
-        static_cast<double>(counted.arrived)};
+            static_cast<double>(counted.arrived),
+        upstream.level()};
 }
 
 std::uint64_t count_from_environment(const char* name, std::uint64_t otherwise)
@@ -383,6 +396,7 @@
         const auto faults = random_faults(engine);
         const auto after = recover_from<slot_queue>(faults, seed);
         EXPECT_GE(after.started, 0.9) << seed << ": " << to_text(faults);
+        EXPECT_LE(after.level, 0) << seed << ": " << to_text(faults);
     }
 }
 
