Try a call elsewhere that one upstream refused as too slow

Cause: the entry takes any refusal as 'deadline' for final. But an upstream's daemon refuses by its own estimate, and gives the same reason; another upstream may be faster.

--- a/nutmegusher/routed/entry_forwarding.cpp
+++ b/nutmegusher/routed/entry_forwarding.cpp
@@ -201,6 +201,14 @@
     }
 }
 
+// An upstream refused the call, since calls of its class take too long there
+// lately. Another upstream may be faster.
+bool is_too_slow(const failed_call& failed)
+{
+    return failed.details.reason == call_reason::deadline && !failed.sent &&
+           failed.details.result == call_outcome::not_run;
+}
+
 void record_failure(entry_request& request, const failed_call& failed)
 {
     request.sent_tries += failed.sent ? 1 : 0;
@@ -215,7 +223,7 @@
     const bool ran = failed.details.result != call_outcome::not_run;
     request.may_have_run = request.may_have_run || ran;
     const bool was_overloaded = failed.details.reason == call_reason::overload;
-    request.refusals += was_overloaded ? 1 : 0;
+    request.refusals += was_overloaded || is_too_slow(failed) ? 1 : 0;
     // A later refusal doesn't replace the failure of a try that may have
     // run.
     if (!request.last_failure || ran || !request.may_have_run)
@@ -234,7 +242,8 @@
     }
     if (request.sent_tries >= request.route->max_tries ||
         request.refusals >= max_refusals ||
-        failed.details.reason == call_reason::deadline)
+        (failed.details.reason == call_reason::deadline &&
+         !is_too_slow(failed)))
     {
         return false;
     }
--- a/nutmegusher/routed/routed_path_test.cpp
+++ b/nutmegusher/routed/routed_path_test.cpp
@@ -2,6 +2,9 @@
 // enters, the daemon beside the upstream, and an upstream that misbehaves.
 #include "nutmegusher/routed/test_path.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace nutmegusher::routed
 {
 namespace
@@ -401,5 +404,44 @@
     EXPECT_LE(refused_calls, requests / 10);
 }
 
+// Reports to a daemon that a call of the route took this long.
+void report_slow_call(routed_node& node, std::uint64_t route, duration time)
+{
+    asio::io_context context;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void>
+        {
+            call_info call;
+            call.ticket = node.state.slots.next_ticket();
+            call.work_class = route;
+            call.deadline = host_clock().now() + std::chrono::hours(1);
+            co_await node.state.slots.enter(call);
+            std::this_thread::sleep_for(time);
+            node.state.slots.finish(call.ticket, call_result::ok);
+        },
+        asio::detached);
+    context.run();
+}
+
+TEST_F(
+    failing_upstream, a_call_refused_for_one_upstreams_slowness_runs_elsewhere)
+{
+    start(answering_script(http::status::ok));
+    start_another(answering_script(http::status::ok));
+    const auto view = entry->shared.configuration.current();
+    const auto* const route = view->routes().find("a.example", "/pay/1");
+    ASSERT_NE(route, nullptr);
+    for (int i = 0; i < 10; ++i)
+    {
+        report_slow_call(
+            *upstream_node, route->hash, std::chrono::milliseconds(400));
+        auto request =
+            make_request("/pay/1", "id-" + std::to_string(i), "amount 7");
+        request.set("nutmeg-timeout-ms", "300");
+        EXPECT_EQ(ask(request).result_int(), 200U);
+    }
+}
+
 } // namespace
 } // namespace nutmegusher::routed
