--- a/nutmegusher/policy/slot_queue.cpp
+++ b/nutmegusher/policy/slot_queue.cpp
@@ -237,13 +237,13 @@
 {
     meter_.on_start(now);
     const auto started_under = useful_.on_start(running_.size() + 1);
-    const bool is_trial =
+    const bool is_probe =
         now + times_.expected(call.work_class) >= call.deadline;
     times_.on_start(call.work_class);
     running_.emplace(
         call.ticket,
         running_call{
-            call.work_class, now, call.deadline, is_trial, started_under});
+            call.work_class, now, call.deadline, is_probe, started_under});
 }
 
 std::span<const queue_outcome>
@@ -275,7 +275,7 @@
     }
     const auto slot_time = now - ended.since;
     times_.on_end(
-        ended.work_class, {slot_time, is_complete, ended.is_trial}, now);
+        ended.work_class, {slot_time, is_complete, ended.is_probe}, now);
     if (is_complete && !makes_sub_calls(now))
     {
         useful_.on_completion(
--- a/nutmegusher/policy/slot_queue.hpp
+++ b/nutmegusher/policy/slot_queue.hpp
@@ -172,7 +172,7 @@
         std::uint64_t work_class = 0;
         time_point since;
         time_point deadline;
-        bool is_trial = false;
+        bool is_probe = false;
         useful_slots::start started_under;
     };
 
--- a/nutmegusher/policy/slot_times.cpp
+++ b/nutmegusher/policy/slot_times.cpp
@@ -11,8 +11,8 @@
 // The average covers about eight answers: at tens of calls a second it follows
 // an upstream that becomes slow within a fraction of a second.
 constexpr double sample_weight = 1.0 / 8;
-// A trial is the only evidence since the class was refused, so it weighs more.
-constexpr double trial_weight = 1.0 / 2;
+// A probe is the only evidence since the class was refused, so it weighs more.
+constexpr double probe_weight = 1.0 / 2;
 
 duration from_seconds(double seconds)
 {
@@ -30,7 +30,7 @@
     }
     const bool shortens = seconds < mean;
     const double weight =
-        measured.was_trial && shortens ? trial_weight : sample_weight;
+        measured.was_probe && shortens ? probe_weight : sample_weight;
     mean = mean <= 0 ? seconds : mean + (seconds - mean) * weight;
 }
 
--- a/nutmegusher/policy/slot_times.hpp
+++ b/nutmegusher/policy/slot_times.hpp
@@ -1,7 +1,7 @@
 // Estimates how long a call of each class occupies a slot of the upstream.
 //
 //     times.on_start(work_class);
-//     times.on_end(work_class, {slot_time, true, was_trial}, now);
+//     times.on_end(work_class, {slot_time, true, was_probe}, now);
 //     if (times.is_current(work_class, now) &&
 //         now + times.expected(work_class) >= deadline)
 //         refuse();
@@ -14,7 +14,7 @@
 //
 // So an estimate justifies a refusal only while it is current: while a call of
 // the class runs, whose end will correct it, or shortly after one has ended.
-// Otherwise one call of the class, a trial, may start whatever the estimate is.
+// Otherwise one call of the class, a probe, may start whatever the estimate is.
 #ifndef NUTMEGUSHER_POLICY_SLOT_TIMES_HPP
 #define NUTMEGUSHER_POLICY_SLOT_TIMES_HPP
 
@@ -37,7 +37,7 @@
         // False: the call was given up, so `slot_time` is a lower bound.
         bool is_complete = true;
         // The call started although the estimate exceeded its time left.
-        bool was_trial = false;
+        bool was_probe = false;
     };
 
     void on_start(std::uint64_t work_class);
