Send each id once on a connection to an upstream

Cause: a rejected attempt was sent again with its id on the connection on which it had been rejected. A late second rejection bears that id and was taken for the answer to the second send. Change: the pool knows which ids a connection has carried, and gives a call a connection that hasn't carried its id. An answer with the id of a call is then never the answer to an earlier send. Ruled out: closing the connection of each rejection (a new connection, which holds a slot, for each), not returning to the upstream (routes with one try have no other).

--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -43,6 +43,9 @@
 // more than that the connection is taken to be out of sync for good.
 constexpr int max_skipped_answers = 2;
 constexpr std::size_t max_idle_connections = 256;
+// A connection that has carried this many calls with an echoed field isn't used
+// again, which bounds the memory for their values.
+constexpr std::size_t max_echoed_values = 1024;
 // `is_listening` opens at most this many connections and waits this long after
 // each; a stopped upstream shows within that.
 constexpr int max_probes = 3;
@@ -92,9 +95,28 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// A connection to an upstream. The destructor closes it.
+struct upstream_connection
+{
+    explicit upstream_connection(asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    [[nodiscard]] bool has_carried(std::uint64_t echoed_value) const
+    {
+        return std::ranges::find(echoed_values, echoed_value) !=
+               echoed_values.end();
+    }
+
+    beast::tcp_stream stream;
+    // Hashes of the echoed values of all requests sent on the connection.
+    std::vector<std::uint64_t> echoed_values;
+};
+
 struct idle_connection
 {
-    std::unique_ptr<beast::tcp_stream> stream;
+    std::unique_ptr<upstream_connection> connection;
     tcp::endpoint address;
     time_point idle_since;
     duration idle_timeout{default_idle_timeout};
@@ -132,21 +154,33 @@
     {
     }
 
-    std::unique_ptr<beast::tcp_stream>
-    take(const tcp::endpoint& address, duration max_idle_time)
+    // Returns nullptr if no idle connection can carry the request. An upstream
+    // may repeat an answer later on the same connection, so a connection
+    // carries each echoed value once: with the second request, an answer to the
+    // first one would be taken for its own.
+    std::unique_ptr<upstream_connection> take(
+        const tcp::endpoint& address,
+        duration max_idle_time,
+        std::optional<std::uint64_t> echoed_value)
     {
         const auto now = host_clock().now();
-        while (!idle.empty())
+        for (auto at = idle.size(); at-- > 0;)
         {
-            auto last = std::move(idle.back());
-            idle.pop_back();
-            const bool usable = last.address == address &&
-                                now - last.idle_since <= max_idle_time &&
-                                now - last.idle_since < last.idle_timeout &&
-                                still_open(last.stream->socket());
+            auto& each = idle[at];
+            const bool usable = each.address == address &&
+                                now - each.idle_since <= max_idle_time &&
+                                now - each.idle_since < each.idle_timeout &&
+                                still_open(each.connection->stream.socket());
+            if (usable && echoed_value &&
+                each.connection->has_carried(*echoed_value))
+            {
+                continue;
+            }
+            auto connection = std::move(each.connection);
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
             if (usable)
             {
-                return std::move(last.stream);
+                return connection;
             }
         }
         return nullptr;
@@ -159,21 +193,25 @@
             [&address](const idle_connection& each)
             {
                 return each.address == address &&
-                       still_open(each.stream->socket());
+                       still_open(each.connection->stream.socket());
             });
     }
 
     void
-    put(std::unique_ptr<beast::tcp_stream> stream,
+    put(std::unique_ptr<upstream_connection> connection,
         const tcp::endpoint& address,
         duration idle_timeout)
     {
+        if (connection->echoed_values.size() >= max_echoed_values)
+        {
+            return;
+        }
         if (idle.size() >= max_idle_connections)
         {
             idle.erase(idle.begin());
         }
         idle.push_back(
-            {std::move(stream), address, host_clock().now(), idle_timeout});
+            {std::move(connection), address, host_clock().now(), idle_timeout});
     }
 
     asio::io_context& context;
@@ -183,7 +221,7 @@
 struct upstream_call_state
 {
     std::shared_ptr<upstream_pool_state> pool;
-    std::unique_ptr<beast::tcp_stream> stream;
+    std::unique_ptr<upstream_connection> connection;
     tcp::endpoint address;
     beast::flat_buffer buffer;
     http::request<http::buffer_body> request;
@@ -248,7 +286,7 @@
     body.size = bytes.size();
     body.more = !end;
     auto [failed, size] = co_await http::async_write(
-        *call.stream, *call.serializer, as_tuple_awaitable);
+        call.connection->stream, *call.serializer, as_tuple_awaitable);
     call.request_done = end;
     co_return failed == http::error::need_buffer ? boost::system::error_code()
                                                  : failed;
@@ -271,7 +309,7 @@
     body.size = call->body.size();
     body.more = false;
     http::async_write(
-        *call->stream,
+        call->connection->stream,
         *call->serializer,
         [call](boost::system::error_code failed, std::size_t)
         {
@@ -297,7 +335,10 @@
         body.data = chunk.data();
         body.size = chunk.size();
         auto [failed, size] = co_await http::async_read_some(
-            *call.stream, call.buffer, *call.parser, as_tuple_awaitable);
+            call.connection->stream,
+            call.buffer,
+            *call.parser,
+            as_tuple_awaitable);
         if (failed && failed != http::error::need_buffer)
         {
             co_return failed;
@@ -331,7 +372,7 @@
         call.parser->skip(true);
     }
     auto [failed, size] = co_await http::async_read_header(
-        *call.stream, call.buffer, *call.parser, as_tuple_awaitable);
+        call.connection->stream, call.buffer, *call.parser, as_tuple_awaitable);
     co_return failed;
 }
 
@@ -346,9 +387,9 @@
 upstream_call::~upstream_call()
 {
     // A write may still be pending; closing the connection ends it.
-    if (state_->stream)
+    if (state_->connection)
     {
-        state_->stream->close();
+        state_->connection->stream.close();
     }
 }
 
@@ -428,7 +469,10 @@
         if (!failed && body.size == into.size() && !call.parser->is_done())
         {
             std::tie(failed, std::ignore) = co_await http::async_read_some(
-                *call.stream, call.buffer, *call.parser, as_tuple_awaitable);
+                call.connection->stream,
+                call.buffer,
+                *call.parser,
+                as_tuple_awaitable);
         }
         if (failed && failed != http::error::need_buffer)
         {
@@ -439,11 +483,12 @@
             co_return received;
         }
     }
-    if (call.stream && call.request_done && call.in_sync &&
+    if (call.connection && call.request_done && call.in_sync &&
         call.parser->keep_alive() && call.buffer.size() == 0)
     {
-        call.stream->expires_never();
-        call.pool->put(std::move(call.stream), call.address, call.idle_timeout);
+        call.connection->stream.expires_never();
+        call.pool->put(
+            std::move(call.connection), call.address, call.idle_timeout);
     }
     co_return std::size_t{0};
 }
@@ -451,9 +496,9 @@
 void upstream_call::cancel()
 {
     state_->cancelled = true;
-    if (state_->stream)
+    if (state_->connection)
     {
-        state_->stream->close();
+        state_->connection->stream.close();
     }
 }
 
@@ -507,16 +552,27 @@
     call->buffer.reserve(first_read_bytes);
     call->pool = state_;
     call->address = address;
-    call->stream = state_->take(
+    std::optional<std::uint64_t> echoed_hash;
+    if (!request.echoed_field.empty())
+    {
+        call->echoed_field = request.echoed_field;
+        call->echoed_value =
+            wire::find_header(request.head.fields, request.echoed_field)
+                .value_or("");
+        echoed_hash = stable_hash(call->echoed_value);
+    }
+    call->connection = state_->take(
         address,
-        request.needs_fresh_connection ? max_fresh_idle : default_idle_timeout);
-    if (!call->stream)
+        request.needs_fresh_connection ? max_fresh_idle : default_idle_timeout,
+        echoed_hash);
+    if (!call->connection)
     {
-        call->stream = std::make_unique<beast::tcp_stream>(state_->context);
-        call->stream->expires_after(
-            std::min(connect_timeout, request.time_left));
+        call->connection =
+            std::make_unique<upstream_connection>(state_->context);
+        auto& stream = call->connection->stream;
+        stream.expires_after(std::min(connect_timeout, request.time_left));
         auto [failed] =
-            co_await call->stream->async_connect(address, as_tuple_awaitable);
+            co_await stream.async_connect(address, as_tuple_awaitable);
         if (failed)
         {
             co_await wire::interruption_point();
@@ -525,17 +581,14 @@
         // Nothing is sent for a call that was interrupted meanwhile.
         co_await wire::interruption_point();
         boost::system::error_code ignored;
-        call->stream->socket().set_option(tcp::no_delay(true), ignored);
+        stream.socket().set_option(tcp::no_delay(true), ignored);
     }
-    call->stream->expires_after(request.time_left);
-    fill_request(call->request, request);
-    if (!request.echoed_field.empty())
+    if (echoed_hash)
     {
-        call->echoed_field = request.echoed_field;
-        call->echoed_value =
-            wire::find_header(request.head.fields, request.echoed_field)
-                .value_or("");
+        call->connection->echoed_values.push_back(*echoed_hash);
     }
+    call->connection->stream.expires_after(request.time_left);
+    fill_request(call->request, request);
     call->serializer.emplace(call->request);
     if (!request.streamed)
     {
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -86,7 +86,8 @@
     // Name, in lower case, of the request's field that the upstream echoes in
     // its answer; empty if it echoes none. An answer with another value belongs
     // to an earlier request and is skipped; an answer without the field is
-    // malformed.
+    // malformed. A connection carries each value once, so that an answer with
+    // the request's own value is never the answer to an earlier send.
     std::string_view echoed_field;
     // The time limit of the whole call, from now.
     duration time_left{};
--- /dev/null
+++ b/nutmegusher/node/upstream_client_test.cpp
@@ -0,0 +1,168 @@
+#include "nutmegusher/node/scripted_upstream.hpp"
+#include "nutmegusher/node/upstream_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace nutmegusher::node
+{
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using test::scripted_upstream;
+using text_request = http::request<http::string_body>;
+
+constexpr duration time_limit = std::chrono::seconds(20);
+
+// What a call ended with.
+struct call_end
+{
+    std::optional<upstream_failure> failure;
+    unsigned status = 0;
+    std::string body;
+};
+
+asio::awaitable<call_end>
+exchange(upstream_pool& pool, test::tcp::endpoint to, upstream_request request)
+{
+    auto sent = co_await pool.send(to, request);
+    if (!sent)
+    {
+        co_return call_end{sent.error(), 0, {}};
+    }
+    auto& call = **sent;
+    const auto head = co_await call.read_head();
+    if (!head)
+    {
+        co_return call_end{head.error(), 0, {}};
+    }
+    call_end end{std::nullopt, head->status, {}};
+    std::array<std::byte, 4096> chunk;
+    auto got = co_await call.read_some(chunk);
+    while (got && *got > 0)
+    {
+        end.body.append(reinterpret_cast<const char*>(chunk.data()), *got);
+        got = co_await call.read_some(chunk);
+    }
+    if (!got)
+    {
+        end.failure = got.error();
+    }
+    co_return end;
+}
+
+class upstream_client : public ::testing::Test
+{
+protected:
+    ~upstream_client() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    // Starts an upstream that answers each request with what `answer` returns
+    // for it, byte for byte.
+    void start(std::function<std::string(const text_request&)> answer)
+    {
+        upstream_ = std::make_unique<scripted_upstream>(
+            [this, answer = std::move(answer)](test::tcp::socket& socket)
+            {
+                ++connections_;
+                beast::flat_buffer buffer;
+                boost::system::error_code failed;
+                while (!failed)
+                {
+                    text_request request;
+                    http::read(socket, buffer, request, failed);
+                    if (!failed)
+                    {
+                        asio::write(
+                            socket, asio::buffer(answer(request)), failed);
+                    }
+                }
+            });
+    }
+
+    call_end call(const std::string& id, const std::string& method = "POST")
+    {
+        upstream_request request;
+        request.head.method = method;
+        request.head.path = "/";
+        request.head.fields = {{"host", "a"}, {"id", id}};
+        request.needs_fresh_connection = true;
+        request.echoed_field = "id";
+        request.time_left = time_limit;
+        return asio::co_spawn(
+                   context_,
+                   exchange(*pool_, upstream_->address(), request),
+                   asio::use_future)
+            .get();
+    }
+
+    [[nodiscard]] int connections() const
+    {
+        return connections_;
+    }
+
+private:
+    std::atomic<int> connections_ = 0;
+    asio::io_context context_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work_{
+        context_.get_executor()};
+    std::unique_ptr<upstream_pool> pool_ =
+        std::make_unique<upstream_pool>(context_);
+    std::unique_ptr<scripted_upstream> upstream_;
+    std::thread thread_{[this]
+                        {
+                            context_.run();
+                        }};
+};
+
+std::string make_answer(std::string_view id, std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nid: " + std::string(id) +
+           "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+}
+
+std::string own_answer(const text_request& request)
+{
+    return make_answer(std::string(request["id"]), "own");
+}
+
+TEST_F(upstream_client, reuses_a_connection_for_another_id)
+{
+    start(own_answer);
+    EXPECT_EQ(call("a").body, "own");
+    EXPECT_EQ(call("b").body, "own");
+    EXPECT_EQ(connections(), 1);
+}
+
+// Guards against a late answer to the first send that is taken for the answer
+// to the second one.
+TEST_F(upstream_client, sends_an_id_once_on_a_connection)
+{
+    start(own_answer);
+    EXPECT_EQ(call("a").body, "own");
+    EXPECT_EQ(call("a").body, "own");
+    EXPECT_EQ(connections(), 2);
+    EXPECT_EQ(call("b").body, "own");
+    EXPECT_EQ(connections(), 2);
+    EXPECT_EQ(call("a").body, "own");
+    EXPECT_EQ(connections(), 3);
+}
+
+} // namespace
+} // namespace nutmegusher::node
