Acknowledge that an upstream leaves once control hosts have stored it

Cause: withdrawn ids were kept in the memory of the daemon that acknowledged them. After a restart a report from before the withdrawal was the first one of its id and was believed. Evidence: with the same late report and no restart the case holds. A daemon that starts reads what has left its host with its first confirmed configuration and gives no upstream calls before that.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -109,6 +109,12 @@
     event_description{event::upstream_pace, "upstream_pace", severity::info},
     event_description{
         event::report_rejected, "report_rejected", severity::warning},
+    event_description{
+        event::withdrawal_stored, "withdrawal_stored", severity::info},
+    event_description{
+        event::withdrawal_not_stored,
+        "withdrawal_not_stored",
+        severity::warning},
     event_description{
         event::request_refused, "request_refused", severity::info},
     event_description{event::answer_broken, "answer_broken", severity::warning},
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -70,6 +70,8 @@
     repeats_exhausted = 307,
     upstream_pace = 308,
     report_rejected = 309,
+    withdrawal_stored = 310,
+    withdrawal_not_stored = 311,
     request_refused = 400,
     answer_broken = 401,
     request_unknown = 402,
--- a/nutmegusher/control/configuration_store.cpp
+++ b/nutmegusher/control/configuration_store.cpp
@@ -83,7 +83,19 @@
 messages::change_result
 configuration_store::apply(const messages::log_entry& entry)
 {
-    return apply(entry.configuration_change());
+    return entry.has_withdrawal() ? apply_withdrawal(entry.withdrawal())
+                                  : apply(entry.configuration_change());
+}
+
+messages::change_result configuration_store::apply_withdrawal(
+    const messages::upstream_withdrawal& withdrawal)
+{
+    if (withdrawal.host().empty() || withdrawal.upstream().empty())
+    {
+        return invalid(messages::problem_bad_withdrawal, "withdrawal");
+    }
+    withdrawals_.add(withdrawal);
+    return make_result(messages::change_accepted, revision_);
 }
 
 messages::change_result
@@ -304,6 +316,10 @@
         kept.set_digest(existing.digest);
         *kept.mutable_answer() = existing.answer;
     }
+    for (const auto& withdrawal : withdrawals_.all())
+    {
+        *state.add_withdrawals() = withdrawal;
+    }
     return state.SerializeAsString();
 }
 
@@ -332,6 +348,10 @@
         store.results_[kept.change_id()] = {kept.digest(), kept.answer()};
         store.result_order_.push_back(kept.change_id());
     }
+    for (const auto& withdrawal : state.withdrawals())
+    {
+        store.withdrawals_.add(withdrawal);
+    }
     return store;
 }
 
--- a/nutmegusher/control/configuration_store.hpp
+++ b/nutmegusher/control/configuration_store.hpp
@@ -4,6 +4,7 @@
 #define NUTMEGUSHER_CONTROL_CONFIGURATION_STORE_HPP
 
 #include "nutmegusher/base/base.hpp"
+#include "nutmegusher/control/withdrawal_table.hpp"
 #include "nutmegusher/messages/configuration.pb.h"
 #include "nutmegusher/messages/replication.pb.h"
 
@@ -48,6 +49,8 @@
 //   present document's version as its base and have a higher version. Only its
 //   acceptance is recorded: a document that arrived too early may be sent
 //   again.
+// - A withdrawal of an upstream is kept beside the configuration. It raises no
+//   revision and stands in no delta.
 //
 //     configuration_store store;
 //     const auto result = store.apply(change);
@@ -61,7 +64,8 @@
 
     messages::change_result apply(const messages::change& change);
 
-    // For the concept `state_machine`. Requires: the entry holds a change.
+    // For the concept `state_machine`. Requires: the entry holds a change or a
+    // withdrawal.
     messages::change_result apply(const messages::log_entry& entry);
 
     // Returns the result that `apply` would return now, and changes nothing.
@@ -91,6 +95,11 @@
         return history_;
     }
 
+    [[nodiscard]] const withdrawal_table& withdrawals() const
+    {
+        return withdrawals_;
+    }
+
     [[nodiscard]] std::string snapshot() const;
 
     // Fails with `bad_configuration_snapshot`.
@@ -111,6 +120,8 @@
     [[nodiscard]] messages::change_result
     validate(const messages::change& change) const;
     [[nodiscard]] bool overlaps(const messages::work_class& declared) const;
+    messages::change_result
+    apply_withdrawal(const messages::upstream_withdrawal& withdrawal);
     void commit_change(const messages::change& change);
     void record_result(
         const messages::change& change, const messages::change_result& answer);
@@ -123,6 +134,7 @@
     std::deque<messages::accepted_change> history_;
     std::map<std::string, recorded_result, std::less<>> results_;
     std::deque<std::string> result_order_;
+    withdrawal_table withdrawals_;
 };
 
 // Updates `target` by `delta`. Requires: `delta` was made for its revision.
--- a/nutmegusher/control/control.hpp
+++ b/nutmegusher/control/control.hpp
@@ -5,6 +5,7 @@
 // - `state_machine`, `replicated_group`: one Raft group with its state machine.
 // - `membership_plan.hpp`: the membership changes that replace a host.
 // - `configuration_store`: the state machine of group 0.
+// - `withdrawal_table`: the upstreams that have left, in the same group.
 // - `load_identity`: the identity of a data folder.
 //
 // Contains no network code, threads or clock reads; only `file_disk` does input
@@ -29,5 +30,6 @@
 #include "nutmegusher/control/state_machine.hpp"
 #include "nutmegusher/control/storage_error.hpp"
 #include "nutmegusher/control/team_check.hpp"
+#include "nutmegusher/control/withdrawal_table.hpp"
 
 #endif
--- a/nutmegusher/node/configuration_cache.cpp
+++ b/nutmegusher/node/configuration_cache.cpp
@@ -26,11 +26,20 @@
     }
 }
 
+void configuration_cache::accept(
+    const messages::upstream_withdrawal& withdrawal)
+{
+    const std::scoped_lock lock(mutex_);
+    withdrawals_.add(withdrawal);
+}
+
 void configuration_cache::restore(const configuration_store& store)
 {
     auto present = store.present();
     auto history = store.history();
+    auto withdrawals = store.withdrawals();
     const std::scoped_lock lock(mutex_);
+    withdrawals_ = std::move(withdrawals);
     if (present.revision() > present_.revision())
     {
         present_ = std::move(present);
@@ -38,6 +47,20 @@
     }
 }
 
+std::vector<messages::upstream_withdrawal>
+configuration_cache::withdrawals_of(std::string_view host) const
+{
+    const std::scoped_lock lock(mutex_);
+    return withdrawals_.of_host(host);
+}
+
+bool configuration_cache::contains(
+    const messages::upstream_withdrawal& withdrawal) const
+{
+    const std::scoped_lock lock(mutex_);
+    return withdrawals_.contains(withdrawal);
+}
+
 revision configuration_cache::at() const
 {
     const std::scoped_lock lock(mutex_);
--- a/nutmegusher/node/control_logs.cpp
+++ b/nutmegusher/node/control_logs.cpp
@@ -2,6 +2,7 @@
 
 #include "nutmegusher/node/control_loop.hpp"
 #include "nutmegusher/node/run_on.hpp"
+#include "nutmegusher/node/withdrawal_client.hpp"
 
 #include <array>
 #include <span>
@@ -81,6 +82,20 @@
     co_return result.SerializeAsString();
 }
 
+template <bool Forward>
+asio::awaitable<std::optional<std::string>>
+answer_withdrawal(std::shared_ptr<control_loop> loop, std::string body)
+{
+    messages::upstream_withdrawal withdrawal;
+    if (!withdrawal.ParseFromString(body))
+    {
+        co_return std::nullopt;
+    }
+    const auto result =
+        co_await loop->propose_withdrawal(std::move(withdrawal), Forward);
+    co_return result.SerializeAsString();
+}
+
 template <bool Forward>
 asio::awaitable<std::optional<std::string>>
 answer_claim(std::shared_ptr<control_loop> loop, std::string body)
@@ -167,11 +182,14 @@
     route{internal::raft_path, answer_raft, max_batch_bytes},
     route{"/control/propose", answer_change<true>, max_request_bytes},
     route{"/control/claim", answer_claim<true>, max_request_bytes},
+    route{withdrawal_path, answer_withdrawal<true>, max_request_bytes},
     route{"/control/find-claim", answer_find_claim, max_request_bytes},
     route{"/control/join", answer_join, max_request_bytes},
     route{"/control/admit", answer_admit<true>, max_request_bytes},
     route{"/control/lead/admit", answer_admit<false>, max_request_bytes},
     route{"/control/lead/propose", answer_change<false>, max_request_bytes},
+    route{
+        "/control/lead/withdraw", answer_withdrawal<false>, max_request_bytes},
     route{"/control/lead/claim", answer_claim<false>, max_request_bytes},
     route{"/control/lead/read", answer_read, max_request_bytes},
     route{"/control/lead/replace", answer_replace, max_request_bytes}};
@@ -242,6 +260,14 @@
         loop_->context(), loop_->propose_change(std::move(change), true));
 }
 
+asio::awaitable<messages::change_result>
+control_logs::withdraw(messages::upstream_withdrawal withdrawal)
+{
+    co_return co_await run_on(
+        loop_->context(),
+        loop_->propose_withdrawal(std::move(withdrawal), true));
+}
+
 asio::awaitable<messages::claim_result>
 control_logs::claim(messages::claim_command command)
 {
@@ -276,6 +302,12 @@
     return loop_->cache().since(from);
 }
 
+std::vector<messages::upstream_withdrawal>
+control_logs::withdrawals_of(const std::string& host) const
+{
+    return loop_->cache().withdrawals_of(host);
+}
+
 std::vector<messages::accepted_change>
 control_logs::history(std::size_t limit) const
 {
--- a/nutmegusher/node/control_logs.hpp
+++ b/nutmegusher/node/control_logs.hpp
@@ -120,6 +120,11 @@
     [[nodiscard]] asio::awaitable<messages::change_result>
     propose_change(messages::change change);
 
+    // Stores that an upstream has left its host; accepted once a majority has
+    // it. Returns `change_unavailable` if the outcome is unknown: resend.
+    [[nodiscard]] asio::awaitable<messages::change_result>
+    withdraw(messages::upstream_withdrawal withdrawal);
+
     // Returns `claim_unavailable` if the outcome is unknown: resend.
     [[nodiscard]] asio::awaitable<messages::claim_result>
     claim(messages::claim_command command);
@@ -138,6 +143,10 @@
     [[nodiscard]] revision at() const;
     [[nodiscard]] messages::configuration present() const;
     [[nodiscard]] messages::configuration_delta since(revision from) const;
+    // The upstreams that have left the host; linearizable only after
+    // `confirm_configuration`.
+    [[nodiscard]] std::vector<messages::upstream_withdrawal>
+    withdrawals_of(const std::string& host) const;
     // Returns the most recent `limit` changes, oldest first.
     [[nodiscard]] std::vector<messages::accepted_change>
     history(std::size_t limit) const;
--- a/nutmegusher/node/control_logs_test.cpp
+++ b/nutmegusher/node/control_logs_test.cpp
@@ -207,6 +207,41 @@
     EXPECT_EQ(change(1, declare("b", "view")).revision(), 2U);
 }
 
+// Guards against an acknowledged withdrawal that is lost with the processes.
+TEST_F(control_hosts, a_withdrawal_is_known_at_all_and_outlives_their_restart)
+{
+    messages::upstream_withdrawal withdrawal;
+    withdrawal.set_host("h1");
+    withdrawal.set_upstream("i-1");
+    withdrawal.set_started(1000);
+    const auto is_stored = [&]
+    {
+        const auto result =
+            hosts[1]->get(hosts[1]->logs().withdraw(withdrawal));
+        return result.verdict() == messages::change_accepted;
+    };
+    ASSERT_TRUE(eventually(is_stored));
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+    {
+        stop(i);
+    }
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+    {
+        start(i);
+    }
+    for (auto& host : hosts)
+    {
+        const auto is_confirmed = [&]
+        {
+            return host->get(host->logs().confirm_configuration());
+        };
+        EXPECT_TRUE(eventually(is_confirmed));
+        EXPECT_EQ(host->logs().withdrawals_of("h1").size(), 1U);
+        EXPECT_TRUE(host->logs().withdrawals_of("h2").empty());
+        EXPECT_EQ(host->logs().at(), revision());
+    }
+}
+
 TEST_F(control_hosts, an_emptied_folder_is_repaired_before_a_second_loss)
 {
     ASSERT_EQ(
--- a/nutmegusher/node/control_loop.cpp
+++ b/nutmegusher/node/control_loop.cpp
@@ -80,6 +80,11 @@
                         const messages::log_entry& entry,
                         const messages::change_result& result)
     {
+        if (entry.has_withdrawal())
+        {
+            cache_.accept(entry.withdrawal());
+            return;
+        }
         messages::accepted_change accepted;
         accepted.set_revision(result.revision());
         *accepted.mutable_what() = entry.configuration_change();
--- a/nutmegusher/node/control_loop.hpp
+++ b/nutmegusher/node/control_loop.hpp
@@ -90,6 +90,8 @@
     propose_change(messages::change change, bool forward);
     asio::awaitable<messages::claim_result>
     propose_claim(messages::claim_command command, bool forward);
+    asio::awaitable<messages::change_result>
+    propose_withdrawal(messages::upstream_withdrawal withdrawal, bool forward);
     asio::awaitable<messages::claim_result> find_claim(messages::claim_key key);
     asio::awaitable<bool> confirm_configuration();
     asio::awaitable<messages::read_reply> confirm_leader(std::uint32_t group);
@@ -189,6 +191,27 @@
         co_return reply;
     }
 
+    // A proposal of one entry to the log of `group`.
+    struct proposal
+    {
+        std::uint32_t group = 0;
+        messages::log_entry entry;
+        // Where the leader takes `body`, which holds the same content.
+        std::string_view leader_path;
+        std::string body;
+        time_point deadline;
+        // Whether to pass it on if another host leads.
+        bool forward = false;
+    };
+
+    // Proposes until there is a final verdict. Returns nullopt if there is none
+    // by the deadline; the entry may be applied all the same.
+    template <class Group>
+    asio::awaitable<std::optional<typename Group::result_type>>
+    propose_until_final(Group& group, proposal what);
+    asio::awaitable<messages::change_result>
+    propose_to_configuration(proposal what);
+
     asio::awaitable<std::optional<log_index>>
     read_index(std::uint32_t group, time_point deadline);
     asio::awaitable<void> pause(duration length);
--- a/nutmegusher/node/control_requests.cpp
+++ b/nutmegusher/node/control_requests.cpp
@@ -17,6 +17,8 @@
 constexpr duration change_timeout = std::chrono::seconds(3);
 // The entry daemon tries another control host after 400 ms.
 constexpr duration claim_timeout = std::chrono::seconds(1);
+// Daemons try another control host after 300 ms.
+constexpr duration withdrawal_timeout = std::chrono::seconds(1);
 constexpr duration read_timeout = std::chrono::seconds(2);
 // Limits one call to a leader, as it may have become silent.
 constexpr duration forward_timeout = std::chrono::milliseconds(800);
@@ -137,6 +139,56 @@
     return group->machine().check(change);
 }
 
+template <class Group>
+asio::awaitable<std::optional<typename Group::result_type>>
+control_loop::propose_until_final(Group& group, proposal what)
+{
+    using result_type = typename Group::result_type;
+    while (!stopped_ && host_clock().now() < what.deadline)
+    {
+        std::optional<result_type> result;
+        if (leads(what.group))
+        {
+            auto entry = what.entry;
+            schedule_turn();
+            result = co_await group.propose(std::move(entry), what.deadline);
+        }
+        else if (what.forward)
+        {
+            result = co_await ask_leader<result_type>(
+                what.group, what.leader_path, what.body, what.deadline);
+        }
+        if (is_final(result))
+        {
+            co_return result;
+        }
+        if (!what.forward)
+        {
+            break;
+        }
+        co_await pause(retry_pause);
+    }
+    co_return std::nullopt;
+}
+
+// Waits for the founding of the cluster, after which the group exists.
+asio::awaitable<messages::change_result>
+control_loop::propose_to_configuration(proposal what)
+{
+    while (!configuration_ && what.forward && !stopped_ &&
+           host_clock().now() < what.deadline)
+    {
+        co_await pause(retry_pause);
+    }
+    if (!configuration_)
+    {
+        co_return unavailable_change();
+    }
+    const auto result =
+        co_await propose_until_final(*configuration_, std::move(what));
+    co_return result.value_or(unavailable_change());
+}
+
 asio::awaitable<messages::change_result>
 control_loop::propose_change(messages::change change, bool forward)
 {
@@ -153,35 +205,33 @@
     {
         co_return *previous_result;
     }
-    const auto deadline = host_clock().now() + change_timeout;
-    const auto body = change.SerializeAsString();
-    while (!stopped_ && host_clock().now() < deadline)
+    proposal what;
+    what.body = change.SerializeAsString();
+    *what.entry.mutable_configuration_change() = std::move(change);
+    what.leader_path = "/control/lead/propose";
+    what.deadline = host_clock().now() + change_timeout;
+    what.forward = forward;
+    co_return co_await propose_to_configuration(std::move(what));
+}
+
+asio::awaitable<messages::change_result> control_loop::propose_withdrawal(
+    messages::upstream_withdrawal withdrawal, bool forward)
+{
+    const auto self = shared_from_this();
+    // An applied entry is committed.
+    if (cache_.contains(withdrawal))
     {
-        std::optional<messages::change_result> result;
-        if (leads(0))
-        {
-            messages::log_entry entry;
-            *entry.mutable_configuration_change() = change;
-            schedule_turn();
-            result =
-                co_await configuration_->propose(std::move(entry), deadline);
-        }
-        else if (forward)
-        {
-            result = co_await ask_leader<messages::change_result>(
-                0, "/control/lead/propose", body, deadline);
-        }
-        if (is_final(result))
-        {
-            co_return *result;
-        }
-        if (!forward)
-        {
-            break;
-        }
-        co_await pause(retry_pause);
+        messages::change_result result;
+        result.set_verdict(messages::change_accepted);
+        co_return result;
     }
-    co_return unavailable_change();
+    proposal what;
+    what.body = withdrawal.SerializeAsString();
+    *what.entry.mutable_withdrawal() = std::move(withdrawal);
+    what.leader_path = "/control/lead/withdraw";
+    what.deadline = host_clock().now() + withdrawal_timeout;
+    what.forward = forward;
+    co_return co_await propose_to_configuration(std::move(what));
 }
 
 asio::awaitable<messages::claim_result>
@@ -193,36 +243,16 @@
         co_return unavailable_claim();
     }
     const auto groups = static_cast<std::uint32_t>(claims_.size());
-    const auto number = claim_group_of(command.key(), groups);
-    const auto deadline = host_clock().now() + claim_timeout;
-    const auto body = command.SerializeAsString();
-    while (!stopped_ && host_clock().now() < deadline)
-    {
-        std::optional<messages::claim_result> result;
-        if (leads(number))
-        {
-            messages::log_entry entry;
-            *entry.mutable_claim() = command;
-            schedule_turn();
-            result = co_await claims_[number - 1]->propose(
-                std::move(entry), deadline);
-        }
-        else if (forward)
-        {
-            result = co_await ask_leader<messages::claim_result>(
-                number, "/control/lead/claim", body, deadline);
-        }
-        if (is_final(result))
-        {
-            co_return *result;
-        }
-        if (!forward)
-        {
-            break;
-        }
-        co_await pause(retry_pause);
-    }
-    co_return unavailable_claim();
+    proposal what;
+    what.group = claim_group_of(command.key(), groups);
+    what.body = command.SerializeAsString();
+    *what.entry.mutable_claim() = std::move(command);
+    what.leader_path = "/control/lead/claim";
+    what.deadline = host_clock().now() + claim_timeout;
+    what.forward = forward;
+    auto& group = *claims_[what.group - 1];
+    const auto result = co_await propose_until_final(group, std::move(what));
+    co_return result.value_or(unavailable_claim());
 }
 
 asio::awaitable<messages::read_reply>
--- a/nutmegusher/node/control_service.cpp
+++ b/nutmegusher/node/control_service.cpp
@@ -184,6 +184,10 @@
     {
         return logs->confirm_configuration();
     };
+    source.withdrawals_of = [this](const std::string& host)
+    {
+        return logs->withdrawals_of(host);
+    };
     source.claim_leaders = [this]
     {
         std::vector<std::string> leaders;
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -164,7 +164,16 @@
             shared.upstream.announce(received, host_clock().now()),
             received.service);
     };
-    optional_extension->attach({shared, announce, callbacks.control});
+    const auto store = [this](messages::upstream_withdrawal withdrawal)
+    {
+        return withdrawals->store(std::move(withdrawal));
+    };
+    optional_extension->attach({shared, announce, store, callbacks.control});
+    shared.on_withdrawals =
+        [this](const std::vector<messages::upstream_withdrawal>& left)
+    {
+        optional_extension->restore_withdrawals(left);
+    };
 }
 
 asio::awaitable<void>
--- a/nutmegusher/node/daemon_state.hpp
+++ b/nutmegusher/node/daemon_state.hpp
@@ -9,6 +9,7 @@
 #include "nutmegusher/node/quota_client.hpp"
 #include "nutmegusher/node/stop_sequence.hpp"
 #include "nutmegusher/node/sync_client.hpp"
+#include "nutmegusher/node/withdrawal_client.hpp"
 #include "nutmegusher/node/worker.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -58,6 +59,7 @@
                 });
         };
         shared.crashes.on_change = shared.request_sync;
+        withdrawals = std::make_unique<withdrawal_client>(first());
         quotas = std::make_unique<quota_client>(first());
         shared.quotas.on_waiting = [this]
         {
@@ -119,6 +121,7 @@
     std::vector<listeners> listeners_by_worker;
     std::unique_ptr<sync_client> sync;
     std::unique_ptr<quota_client> quotas;
+    std::unique_ptr<withdrawal_client> withdrawals;
     std::unique_ptr<control_service> control;
     std::unique_ptr<http_server> operators;
     std::unique_ptr<http_server> metrics_server;
--- a/nutmegusher/node/extension.hpp
+++ b/nutmegusher/node/extension.hpp
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 
 namespace nutmegusher::node
 {
@@ -24,6 +25,10 @@
     controllers& shared;
     // Announces the upstream on this host to all other daemons.
     std::function<void(const announcement&)> announce;
+    // Stores that an upstream has left this host; see
+    // `withdrawal_client::store`.
+    std::function<asio::awaitable<bool>(messages::upstream_withdrawal)>
+        store_withdrawal;
     // Access to the replicated logs; the functions are empty if the process
     // isn't a control host.
     const control_callbacks& control;
@@ -43,6 +48,11 @@
     // Called once, before any listener is opened.
     virtual void attach(const extension_context& context) = 0;
 
+    // Called once, when control hosts have said which upstreams have left this
+    // host; never if the process has no control hosts.
+    virtual void restore_withdrawals(
+        std::span<const messages::upstream_withdrawal> withdrawals) = 0;
+
     // Serves a request on the listener for members and clerks.
     virtual asio::awaitable<bool>
     serve_caller(worker& current_worker, caller_exchange& exchange) = 0;
--- a/nutmegusher/node/sync_client.cpp
+++ b/nutmegusher/node/sync_client.cpp
@@ -361,8 +361,12 @@
     {
         return false;
     }
-    confirmed_ = true;
     auto& shared = worker_.shared;
+    if (!std::exchange(confirmed_, true))
+    {
+        shared.on_withdrawals(
+            {reply.withdrawals().begin(), reply.withdrawals().end()});
+    }
     if (shared.configuration.accept(reply.delta()))
     {
         log_event(
--- a/nutmegusher/node/sync_server.cpp
+++ b/nutmegusher/node/sync_server.cpp
@@ -172,6 +172,13 @@
     {
         reply.add_claim_leaders(std::move(leader));
     }
+    if (reply.linearizable())
+    {
+        for (auto& withdrawal : source_.withdrawals_of(request.host()))
+        {
+            *reply.add_withdrawals() = std::move(withdrawal);
+        }
+    }
     reply.set_quota_owner(source_.quota_owner());
     for (auto& host : source_.control_hosts())
     {
--- a/nutmegusher/node/sync_server.hpp
+++ b/nutmegusher/node/sync_server.hpp
@@ -35,6 +35,13 @@
     // Waits until this host's configuration is known to include everything that
     // a majority has accepted. Returns false if no majority answers.
     std::function<asio::awaitable<bool>()> confirm;
+    // The upstreams that have left the host, as far as `confirm` has confirmed.
+    std::function<std::vector<messages::upstream_withdrawal>(
+        const std::string&)>
+        withdrawals_of = [](const std::string&)
+    {
+        return std::vector<messages::upstream_withdrawal>();
+    };
     // "ip:port" of the leaders by claim group; empty where unknown.
     std::function<std::vector<std::string>()> claim_leaders;
     std::function<std::vector<messages::control_host>()> control_hosts;
--- a/nutmegusher/node/sync_server_test.cpp
+++ b/nutmegusher/node/sync_server_test.cpp
@@ -72,9 +72,25 @@
             const duration age(configuration_age.load());
             return host_clock().now() - age;
         };
+        made.confirm = [this]() -> asio::awaitable<bool>
+        {
+            return confirm();
+        };
+        made.withdrawals_of = [](const std::string& host)
+        {
+            messages::upstream_withdrawal withdrawal;
+            withdrawal.set_host(host);
+            withdrawal.set_upstream("i-1");
+            return std::vector<messages::upstream_withdrawal>{withdrawal};
+        };
         return made;
     }
 
+    asio::awaitable<bool> confirm()
+    {
+        co_return majority_answers.load();
+    }
+
     // Sends a sync with the state of an earlier reply, so that there are no
     // updates.
     std::future<std::optional<messages::sync_reply>>
@@ -114,6 +130,7 @@
     }
 
     std::atomic<duration::rep> configuration_age = 0;
+    std::atomic<bool> majority_answers = true;
     asio::io_context context{1};
     sync_server server;
     wire::session_pool sessions{context, wire::session_options()};
@@ -159,6 +176,28 @@
     EXPECT_LE(after, -2 * max_hold_age);
 }
 
+// Guards against a daemon that starts with the withdrawals of a control host
+// that lacks some.
+TEST_F(held_sync, lists_withdrawals_only_if_a_majority_confirmed_them)
+{
+    messages::sync_request request;
+    request.set_host("d1");
+    request.set_incarnation(1);
+    request.set_linearizable(true);
+    const auto confirmed =
+        asio::co_spawn(context, send(request), asio::use_future).get();
+    ASSERT_TRUE(confirmed);
+    EXPECT_TRUE(confirmed->linearizable());
+    ASSERT_EQ(confirmed->withdrawals_size(), 1);
+    EXPECT_EQ(confirmed->withdrawals(0).host(), "d1");
+    majority_answers = false;
+    const auto unconfirmed =
+        asio::co_spawn(context, send(request), asio::use_future).get();
+    ASSERT_TRUE(unconfirmed);
+    EXPECT_FALSE(unconfirmed->linearizable());
+    EXPECT_EQ(unconfirmed->withdrawals_size(), 0);
+}
+
 // The age is relative to the arrival of the request, not to the reply.
 TEST_F(held_sync, reports_up_to_when_its_host_is_current)
 {
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace nutmegusher::node
 {
@@ -58,6 +59,11 @@
     std::atomic<bool> refuses_callers = false;
     // Triggers a sync with a control host at once. Set before the workers run.
     std::function<void()> request_sync = [] {};
+    // Called with the upstreams that have left this host, in all its daemon's
+    // runs, before the first configuration is applied. Set before the workers
+    // run.
+    std::function<void(std::vector<messages::upstream_withdrawal>)>
+        on_withdrawals = [](const auto&) {};
 };
 
 // State that one thread uses without locks.
--- a/nutmegusher/routed/extension.cpp
+++ b/nutmegusher/routed/extension.cpp
@@ -42,6 +42,22 @@
                 announce_local(announce);
             });
         service_->state = state_.get();
+        if (!context.shared.configured.control_hosts.empty())
+        {
+            state_->local.await_withdrawals();
+        }
+    }
+
+    void restore_withdrawals(
+        std::span<const messages::upstream_withdrawal> withdrawals) override
+    {
+        std::vector<local_upstream::withdrawn_upstream> withdrawn;
+        for (const auto& each : withdrawals)
+        {
+            withdrawn.push_back({each.upstream(), each.started()});
+        }
+        state_->local.restore_withdrawals(withdrawn);
+        state_->upstream_changed();
     }
 
     asio::awaitable<bool>
@@ -90,6 +106,7 @@
         return boost::json::object{
             {"pace", state_->reported.pace()},
             {"load_fields_malformed", state_->reported.malformed()},
+            {"knows_withdrawals", state_->local.knows_withdrawals()},
             {"repeats", state_->repeats.dump()}};
     }
 
@@ -128,7 +145,7 @@
 {
 }
 
-void routed_service::report(const upstream_report& message)
+asio::awaitable<bool> routed_service::report(upstream_report message)
 {
     if (state->local.report(message) == report_effect::started)
     {
@@ -139,6 +156,11 @@
     }
     // Also without a change: an announcement expires unless it is repeated.
     state->upstream_changed();
+    if (message.leaving)
+    {
+        co_return co_await store_withdrawal(message.id, message.order.started);
+    }
+    co_return true;
 }
 
 void routed_service::reject_report(
@@ -155,12 +177,36 @@
     return configured.str().empty() || configured == service;
 }
 
-void routed_service::withdraw(const std::string& id, std::uint64_t started)
+asio::awaitable<bool>
+routed_service::withdraw(std::string id, std::uint64_t started)
 {
     if (state->local.withdraw(id, started))
     {
         state->upstream_changed();
     }
+    co_return co_await store_withdrawal(id, started);
+}
+
+asio::awaitable<bool>
+routed_service::store_withdrawal(const std::string& id, std::uint64_t started)
+{
+    const auto withdrawn = state->local.withdrawn_start(id, started);
+    if (!withdrawn)
+    {
+        // Of an earlier start, which gets no calls anyway.
+        co_return true;
+    }
+    messages::upstream_withdrawal withdrawal;
+    withdrawal.set_host(context_.shared.configured.host.id.str());
+    withdrawal.set_upstream(id);
+    withdrawal.set_started(*withdrawn);
+    const bool stored =
+        co_await context_.store_withdrawal(std::move(withdrawal));
+    if (!stored)
+    {
+        log_event(event::withdrawal_not_stored, {{"upstream", id}});
+    }
+    co_return stored;
 }
 
 bool routed_service::is_ready() const
--- a/nutmegusher/routed/extension.hpp
+++ b/nutmegusher/routed/extension.hpp
@@ -18,7 +18,9 @@
     explicit routed_service(const node::extension_context& context);
 
     // A report of the upstream on this host; a late report changes nothing.
-    void report(const upstream_report& new_report);
+    // Returns whether it may be acknowledged: that an upstream leaves, only
+    // once it binds the later processes of this host too.
+    asio::awaitable<bool> report(upstream_report new_report);
 
     // A report couldn't be read: counts and logs it. Earlier reports hold.
     void reject_report(std::string_view reason, std::string_view field);
@@ -28,8 +30,9 @@
     [[nodiscard]] bool serves(const service_name& service) const;
 
     // Stops new calls to the upstream with that id; `started`: see
-    // `local_upstream::withdraw`.
-    void withdraw(const std::string& id, std::uint64_t started);
+    // `local_upstream::withdraw`. Returns whether it may be acknowledged, like
+    // `report`.
+    asio::awaitable<bool> withdraw(std::string id, std::uint64_t started);
 
     // Whether callers on this host should connect to this process: it has a
     // document of routes and isn't stopping.
@@ -52,6 +55,10 @@
     routed_state* state = nullptr;
 
 private:
+    // Returns false if the control hosts didn't store it in time.
+    asio::awaitable<bool>
+    store_withdrawal(const std::string& id, std::uint64_t started);
+
     const node::extension_context context_;
 };
 
--- a/nutmegusher/routed/local_upstream.cpp
+++ b/nutmegusher/routed/local_upstream.cpp
@@ -35,6 +35,62 @@
     return known_.back();
 }
 
+void local_upstream::await_withdrawals()
+{
+    const std::scoped_lock lock(mutex_);
+    knows_withdrawals_ = false;
+}
+
+void local_upstream::restore_withdrawals(
+    std::span<const withdrawn_upstream> withdrawn)
+{
+    const std::scoped_lock lock(mutex_);
+    knows_withdrawals_ = true;
+    for (const auto& each : withdrawn)
+    {
+        withdraw_start(each.id, each.started);
+    }
+}
+
+bool local_upstream::knows_withdrawals() const
+{
+    const std::scoped_lock lock(mutex_);
+    return knows_withdrawals_;
+}
+
+std::optional<std::uint64_t> local_upstream::withdrawn_start(
+    const std::string& id, std::uint64_t started) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = std::find_if(
+        known_.begin(),
+        known_.end(),
+        [&id](const known_id& each)
+        {
+            return each.id == id;
+        });
+    if (found == known_.end() || !found->withdrawn)
+    {
+        return std::nullopt;
+    }
+    const auto last = found->last_order ? found->last_order->started : 0;
+    if (started != 0 && started < last)
+    {
+        return std::nullopt;
+    }
+    return started == 0 ? last : started;
+}
+
+bool local_upstream::set_current_leaving(const std::string& id)
+{
+    if (!current_ || current_->id != id || current_->leaving)
+    {
+        return false;
+    }
+    current_->leaving = true;
+    return true;
+}
+
 report_effect local_upstream::report(const upstream_report& new_report)
 {
     const std::scoped_lock lock(mutex_);
@@ -42,15 +98,25 @@
     const bool is_later_start =
         known.last_order &&
         new_report.order.started > known.last_order->started;
+    const bool is_earlier_start =
+        known.last_order &&
+        new_report.order.started < known.last_order->started;
     if (is_later_start)
     {
         known.withdrawn = false;
     }
-    if (known.withdrawn ||
-        (known.last_order && new_report.order <= *known.last_order))
+    if (known.withdrawn || is_earlier_start)
     {
         return report_effect::none;
     }
+    // Also by a report that comes after a later one: it is acknowledged.
+    known.withdrawn = new_report.leaving;
+    if (known.last_order && new_report.order <= *known.last_order)
+    {
+        return new_report.leaving && set_current_leaving(new_report.id)
+                   ? report_effect::changed
+                   : report_effect::none;
+    }
     known.last_order = new_report.order;
     const bool is_new_process =
         is_later_start || (current_ && current_->id != new_report.id);
@@ -71,18 +137,25 @@
 bool local_upstream::withdraw(const std::string& id, std::uint64_t started)
 {
     const std::scoped_lock lock(mutex_);
+    return withdraw_start(id, started);
+}
+
+bool local_upstream::withdraw_start(
+    const std::string& id, std::uint64_t started)
+{
     auto& known = find_or_add(id);
-    if (started != 0 && known.last_order && started < known.last_order->started)
+    const auto last = known.last_order ? known.last_order->started : 0;
+    if (started != 0 && started < last)
     {
         return false;
     }
     known.withdrawn = true;
-    if (!current_ || current_->id != id || current_->leaving)
+    // Reports of this start are then no later start's.
+    if (started > last)
     {
-        return false;
+        known.last_order = report_order{started, 0};
     }
-    current_->leaving = true;
-    return true;
+    return set_current_leaving(id);
 }
 
 bool local_upstream::mark_unreachable(const std::string& id)
@@ -105,7 +178,7 @@
 bool local_upstream::takes_calls() const
 {
     const std::scoped_lock lock(mutex_);
-    return current_ && reachable_ && !current_->leaving;
+    return current_ && reachable_ && knows_withdrawals_ && !current_->leaving;
 }
 
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/local_upstream.hpp
+++ b/nutmegusher/routed/local_upstream.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace nutmegusher::routed
@@ -64,9 +65,33 @@
 // again only by a newer report of its own. A later start under the same id
 // cancels everything that the earlier start reported, including leaving and
 // withdrawal.
+//
+// An upstream that has reported that it leaves, or was withdrawn, gets no calls
+// until a later start, whatever it reports. What earlier processes of this host
+// were told is restored by `restore_withdrawals`.
 class local_upstream
 {
 public:
+    // An upstream that has left this host.
+    struct withdrawn_upstream
+    {
+        std::string id;
+        // 0: all starts.
+        std::uint64_t started = 0;
+    };
+
+    // From now on, no upstream takes calls until `restore_withdrawals`: an
+    // earlier process may have acknowledged that it leaves.
+    void await_withdrawals();
+    void restore_withdrawals(std::span<const withdrawn_upstream> withdrawn);
+    [[nodiscard]] bool knows_withdrawals() const;
+
+    // The start of the upstream that `id` and `started` withdraw: the last one
+    // that reported, if `started` is 0; 0 if none has. Returns nullopt if the
+    // upstream isn't withdrawn at that start.
+    [[nodiscard]] std::optional<std::uint64_t>
+    withdrawn_start(const std::string& id, std::uint64_t started) const;
+
     report_effect report(const upstream_report& new_report);
 
     // The upstream with this id leaves; it may still work on calls that it has.
@@ -94,10 +119,14 @@
     };
 
     known_id& find_or_add(const std::string& id);
+    // Return whether `current` changed.
+    bool withdraw_start(const std::string& id, std::uint64_t started);
+    bool set_current_leaving(const std::string& id);
 
     mutable std::mutex mutex_;
     std::optional<upstream_report> current_;
     bool reachable_ = true;
+    bool knows_withdrawals_ = true;
     // Newest last; bounded by `max_known_ids`.
     std::deque<known_id> known_;
 };
--- a/nutmegusher/routed/local_upstream_test.cpp
+++ b/nutmegusher/routed/local_upstream_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 namespace nutmegusher::routed
 {
 namespace
@@ -110,6 +112,80 @@
     EXPECT_FALSE(local.takes_calls());
 }
 
+// Guards against an upstream that comes back after its leaving was
+// acknowledged.
+TEST(local_upstream, leaving_holds_against_newer_reports_of_the_same_start)
+{
+    local_upstream local;
+    local.report(report("a", 3));
+    EXPECT_TRUE(is_accepted(local.report(report("a", 5, true))));
+    EXPECT_FALSE(is_accepted(local.report(report("a", 6))));
+    EXPECT_FALSE(local.takes_calls());
+    EXPECT_TRUE(is_accepted(local.report(report("a", 1, false, 2000))));
+    EXPECT_TRUE(local.takes_calls());
+}
+
+TEST(local_upstream, a_report_of_leaving_that_comes_late_holds)
+{
+    local_upstream local;
+    local.report(report("a", 5));
+    EXPECT_TRUE(is_accepted(local.report(report("a", 4, true))));
+    EXPECT_FALSE(local.takes_calls());
+    EXPECT_EQ(local.withdrawn_start("a", 1000), 1000U);
+}
+
+TEST(local_upstream, a_withdrawal_of_a_start_that_never_reported_holds)
+{
+    local_upstream local;
+    local.withdraw("a", 1000);
+    EXPECT_FALSE(is_accepted(local.report(report("a", 9))));
+    EXPECT_EQ(
+        local.report(report("a", 1, false, 2000)), report_effect::started);
+    EXPECT_TRUE(local.takes_calls());
+}
+
+// Guards against a process that starts and believes a report although an
+// earlier process of its host has acknowledged that its sender leaves.
+TEST(local_upstream, takes_calls_only_once_withdrawals_are_known)
+{
+    local_upstream local;
+    local.await_withdrawals();
+    local.report(report("a", 3));
+    EXPECT_FALSE(local.takes_calls());
+    local.restore_withdrawals({});
+    EXPECT_TRUE(local.takes_calls());
+}
+
+TEST(local_upstream, restored_withdrawals_hold_before_and_after_a_report)
+{
+    using withdrawn_upstream = local_upstream::withdrawn_upstream;
+    const std::array<withdrawn_upstream, 2> withdrawn{{{"a", 1000}, {"b", 0}}};
+    local_upstream local;
+    local.await_withdrawals();
+    local.report(report("a", 3));
+    local.restore_withdrawals(withdrawn);
+    EXPECT_FALSE(local.takes_calls());
+    EXPECT_FALSE(is_accepted(local.report(report("a", 4))));
+    EXPECT_FALSE(is_accepted(local.report(report("b", 4))))
+        << "withdrawn at all starts";
+    EXPECT_TRUE(is_accepted(local.report(report("c", 1))));
+    EXPECT_TRUE(local.takes_calls());
+    EXPECT_TRUE(is_accepted(local.report(report("a", 1, false, 2000))));
+    EXPECT_TRUE(local.takes_calls());
+}
+
+TEST(local_upstream, a_restored_withdrawal_of_an_earlier_start_is_ignored)
+{
+    using withdrawn_upstream = local_upstream::withdrawn_upstream;
+    const std::array<withdrawn_upstream, 1> withdrawn{{{"a", 1000}}};
+    local_upstream local;
+    local.await_withdrawals();
+    local.report(report("a", 1, false, 2000));
+    local.restore_withdrawals(withdrawn);
+    EXPECT_TRUE(local.takes_calls());
+    EXPECT_EQ(local.withdrawn_start("a", 1000), std::nullopt);
+}
+
 TEST(local_upstream, another_service_at_the_same_id_is_a_change)
 {
     local_upstream local;
