Skip interim answers of upstreams

Callers saw: 502 for a call that ran, where the upstream sent an interim answer (1xx) first; 101 was passed on as final. Cause: each head was taken for a final one, and an interim head has no id. Change: interim answers are skipped; 101, which no request asks for, is malformed. Measured: upstream_client.skips_interim_answers and takes_a_switch_of_protocols_for_malformed fail before and pass after.

--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -376,6 +376,53 @@
     co_return failed;
 }
 
+bool is_interim(unsigned status)
+{
+    constexpr unsigned first_interim = 100;
+    constexpr unsigned first_final = 200;
+    return status >= first_interim && status < first_final;
+}
+
+// Reads heads up to the one that answers this call, and discards interim
+// answers and answers to earlier requests.
+asio::awaitable<boost::system::error_code>
+read_own_head(internal::upstream_call_state& call)
+{
+    int skipped = 0;
+    while (true)
+    {
+        auto failed = co_await read_one_head(call);
+        if (failed)
+        {
+            co_return failed;
+        }
+        if (is_interim(call.parser->get().result_int()))
+        {
+            if (call.parser->get().result() ==
+                http::status::switching_protocols)
+            {
+                // No request asks for it.
+                co_return http::error::bad_status;
+            }
+            continue;
+        }
+        if (!is_for_other_request(call))
+        {
+            co_return boost::system::error_code();
+        }
+        call.in_sync = false;
+        if (++skipped > max_skipped_answers)
+        {
+            co_return http::error::bad_field;
+        }
+        failed = co_await skip_body(call);
+        if (failed)
+        {
+            co_return failed;
+        }
+    }
+}
+
 } // namespace
 
 upstream_call::upstream_call(
@@ -408,20 +455,7 @@
 upstream_call::read_head()
 {
     auto& call = *state_;
-    auto failed = co_await read_one_head(call);
-    for (int skipped = 0; !failed && is_for_other_request(call); ++skipped)
-    {
-        call.in_sync = false;
-        failed = co_await skip_body(call);
-        if (skipped == max_skipped_answers)
-        {
-            co_return upstream_failure::malformed;
-        }
-        if (!failed)
-        {
-            failed = co_await read_one_head(call);
-        }
-    }
+    const auto failed = co_await read_own_head(call);
     if (failed)
     {
         co_return call.failure_of(failed);
--- a/nutmegusher/node/upstream_client_test.cpp
+++ b/nutmegusher/node/upstream_client_test.cpp
@@ -164,5 +164,30 @@
     EXPECT_EQ(connections(), 3);
 }
 
+// Guards against an interim answer that is taken for a malformed final one.
+TEST_F(upstream_client, skips_interim_answers)
+{
+    start(
+        [](const text_request& request)
+        {
+            return "HTTP/1.1 100 Continue\r\n\r\n"
+                   "HTTP/1.1 103 Early Hints\r\nnot-run: 1\r\n\r\n" +
+                   own_answer(request);
+        });
+    EXPECT_EQ(call("a").body, "own");
+    EXPECT_EQ(call("b").body, "own");
+    EXPECT_EQ(connections(), 1);
+}
+
+TEST_F(upstream_client, takes_a_switch_of_protocols_for_malformed)
+{
+    start(
+        [](const text_request&)
+        {
+            return "HTTP/1.1 101 Switching Protocols\r\nid: a\r\n\r\n";
+        });
+    EXPECT_EQ(call("a").failure, upstream_failure::malformed);
+}
+
 } // namespace
 } // namespace nutmegusher::node
