Take no late answer's body for the answer to HEAD

Callers saw: nothing on record. A late answer with a body, where the answer to HEAD is due, left its body to be read as the next answer; a late answer to HEAD took the beginning of the next answer for its body. Cause: the length of an answer depends on the method that it answers, and a late answer may answer another one. Change: where the answer to HEAD is due, an answer to another request ends the connection; a connection that has carried HEAD isn't reused. Measured: upstream_client.takes_no_body_for_the_answer_to_head and does_not_reuse_a_connection_after_head fail before and pass after.

--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -317,6 +317,11 @@
         });
 }
 
+bool is_head(const internal::upstream_call_state& call)
+{
+    return call.request.method() == http::verb::head;
+}
+
 bool is_for_other_request(const internal::upstream_call_state& call)
 {
     const auto found = call.parser->get().find(call.echoed_field);
@@ -367,7 +372,7 @@
     call.parser.emplace();
     call.parser->header_limit(max_answer_header_bytes);
     call.parser->body_limit(boost::none);
-    if (call.request.method() == http::verb::head)
+    if (is_head(call))
     {
         call.parser->skip(true);
     }
@@ -411,7 +416,9 @@
             co_return boost::system::error_code();
         }
         call.in_sync = false;
-        if (++skipped > max_skipped_answers)
+        // The head of an answer doesn't tell which method it answers, and so
+        // whether a body follows.
+        if (is_head(call) || ++skipped > max_skipped_answers)
         {
             co_return http::error::bad_field;
         }
@@ -517,8 +524,10 @@
             co_return received;
         }
     }
+    // A late copy of an answer to HEAD would be skipped with the beginning of
+    // the next answer in place of a body.
     if (call.connection && call.request_done && call.in_sync &&
-        call.parser->keep_alive() && call.buffer.size() == 0)
+        !is_head(call) && call.parser->keep_alive() && call.buffer.size() == 0)
     {
         call.connection->stream.expires_never();
         call.pool->put(
--- a/nutmegusher/node/upstream_client_test.cpp
+++ b/nutmegusher/node/upstream_client_test.cpp
@@ -189,5 +189,42 @@
     EXPECT_EQ(call("a").failure, upstream_failure::malformed);
 }
 
+// Guards against the body of a late answer that is taken for an answer: the
+// answer to HEAD has none.
+TEST_F(upstream_client, takes_no_body_for_the_answer_to_head)
+{
+    std::string before;
+    start(
+        [&before](const text_request& request)
+        {
+            const auto id = std::string(request["id"]);
+            if (request.method() == http::verb::head)
+            {
+                return before + make_answer(id, "");
+            }
+            before = make_answer(id, make_answer("b", "not an answer"));
+            return before;
+        });
+    EXPECT_EQ(call("a").status, 200U);
+    EXPECT_EQ(call("b", "HEAD").failure, upstream_failure::malformed);
+}
+
+// Guards against a late answer to HEAD, whose length counts bytes that don't
+// follow: these would be taken from the awaited answer.
+TEST_F(upstream_client, does_not_reuse_a_connection_after_head)
+{
+    start(
+        [](const text_request& request)
+        {
+            const auto id = std::string(request["id"]);
+            const auto whole = make_answer(id, "own");
+            const bool is_head = request.method() == http::verb::head;
+            return is_head ? whole.substr(0, whole.size() - 3) : whole;
+        });
+    EXPECT_EQ(call("a", "HEAD").status, 200U);
+    EXPECT_EQ(call("b").body, "own");
+    EXPECT_EQ(connections(), 2);
+}
+
 } // namespace
 } // namespace nutmegusher::node
