Don't abort on an empty chunked body that arrives in parts

Callers saw: nothing on record; every request at work is lost with the process. Cause: Beast's parser asserts that it gets the whole end of a chunked body at the second try. An upstream that sends the last CRLF of an empty body in a segment of its own, or a caller that splits that CRLF, aborts the daemon. Change: server and client read bodies by read_body_some, which holds back a partial last chunk. Measured: http_server_end.an_empty_chunked_body_may_arrive_in_parts and upstream_client.reads_an_empty_chunked_body_that_comes_in_parts abort before (assertion n >= 5) and pass after.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/node/http_server.hpp"
 
+#include "nutmegusher/node/body_reading.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -294,15 +296,16 @@
             body.data = into.data();
             body.size = into.size();
             is_reading_body_ = true;
-            auto [failed, size] = co_await http::async_read_some(
-                stream_, buffer_, parser_, as_tuple_awaitable);
+            std::size_t parsed = 0;
+            const auto failed = co_await internal::read_body_some(
+                stream_, buffer_, parser_, parsed);
             is_reading_body_ = false;
             if (failed && is_given_up())
             {
                 read_failed_ = true;
                 co_return caller_failure::given_up;
             }
-            if (failed && failed != http::error::need_buffer)
+            if (failed)
             {
                 read_failed_ = true;
                 co_return to_failure(failed);
--- a/nutmegusher/node/http_server_test.cpp
+++ b/nutmegusher/node/http_server_test.cpp
@@ -276,6 +276,29 @@
     EXPECT_EQ(connections(), 0U);
 }
 
+// Guards against an abort of the process by a body whose last bytes come in
+// parts.
+TEST_F(http_server_end, an_empty_chunked_body_may_arrive_in_parts)
+{
+    serve(
+        [](caller_exchange& exchange) -> asio::awaitable<void>
+        {
+            std::array<std::byte, 16> chunk{};
+            const auto size = co_await exchange.read_some(chunk);
+            wire::response_head head{size && *size == 0 ? 200U : 500U, {}};
+            co_await exchange.answer(std::move(head), "");
+        });
+    caller client(server->local_endpoint());
+    client.send("POST / HTTP/1.1\r\nHost: a.example\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    for (const auto* const part : {"0\r\n", "\r", "\n"})
+    {
+        std::this_thread::sleep_for(milliseconds(20));
+        client.send(part);
+    }
+    EXPECT_NE(client.receive_head().find("200 OK"), std::string::npos);
+}
+
 TEST_F(http_server_end, an_answer_during_the_close_says_so)
 {
     answers_held = true;
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/node/upstream_client.hpp"
 
+#include "nutmegusher/node/body_reading.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,7 +14,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <tuple>
 #include <vector>
 
 namespace nutmegusher::node
@@ -234,6 +235,8 @@
     duration idle_timeout{default_idle_timeout};
     // No answer to an earlier request came before this one.
     bool in_sync = true;
+    // Of all answers read for this call.
+    std::size_t parsed_bytes = 0;
     bool request_done = false;
     bool cancelled = false;
 
@@ -339,12 +342,12 @@
         auto& body = call.parser->get().body();
         body.data = chunk.data();
         body.size = chunk.size();
-        auto [failed, size] = co_await http::async_read_some(
+        const auto failed = co_await internal::read_body_some(
             call.connection->stream,
             call.buffer,
             *call.parser,
-            as_tuple_awaitable);
-        if (failed && failed != http::error::need_buffer)
+            call.parsed_bytes);
+        if (failed)
         {
             co_return failed;
         }
@@ -352,20 +355,6 @@
     co_return boost::system::error_code();
 }
 
-// Parses what was read along with the head, without another round through the
-// scheduler; most answers are complete by then.
-boost::system::error_code parse_buffered(internal::upstream_call_state& call)
-{
-    boost::system::error_code failed;
-    if (call.buffer.size() > 0)
-    {
-        const auto used = call.parser->put(call.buffer.data(), failed);
-        call.buffer.consume(used);
-    }
-    return failed == http::error::need_more ? boost::system::error_code()
-                                            : failed;
-}
-
 asio::awaitable<boost::system::error_code>
 read_one_head(internal::upstream_call_state& call)
 {
@@ -378,6 +367,7 @@
     }
     auto [failed, size] = co_await http::async_read_header(
         call.connection->stream, call.buffer, *call.parser, as_tuple_awaitable);
+    call.parsed_bytes += size;
     co_return failed;
 }
 
@@ -506,16 +496,12 @@
     {
         body.data = into.data();
         body.size = into.size();
-        auto failed = parse_buffered(call);
-        if (!failed && body.size == into.size() && !call.parser->is_done())
-        {
-            std::tie(failed, std::ignore) = co_await http::async_read_some(
-                call.connection->stream,
-                call.buffer,
-                *call.parser,
-                as_tuple_awaitable);
-        }
-        if (failed && failed != http::error::need_buffer)
+        const auto failed = co_await internal::read_body_some(
+            call.connection->stream,
+            call.buffer,
+            *call.parser,
+            call.parsed_bytes);
+        if (failed)
         {
             co_return call.failure_of(failed);
         }
--- a/nutmegusher/node/upstream_client_test.cpp
+++ b/nutmegusher/node/upstream_client_test.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace nutmegusher::node
 {
@@ -25,6 +26,7 @@
 using text_request = http::request<http::string_body>;
 
 constexpr duration time_limit = std::chrono::seconds(20);
+constexpr std::chrono::milliseconds part_interval(20);
 
 // What a call ended with.
 struct call_end
@@ -95,6 +97,26 @@
             });
     }
 
+    // Starts an upstream that answers a request with these parts, each of them
+    // in a segment of its own.
+    void start_in_parts(const std::vector<std::string>& parts)
+    {
+        upstream_ = std::make_unique<scripted_upstream>(
+            [parts](test::tcp::socket& socket)
+            {
+                beast::flat_buffer buffer;
+                text_request request;
+                boost::system::error_code failed;
+                http::read(socket, buffer, request, failed);
+                socket.set_option(test::tcp::no_delay(true), failed);
+                for (const auto& part : parts)
+                {
+                    asio::write(socket, asio::buffer(part), failed);
+                    std::this_thread::sleep_for(part_interval);
+                }
+            });
+    }
+
     call_end call(const std::string& id, const std::string& method = "POST")
     {
         upstream_request request;
@@ -226,5 +248,19 @@
     EXPECT_EQ(connections(), 2);
 }
 
+// Guards against an abort of the process by an answer whose last bytes come in
+// parts.
+TEST_F(upstream_client, reads_an_empty_chunked_body_that_comes_in_parts)
+{
+    start_in_parts(
+        {"HTTP/1.1 200 OK\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+         "\r",
+         "\n"});
+    const auto end = call("a");
+    EXPECT_EQ(end.status, 200U);
+    EXPECT_EQ(end.failure, std::nullopt);
+    EXPECT_EQ(end.body, "");
+}
+
 } // namespace
 } // namespace nutmegusher::node
