Bound the bytes that are read only to be discarded

Callers saw: a call that an upstream had rejected, or one behind an answer of another id, waited for a body without end, up to its time limit or longer; its slot was held. Cause: nothing bounded what is read only to be discarded, nor a line of chunked coding. Change: one call discards at most 1 MiB of interim and skipped answers; the rest of a rejection gets 100 ms and 1 MiB, then its connection is closed and the call goes on as not run. A parser holds at most 128 KiB.

--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -52,6 +52,15 @@
 constexpr int max_probes = 3;
 constexpr duration probe_delay = std::chrono::milliseconds(5);
 constexpr std::uint32_t max_answer_header_bytes = 65536;
+// Bounds what the parser holds: a head, or a line of chunked coding, and what
+// was read along with it.
+constexpr std::size_t max_buffered_bytes = 2 * max_answer_header_bytes;
+// Bytes of interim answers, of answers to earlier requests and of rejections
+// that one call reads only to discard them. Several times the users' longest
+// answers to calls that may not be repeated.
+constexpr std::size_t max_discarded_bytes = 1024 * 1024;
+// How long `discard_rest` waits: a new connection costs less.
+constexpr duration max_discard_time = std::chrono::milliseconds(100);
 // The initial buffer holds a head and most of the users' answers (1.5 to 5 KB).
 // Without it Beast reads 512 bytes at a time: an answer of 1.5 KB took five
 // reads with a poll of the sockets after each, 19 system calls in all.
@@ -224,7 +233,7 @@
     std::shared_ptr<upstream_pool_state> pool;
     std::unique_ptr<upstream_connection> connection;
     tcp::endpoint address;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
     http::request<http::buffer_body> request;
     std::optional<http::request_serializer<http::buffer_body>> serializer;
     std::optional<http::response_parser<http::buffer_body>> parser;
@@ -332,9 +341,10 @@
            found->value() != call.echoed_value;
 }
 
-// Discards the rest of an answer that is being skipped.
+// Discards the rest of an answer that is being skipped. Fails if more than
+// `limit` bytes have been parsed by then.
 asio::awaitable<boost::system::error_code>
-skip_body(internal::upstream_call_state& call)
+skip_body(internal::upstream_call_state& call, std::size_t limit)
 {
     std::array<char, 4096> chunk;
     while (!call.parser->is_done())
@@ -351,6 +361,10 @@
         {
             co_return failed;
         }
+        if (call.parsed_bytes > limit)
+        {
+            co_return http::error::body_limit;
+        }
     }
     co_return boost::system::error_code();
 }
@@ -383,6 +397,7 @@
 asio::awaitable<boost::system::error_code>
 read_own_head(internal::upstream_call_state& call)
 {
+    const auto limit = call.parsed_bytes + max_discarded_bytes;
     int skipped = 0;
     while (true)
     {
@@ -399,6 +414,10 @@
                 // No request asks for it.
                 co_return http::error::bad_status;
             }
+            if (call.parsed_bytes > limit)
+            {
+                co_return http::error::header_limit;
+            }
             continue;
         }
         if (!is_for_other_request(call))
@@ -412,7 +431,7 @@
         {
             co_return http::error::bad_field;
         }
-        failed = co_await skip_body(call);
+        failed = co_await skip_body(call, limit);
         if (failed)
         {
             co_return failed;
@@ -522,6 +541,30 @@
     co_return std::size_t{0};
 }
 
+asio::awaitable<void> upstream_call::discard_rest()
+{
+    auto& call = *state_;
+    const bool may_reuse = call.connection && call.parser->keep_alive();
+    if (may_reuse)
+    {
+        call.connection->stream.expires_after(max_discard_time);
+    }
+    const auto limit = call.parsed_bytes + max_discarded_bytes;
+    const auto until = host_clock().now() + max_discard_time;
+    std::array<std::byte, 4096> chunk;
+    std::size_t received = may_reuse ? 1 : 0;
+    while (received > 0 && call.parsed_bytes <= limit &&
+           host_clock().now() < until)
+    {
+        const auto result = co_await read_some(chunk);
+        received = result ? *result : 0;
+    }
+    if (call.connection)
+    {
+        call.connection->stream.close();
+    }
+}
+
 void upstream_call::cancel()
 {
     state_->cancelled = true;
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -64,6 +64,11 @@
     asio::awaitable<outcome<std::size_t, upstream_failure>>
     read_some(std::span<std::byte> into);
 
+    // Gives up the rest of the answer. The connection is reused if that rest is
+    // short and comes within 100 ms, and closed otherwise. Requires:
+    // `read_head` succeeded.
+    asio::awaitable<void> discard_rest();
+
     // Closes the connection; suspended operations fail with `cancelled`.
     // Upstreams treat a closed connection as a cancellation.
     void cancel();
@@ -86,7 +91,8 @@
     // Name, in lower case, of the request's field that the upstream echoes in
     // its answer; empty if it echoes none. An answer with another value belongs
     // to an earlier request and is skipped; an answer without the field is
-    // malformed. A connection carries each value once, so that an answer with
+    // malformed, and so are more than 1 MiB of skipped bytes. A connection
+    // carries each value once, so that an answer with
     // the request's own value is never the answer to an earlier send.
     std::string_view echoed_field;
     // The time limit of the whole call, from now.
--- a/nutmegusher/node/upstream_client_test.cpp
+++ b/nutmegusher/node/upstream_client_test.cpp
@@ -117,6 +117,38 @@
             });
     }
 
+    // Starts an upstream that answers each request with `before`, with the
+    // request's id in place of "@", and then `repeated` until the connection is
+    // closed.
+    void start_endless(const std::string& before, const std::string& repeated)
+    {
+        std::string block;
+        constexpr std::size_t block_bytes = 16384;
+        while (block.size() < block_bytes)
+        {
+            block += repeated;
+        }
+        upstream_ = std::make_unique<scripted_upstream>(
+            [this, before, block](test::tcp::socket& socket)
+            {
+                ++connections_;
+                beast::flat_buffer buffer;
+                text_request request;
+                boost::system::error_code failed;
+                http::read(socket, buffer, request, failed);
+                auto bytes = before;
+                if (const auto at = bytes.find('@'); at != std::string::npos)
+                {
+                    bytes.replace(at, 1, std::string(request["id"]));
+                }
+                while (!failed)
+                {
+                    asio::write(socket, asio::buffer(bytes), failed);
+                    bytes = block;
+                }
+            });
+    }
+
     call_end call(const std::string& id, const std::string& method = "POST")
     {
         upstream_request request;
@@ -262,5 +294,63 @@
     EXPECT_EQ(end.body, "");
 }
 
+// Where bytes that are no answer come without end: what comes before them, and
+// what is repeated. "@" stands for the id of the request.
+struct endless_case
+{
+    const char* name;
+    std::string before;
+    std::string repeated;
+};
+
+class endless_bytes : public upstream_client,
+                      public ::testing::WithParamInterface<endless_case>
+{
+};
+
+// Guards against a call that holds its slot and its memory until its time limit
+// while an upstream sends bytes that answer nothing.
+TEST_P(endless_bytes, end_the_call)
+{
+    start_endless(GetParam().before, GetParam().repeated);
+    const auto before = host_clock().now();
+    EXPECT_EQ(call("a").failure, upstream_failure::malformed);
+    EXPECT_LT(host_clock().now() - before, time_limit / 2);
+}
+
+const std::string other_head = "HTTP/1.1 200 OK\r\nid: other\r\n";
+const std::string own_head = "HTTP/1.1 200 OK\r\nid: @\r\n";
+const std::string chunked = "transfer-encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    positions,
+    endless_bytes,
+    ::testing::Values(
+        endless_case{"status_line", "HTTP/1.1 200 ", "a"},
+        endless_case{"header_line", own_head + "x: ", "a"},
+        endless_case{"headers", own_head, "x: a\r\n"},
+        endless_case{"interim_answers", "", "HTTP/1.1 103 Hints\r\n\r\n"},
+        endless_case{
+            "other_body_with_length",
+            other_head + "content-length: 99999999999\r\n\r\n",
+            "a"},
+        endless_case{"other_body_chunked", other_head + chunked, "1\r\na\r\n"},
+        endless_case{"other_body_until_close", other_head + "\r\n", "a"},
+        endless_case{"chunk_line", own_head + chunked + "1;", "a"},
+        endless_case{"trailers", own_head + chunked + "0\r\n", "x: a\r\n"}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
+// Bytes that come after an answer, on a connection that is idle.
+TEST_F(upstream_client, does_not_reuse_a_connection_with_unexpected_bytes)
+{
+    start_endless(make_answer("@", "own"), "a");
+    EXPECT_EQ(call("a").body, "own");
+    EXPECT_EQ(call("b").body, "own");
+    EXPECT_EQ(connections(), 2);
+}
+
 } // namespace
 } // namespace nutmegusher::node
--- a/nutmegusher/routed/rejecting_upstream_test.cpp
+++ b/nutmegusher/routed/rejecting_upstream_test.cpp
@@ -137,5 +137,74 @@
     EXPECT_FALSE(entry->state.repeats.enabled());
 }
 
+// Where the body of a rejection doesn't end: its framing, and what is repeated.
+struct endless_rejection
+{
+    const char* name;
+    std::string framing;
+    std::string repeated;
+};
+
+class endless_rejections
+    : public rejecting_upstream,
+      public ::testing::WithParamInterface<endless_rejection>
+{
+};
+
+// Guards against a caller that waits for the rest of a rejection, although its
+// head says that the call didn't run.
+TEST_P(endless_rejections, are_not_waited_for)
+{
+    constexpr duration caller_timeout = std::chrono::seconds(2);
+    constexpr std::size_t block_bytes = 16384;
+    std::string block;
+    while (block.size() < block_bytes && !GetParam().repeated.empty())
+    {
+        block += GetParam().repeated;
+    }
+    start(
+        [&block](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            const auto request = read_request(socket, buffer);
+            auto bytes = "HTTP/1.1 503 Full\r\nnutmeg-not-run: 1\r\n"
+                         "nutmeg-request-id: " +
+                         id_of(*request) + "\r\n" + GetParam().framing + "\r\n";
+            boost::system::error_code failed;
+            while (!failed)
+            {
+                asio::write(socket, asio::buffer(bytes), failed);
+                bytes = block;
+                if (block.empty())
+                {
+                    // Until the caller closes the connection.
+                    socket.wait(tcp::socket::wait_read, failed);
+                    failed = asio::error::eof;
+                }
+            }
+        });
+    const auto before = host_clock().now();
+    const auto answer = ask("/pay/1", "id-1", "amount 7");
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer["nutmeg-outcome"], "not-run");
+    EXPECT_LT(host_clock().now() - before, caller_timeout / 2);
+    EXPECT_EQ(upstream_node->state.slots.state().running, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    framings,
+    endless_rejections,
+    ::testing::Values(
+        endless_rejection{
+            "with_length", "content-length: 99999999999\r\n", "a"},
+        endless_rejection{
+            "chunked", "transfer-encoding: chunked\r\n", "1\r\na\r\n"},
+        endless_rejection{"until_close", "", "a"},
+        endless_rejection{"silent", "content-length: 1\r\n", ""}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 } // namespace
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -450,7 +450,8 @@
             // counts as an error; a call for another upstream (421) doesn't.
             note_answer(head->status != status_misdirected_request);
             slot_->set_result(call_result::shed_by_upstream);
-            co_await drain_body();
+            // The call's outcome is known, whatever the rest is.
+            co_await upstream_->discard_rest();
             co_return refused_by_upstream(retry_elsewhere_after);
         }
         if (!is_acceptable(*head))
@@ -513,17 +514,6 @@
         }
     }
 
-    // Allows the connection to be reused.
-    asio::awaitable<void> drain_body()
-    {
-        std::array<std::byte, chunk_bytes> chunk;
-        auto got = co_await upstream_->read_some(chunk);
-        while (got && *got > 0)
-        {
-            got = co_await upstream_->read_some(chunk);
-        }
-    }
-
     asio::awaitable<routed_result> read_body(wire::response_head head)
     {
         routed_answer answer;
