Implement restore_withdrawals in daemon_test

Cause: the extension's new function was missing in the test's own extension, so daemon_test didn't build since. Change: an empty function, as that extension has no upstream. Measured: the whole tree builds.

--- a/nutmegusher/node/daemon_test.cpp
+++ b/nutmegusher/node/daemon_test.cpp
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <functional>
+#include <span>
 #include <thread>
 
 namespace nutmegusher::node
@@ -93,6 +94,11 @@
     {
     }
 
+    void restore_withdrawals(
+        std::span<const messages::upstream_withdrawal>) override
+    {
+    }
+
     asio::awaitable<bool> serve_caller(worker&, caller_exchange&) override
     {
         return hold();
