Follow the linter in the withdrawal client

Cause: two findings of clang-tidy (a const local that is returned, a copy). Change: no other behaviour.

--- a/nutmegusher/node/withdrawal_client.cpp
+++ b/nutmegusher/node/withdrawal_client.cpp
@@ -81,7 +81,7 @@
                 return each.second->stored;
             });
     }
-    const auto current = std::make_shared<attempt>();
+    auto current = std::make_shared<attempt>();
     attempts_.emplace(of, current);
     worker_.tasks.spawn(propose_until_stored(current, std::move(withdrawal)));
     return current;
@@ -116,7 +116,7 @@
 asio::awaitable<bool> withdrawal_client::propose(const std::string& body)
 {
     const auto hosts = worker_.shared.claims.control_hosts();
-    const auto host = hosts.at(next_host_ % hosts.size());
+    const auto& host = hosts.at(next_host_ % hosts.size());
     const auto answer = co_await wire::call(
         worker_.peers, host, withdrawal_path, body, per_host_timeout);
     messages::change_result result;
