--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -56,8 +56,7 @@
 // was read along with it.
 constexpr std::size_t max_buffered_bytes = 2 * max_answer_header_bytes;
 // Bytes of interim answers, of answers to earlier requests and of rejections
-// that one call reads only to discard them. Several times the users' longest
-// answers to calls that may not be repeated.
+// that one call reads only to discard them.
 constexpr std::size_t max_discarded_bytes = 1024 * 1024;
 // How long `discard_rest` waits: a new connection costs less.
 constexpr duration max_discard_time = std::chrono::milliseconds(100);
@@ -544,20 +543,19 @@
 asio::awaitable<void> upstream_call::discard_rest()
 {
     auto& call = *state_;
-    const bool may_reuse = call.connection && call.parser->keep_alive();
-    if (may_reuse)
-    {
-        call.connection->stream.expires_after(max_discard_time);
-    }
     const auto limit = call.parsed_bytes + max_discarded_bytes;
     const auto until = host_clock().now() + max_discard_time;
     std::array<std::byte, 4096> chunk;
-    std::size_t received = may_reuse ? 1 : 0;
-    while (received > 0 && call.parsed_bytes <= limit &&
-           host_clock().now() < until)
+    bool has_more = call.connection && call.parser->keep_alive();
+    if (has_more)
+    {
+        call.connection->stream.expires_after(max_discard_time);
+    }
+    while (has_more)
     {
-        const auto result = co_await read_some(chunk);
-        received = result ? *result : 0;
+        const auto received = co_await read_some(chunk);
+        has_more = received && *received > 0 && call.parsed_bytes <= limit &&
+                   host_clock().now() < until;
     }
     if (call.connection)
     {
