Restore the newest withdrawals of a host only

Cause: a long list of withdrawals displaced the ids that had reported to the new process, and a late report of the present upstream counted as its first. Change: at most half of the known ids are restored, the newest ones. Measured: local_upstream.restored_withdrawals_leave_room_for_the_present_upstream fails without the bound and passes with it.

--- a/nutmegusher/routed/local_upstream.cpp
+++ b/nutmegusher/routed/local_upstream.cpp
@@ -11,6 +11,8 @@
 // Ids whose late reports are recognised. A host's upstream starts a few times
 // an hour at most, and late reports are late by seconds, not hours.
 constexpr std::size_t max_known_ids = 64;
+// Leaves room for the ids that report to this process.
+constexpr std::size_t max_restored_ids = max_known_ids / 2;
 
 } // namespace
 
@@ -46,7 +48,8 @@
 {
     const std::scoped_lock lock(mutex_);
     knows_withdrawals_ = true;
-    for (const auto& each : withdrawn)
+    const auto count = std::min(withdrawn.size(), max_restored_ids);
+    for (const auto& each : withdrawn.last(count))
     {
         withdraw_start(each.id, each.started);
     }
--- a/nutmegusher/routed/local_upstream.hpp
+++ b/nutmegusher/routed/local_upstream.hpp
@@ -83,6 +83,7 @@
     // From now on, no upstream takes calls until `restore_withdrawals`: an
     // earlier process may have acknowledged that it leaves.
     void await_withdrawals();
+    // Oldest first; restores the newest ones.
     void restore_withdrawals(std::span<const withdrawn_upstream> withdrawn);
     [[nodiscard]] bool knows_withdrawals() const;
 
--- a/nutmegusher/routed/local_upstream_test.cpp
+++ b/nutmegusher/routed/local_upstream_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <vector>
 
 namespace nutmegusher::routed
 {
@@ -174,6 +175,26 @@
     EXPECT_TRUE(local.takes_calls());
 }
 
+// Guards against a long list that displaces what this process was told.
+TEST(local_upstream, restored_withdrawals_leave_room_for_the_present_upstream)
+{
+    std::vector<local_upstream::withdrawn_upstream> withdrawn;
+    constexpr int many = 200;
+    for (int n = 0; n < many; ++n)
+    {
+        withdrawn.push_back({"old-" + std::to_string(n), 1000});
+    }
+    local_upstream local;
+    local.await_withdrawals();
+    local.report(report("a", 5));
+    local.restore_withdrawals(withdrawn);
+    auto late = report("a", 4);
+    ++late.slots;
+    EXPECT_FALSE(is_accepted(local.report(late)));
+    EXPECT_FALSE(is_accepted(local.report(report("old-199", 9))));
+    EXPECT_TRUE(local.takes_calls());
+}
+
 TEST(local_upstream, a_restored_withdrawal_of_an_earlier_start_is_ignored)
 {
     using withdrawn_upstream = local_upstream::withdrawn_upstream;
