--- a/nutmegusher/routed/local_upstream_test.cpp
+++ b/nutmegusher/routed/local_upstream_test.cpp
@@ -180,6 +180,7 @@
 {
     std::vector<local_upstream::withdrawn_upstream> withdrawn;
     constexpr int many = 200;
+    withdrawn.reserve(many);
     for (int n = 0; n < many; ++n)
     {
         withdrawn.push_back({"old-" + std::to_string(n), 1000});
