Let the linter recognise files that have passed

Cause: the build names sources by absolute paths, the linter by paths in the project, so no source had a key and every run checked everything. Change: the project's folder is removed from the build's paths.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -32,7 +32,7 @@
 awk 'NR == FNR { sum[$2] = $1; next }
      { all[$1] = all[$1] sum[$2] }
      END { for (source in all) print source, all[source] }' \
-    "$scratch/sums" "$scratch/pairs" | sed 's|^\.\./||' >"$scratch/contents"
+    "$scratch/sums" "$scratch/pairs" | sed "s|^$PWD/||; s|^\.\./||" >"$scratch/contents"
 
 lint_one() {
     local key report
