--- a/nutmegusher/node/daemon_test.cpp
+++ b/nutmegusher/node/daemon_test.cpp
@@ -94,8 +94,8 @@
     {
     }
 
-    void restore_withdrawals(
-        std::span<const messages::upstream_withdrawal>) override
+    void
+    restore_withdrawals(std::span<const messages::upstream_withdrawal>) override
     {
     }
 
