Write heads without a serializer and allocate smaller frames

An HTTP/1.1 head was put together from a tree of fields, one allocation each, and written through Beast's serializer and a composed operation with a timer. It is now one string that the socket usually takes at once; only what is left over waits. Heads of answers are read without the composed operation around each read. Frames of coroutines that exist for every call no longer hold 16 KiB arrays, and fields are moved where they were copied.

--- a/nutmegusher/node/body_reading.hpp
+++ b/nutmegusher/node/body_reading.hpp
@@ -1,4 +1,4 @@
-// Reads HTTP/1.1 bodies, for servers and clients.
+// Reads HTTP/1.1 heads and bodies, for servers and clients.
 #ifndef NUTMEGUSHER_NODE_BODY_READING_HPP
 #define NUTMEGUSHER_NODE_BODY_READING_HPP
 
@@ -90,6 +90,64 @@
     }
 }
 
+// Reads up to the end of a message's head. Adds the number of consumed bytes to
+// `parsed`. Like `http::async_read_header`, without a composed operation around
+// each read.
+//
+// Errors: those of the stream and of the parser; `http::error::end_of_stream` if
+// the connection was closed before the first byte; `buffer_overflow` as above.
+template <class Parser>
+asio::awaitable<boost::system::error_code> read_head(
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buffer,
+    Parser& parser,
+    std::size_t& parsed)
+{
+    constexpr std::size_t max_read_bytes = 65536;
+    constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+    while (true)
+    {
+        if (buffer.size() > 0)
+        {
+            boost::system::error_code failed;
+            const auto used = parser.put(buffer.data(), failed);
+            buffer.consume(used);
+            parsed += used;
+            if (failed && failed != beast::http::error::need_more)
+            {
+                co_return failed;
+            }
+        }
+        if (parser.is_header_done())
+        {
+            co_return boost::system::error_code();
+        }
+        const auto wanted = beast::read_size(buffer, max_read_bytes);
+        if (wanted == 0)
+        {
+            co_return beast::http::error::buffer_overflow;
+        }
+        const auto [failed, size] = co_await stream.async_read_some(
+            buffer.prepare(wanted), as_tuple_awaitable);
+        buffer.commit(size);
+        if (failed == asio::error::eof)
+        {
+            boost::system::error_code incomplete =
+                beast::http::error::end_of_stream;
+            if (parser.got_some())
+            {
+                incomplete.clear();
+                parser.put_eof(incomplete);
+            }
+            co_return incomplete;
+        }
+        if (failed)
+        {
+            co_return failed;
+        }
+    }
+}
+
 } // namespace nutmegusher::node::internal
 
 #endif
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -1,10 +1,12 @@
 #include "nutmegusher/node/http_server.hpp"
 
 #include "nutmegusher/node/body_reading.hpp"
+#include "nutmegusher/node/message_text.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -37,6 +39,7 @@
 constexpr duration linger_timeout = std::chrono::seconds(1);
 // Read size for the first bytes of a request; most requests fit into it.
 constexpr std::size_t first_read_bytes = 1024;
+constexpr std::size_t typical_head_bytes = 512;
 
 wire::request_head to_request_head(const http::request_header<>& from)
 {
@@ -55,6 +58,13 @@
     return head;
 }
 
+// Fields that say how the server sends the answer.
+bool is_set_by_server(std::string_view field)
+{
+    return field == "content-length" || field == "transfer-encoding" ||
+           field == "connection";
+}
+
 template <class Message>
 void fill_head(
     Message& message, const wire::response_head& head, bool keep_alive)
@@ -62,8 +72,7 @@
     message.result(head.status);
     for (const auto& field : head.fields)
     {
-        if (field.name != "content-length" &&
-            field.name != "transfer-encoding" && field.name != "connection")
+        if (!is_set_by_server(field.name))
         {
             message.insert(field.name, field.value);
         }
@@ -71,6 +80,33 @@
     message.keep_alive(keep_alive);
 }
 
+// Head of an answer whose body has `body_bytes`.
+std::string make_head_text(
+    const wire::response_head& head, std::size_t body_bytes, bool keep_alive)
+{
+    const auto reason =
+        http::obsolete_reason(http::int_to_status(head.status));
+    std::string text;
+    text.reserve(typical_head_bytes);
+    text += "HTTP/1.1 " + std::to_string(head.status) + ' ';
+    text.append(reason.data(), reason.size()).append("\r\n");
+    for (const auto& field : head.fields)
+    {
+        if (!is_set_by_server(field.name))
+        {
+            internal::append_field(text, field.name, field.value);
+        }
+    }
+    if (!keep_alive)
+    {
+        internal::append_field(text, "connection", "close");
+    }
+    internal::append_field(
+        text, "content-length", std::to_string(body_bytes));
+    text += "\r\n";
+    return text;
+}
+
 // Returns true if the peer has closed the connection or it has failed.
 bool peer_has_closed(tcp::socket& socket)
 {
@@ -323,29 +359,10 @@
     {
         stop_watch();
         begin_head();
-        http::response<http::span_body<const char>> message;
-        message.version(http_11);
-        fill_head(message, head, keeps_connection_);
-        const bool omits_body = is_head_request();
-        message.body() = {body.data(), body.size()};
-        message.content_length(body.size());
-        if (omits_body)
-        {
-            message.body() = {};
-        }
-        http::response_serializer<http::span_body<const char>> serializer(
-            message);
-        boost::system::error_code failed;
-        if (omits_body)
-        {
-            std::tie(failed, std::ignore) = co_await http::async_write_header(
-                stream_, serializer, as_tuple_awaitable);
-        }
-        else
-        {
-            std::tie(failed, std::ignore) = co_await http::async_write(
-                stream_, serializer, as_tuple_awaitable);
-        }
+        const auto text =
+            make_head_text(head, body.size(), keeps_connection_);
+        const auto failed =
+            co_await write_all(text, is_head_request() ? "" : body);
         answer_finished_ = !failed;
         co_return answer_finished_;
     }
@@ -525,6 +542,31 @@
                    : caller_failure::disconnected;
     }
 
+    // Suspends only if the socket doesn't take all at once.
+    asio::awaitable<boost::system::error_code>
+    write_all(std::string_view head, std::string_view body)
+    {
+        const std::array buffers{
+            asio::buffer(head.data(), head.size()),
+            asio::buffer(body.data(), body.size())};
+        boost::system::error_code failed;
+        const auto sent = stream_.socket().write_some(buffers, failed);
+        if (sent == head.size() + body.size())
+        {
+            co_return boost::system::error_code();
+        }
+        if (failed && failed != asio::error::would_block)
+        {
+            co_return failed;
+        }
+        const std::array rest{
+            buffers[0] + sent,
+            buffers[1] + (sent - std::min(sent, head.size()))};
+        std::tie(failed, std::ignore) =
+            co_await asio::async_write(stream_, rest, as_tuple_awaitable);
+        co_return failed;
+    }
+
     [[nodiscard]] bool is_head_request() const
     {
         return parser_.get().method() == http::verb::head;
@@ -749,6 +791,7 @@
     const scoped_count count_guard(server->connections);
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
+    stream.socket().non_blocking(true, ignored);
     beast::flat_buffer buffer;
     auto after = after_request::keep_alive;
     while (after == after_request::keep_alive)
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -1,10 +1,12 @@
 #include "nutmegusher/node/upstream_client.hpp"
 
 #include "nutmegusher/node/body_reading.hpp"
+#include "nutmegusher/node/message_text.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -64,6 +66,7 @@
 // Without it Beast reads 512 bytes at a time: an answer of 1.5 KB took five
 // reads with a poll of the sockets after each, 19 system calls in all.
 constexpr std::size_t first_read_bytes = 8192;
+constexpr std::size_t typical_head_bytes = 1024;
 
 upstream_failure to_failure(boost::system::error_code code)
 {
@@ -227,17 +230,25 @@
     std::vector<idle_connection> idle;
 };
 
+// A request whose body is sent in parts.
+struct streamed_request
+{
+    http::request<http::buffer_body> message;
+    std::optional<http::request_serializer<http::buffer_body>> serializer;
+};
+
 struct upstream_call_state
 {
     std::shared_ptr<upstream_pool_state> pool;
     std::unique_ptr<upstream_connection> connection;
     tcp::endpoint address;
     beast::flat_buffer buffer{max_buffered_bytes};
-    http::request<http::buffer_body> request;
-    std::optional<http::request_serializer<http::buffer_body>> serializer;
+    // Head and body while they are sent in the background; empty if the body is
+    // streamed.
+    std::string message;
+    std::unique_ptr<streamed_request> streamed;
     std::optional<http::response_parser<http::buffer_body>> parser;
-    // Holds the body while it is sent in the background.
-    std::string body;
+    bool is_head = false;
     std::string echoed_field;
     std::string echoed_value;
     duration idle_timeout{default_idle_timeout};
@@ -259,32 +270,55 @@
 namespace
 {
 
-void fill_request(
-    http::request<http::buffer_body>& request, const upstream_request& from)
+bool has_body_length(const upstream_request& request)
 {
-    request.version(http_11);
-    request.method_string(from.head.method);
-    request.target(from.head.path);
+    return !request.body.empty() ||
+           (request.head.method != "GET" && request.head.method != "HEAD");
+}
+
+// Head and body of a request whose body is complete.
+std::string make_message(const upstream_request& from)
+{
+    std::string message;
+    message.reserve(typical_head_bytes + from.body.size());
+    message.append(from.head.method).append(" ").append(from.head.path);
+    message += " HTTP/1.1\r\n";
     for (const auto& field : from.head.fields)
     {
         if (!is_hop_header(field.name))
         {
-            request.insert(field.name, field.value);
+            internal::append_field(message, field.name, field.value);
         }
     }
-    if (from.streamed)
+    if (has_body_length(from))
     {
-        request.chunked(true);
+        const auto length = std::to_string(from.body.size());
+        internal::append_field(message, "content-length", length);
     }
-    else if (!from.body.empty())
-    {
-        request.content_length(from.body.size());
-    }
-    else if (from.head.method != "GET" && from.head.method != "HEAD")
+    message += "\r\n";
+    message += from.body;
+    return message;
+}
+
+std::unique_ptr<internal::streamed_request>
+make_streamed(const upstream_request& from)
+{
+    auto made = std::make_unique<internal::streamed_request>();
+    auto& message = made->message;
+    message.version(http_11);
+    message.method_string(from.head.method);
+    message.target(from.head.path);
+    for (const auto& field : from.head.fields)
     {
-        request.content_length(0);
+        if (!is_hop_header(field.name))
+        {
+            message.insert(field.name, field.value);
+        }
     }
-    request.keep_alive(true);
+    message.chunked(true);
+    message.keep_alive(true);
+    made->serializer.emplace(message);
+    return made;
 }
 
 asio::awaitable<boost::system::error_code> write_body(
@@ -292,12 +326,13 @@
     std::span<const std::byte> bytes,
     bool end)
 {
-    auto& body = call.request.body();
+    auto& request = *call.streamed;
+    auto& body = request.message.body();
     body.data = bytes.empty() ? nullptr : const_cast<std::byte*>(bytes.data());
     body.size = bytes.size();
     body.more = !end;
     auto [failed, size] = co_await http::async_write(
-        call.connection->stream, *call.serializer, as_tuple_awaitable);
+        call.connection->stream, *request.serializer, as_tuple_awaitable);
     call.request_done = end;
     co_return failed == http::error::need_buffer ? boost::system::error_code()
                                                  : failed;
@@ -310,29 +345,29 @@
 
 using call_state = std::shared_ptr<internal::upstream_call_state>;
 
-// Sends head and body in the background. A failed write shows when the answer
-// is read: an answer that has begun counts, even if the body wasn't sent
-// completely.
+// Sends head and body, in the background what the socket doesn't take at once.
+// A failed write shows when the answer is read: an answer that has begun counts,
+// even if the body wasn't sent completely.
 void start_write(const call_state& call)
 {
-    auto& body = call->request.body();
-    body.data = call->body.empty() ? nullptr : call->body.data();
-    body.size = call->body.size();
-    body.more = false;
-    http::async_write(
-        call->connection->stream,
-        *call->serializer,
-        [call](boost::system::error_code failed, std::size_t)
+    auto& stream = call->connection->stream;
+    const auto message = asio::buffer(std::as_const(call->message));
+    boost::system::error_code failed;
+    const auto sent = stream.socket().write_some(message, failed);
+    call->request_done = sent == message.size();
+    if (call->request_done || (failed && failed != asio::error::would_block))
+    {
+        return;
+    }
+    asio::async_write(
+        stream,
+        message + sent,
+        [call](boost::system::error_code write_failed, std::size_t)
         {
-            call->request_done = !failed;
+            call->request_done = !write_failed;
         });
 }
 
-bool is_head(const internal::upstream_call_state& call)
-{
-    return call.request.method() == http::verb::head;
-}
-
 bool is_for_other_request(const internal::upstream_call_state& call)
 {
     const auto found = call.parser->get().find(call.echoed_field);
@@ -374,14 +409,12 @@
     call.parser.emplace();
     call.parser->header_limit(max_answer_header_bytes);
     call.parser->body_limit(boost::none);
-    if (is_head(call))
+    if (call.is_head)
     {
         call.parser->skip(true);
     }
-    auto [failed, size] = co_await http::async_read_header(
-        call.connection->stream, call.buffer, *call.parser, as_tuple_awaitable);
-    call.parsed_bytes += size;
-    co_return failed;
+    co_return co_await internal::read_head(
+        call.connection->stream, call.buffer, *call.parser, call.parsed_bytes);
 }
 
 bool is_interim(unsigned status)
@@ -426,7 +459,7 @@
         call.in_sync = false;
         // The head of an answer doesn't tell which method it answers, and so
         // whether a body follows.
-        if (is_head(call) || ++skipped > max_skipped_answers)
+        if (call.is_head || ++skipped > max_skipped_answers)
         {
             co_return http::error::bad_field;
         }
@@ -531,7 +564,7 @@
     // A late copy of an answer to HEAD would be skipped with the beginning of
     // the next answer in place of a body.
     if (call.connection && call.request_done && call.in_sync &&
-        !is_head(call) && call.parser->keep_alive() && call.buffer.size() == 0)
+        !call.is_head && call.parser->keep_alive() && call.buffer.size() == 0)
     {
         call.connection->stream.expires_never();
         call.pool->put(
@@ -652,20 +685,21 @@
         co_await wire::interruption_point();
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
+        stream.socket().non_blocking(true, ignored);
     }
     if (echoed_hash)
     {
         call->connection->echoed_values.push_back(*echoed_hash);
     }
     call->connection->stream.expires_after(request.time_left);
-    fill_request(call->request, request);
-    call->serializer.emplace(call->request);
+    call->is_head = request.head.method == "HEAD";
     if (!request.streamed)
     {
-        call->body = request.body;
+        call->message = make_message(request);
         start_write(call);
         co_return std::make_unique<upstream_call>(call);
     }
+    call->streamed = make_streamed(request);
     const auto body = std::as_bytes(std::span(request.body));
     const auto failed = co_await write_body(*call, body, false);
     if (failed)
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -35,6 +35,34 @@
     request.state.repeats.on_sub_call(failed);
 }
 
+// Apart from `forward_answer`, whose frame would hold the array of each answer.
+asio::awaitable<void>
+forward_rest(entry_request& request, answer_rest& rest)
+{
+    std::array<std::byte, chunk_bytes> chunk;
+    bool open = true;
+    while (open)
+    {
+        const auto got = co_await rest.read_some(chunk);
+        if (!got)
+        {
+            co_await wire::interruption_point();
+            log_event(
+                event::answer_broken,
+                {{"request", request.call.metadata.id},
+                 {"route", request.route->name}});
+            co_return;
+        }
+        if (*got == 0)
+        {
+            co_await request.exchange.end_answer();
+            co_return;
+        }
+        open =
+            co_await request.exchange.write_some(std::span(chunk).first(*got));
+    }
+}
+
 } // namespace
 
 void note_cancelled(const entry_request& request)
@@ -134,26 +162,9 @@
         std::move(answer.head), answer.length);
     const auto first_bytes = std::as_bytes(std::span(answer.body));
     open = open && co_await request.exchange.write_some(first_bytes);
-    std::array<std::byte, chunk_bytes> chunk;
-    while (open)
+    if (open)
     {
-        const auto got = co_await answer.rest->read_some(chunk);
-        if (!got)
-        {
-            co_await wire::interruption_point();
-            log_event(
-                event::answer_broken,
-                {{"request", request.call.metadata.id},
-                 {"route", request.route->name}});
-            co_return;
-        }
-        if (*got == 0)
-        {
-            co_await request.exchange.end_answer();
-            co_return;
-        }
-        open =
-            co_await request.exchange.write_some(std::span(chunk).first(*got));
+        co_await forward_rest(request, *answer.rest);
     }
 }
 
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -17,6 +17,9 @@
 using node::refusal;
 
 constexpr std::size_t chunk_bytes = 16384;
+// Most bodies of calls and answers fit; a larger array would be allocated with
+// the frame of each call.
+constexpr std::size_t short_chunk_bytes = 4096;
 // Bounds the memory that a peer's call can use; above every body that callers
 // may send.
 constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
@@ -196,8 +199,8 @@
         routed_answer answer;
         answer.length = length_in(head);
         answer.head.status = *code;
-        answer.head.fields = without_own_fields(head.fields);
-        std::array<std::byte, chunk_bytes> chunk;
+        answer.head.fields = without_own_fields(std::move(head.fields));
+        std::array<std::byte, short_chunk_bytes> chunk;
         while (answer.body.size() <= max_buffered_answer_bytes)
         {
             const auto got = co_await stream_->read_some(chunk);
@@ -252,7 +255,7 @@
 read_whole(wire::server_stream& stream)
 {
     std::string body;
-    std::array<std::byte, chunk_bytes> chunk;
+    std::array<std::byte, short_chunk_bytes> chunk;
     while (body.size() <= max_body_bytes)
     {
         const auto got = co_await stream.read_some(chunk);
@@ -471,7 +474,7 @@
     call.metadata = *std::move(metadata);
     call.body = *std::move(body);
     call.head = stream->head();
-    call.head.fields = without_own_fields(stream->head().fields);
+    call.head.fields = without_own_fields(std::move(call.head.fields));
     run_progress progress;
     auto work = run_and_answer(worker, state, call, *stream, progress);
     if (co_await stream->run_until_cancelled(std::move(work)))
--- a/nutmegusher/routed/peer_fields.cpp
+++ b/nutmegusher/routed/peer_fields.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view sub_call_field = "nutmeg-sub-call";
 constexpr std::string_view crashed_field = "nutmeg-ended";
 constexpr std::string_view daemon_prefix = "nutmeg-";
+constexpr std::size_t max_metadata_fields = 7;
 constexpr double level_scale = 1000;
 constexpr double rate_scale = 1000;
 // In thousandths of a call a second; more is no limit in practice.
@@ -184,6 +185,7 @@
 
 void add_metadata(const call_metadata& metadata, wire::headers& to)
 {
+    to.reserve(to.size() + max_metadata_fields);
     add(to, metadata_field, format_metadata(metadata));
     add(to, id_field, metadata.id);
     add(to, host_field, metadata.host);
@@ -295,18 +297,15 @@
     return crashed;
 }
 
-wire::headers without_own_fields(const wire::headers& fields)
+wire::headers without_own_fields(wire::headers fields)
 {
-    wire::headers kept;
-    kept.reserve(fields.size());
-    for (const auto& item : fields)
-    {
-        if (!item.name.starts_with(daemon_prefix))
+    std::erase_if(
+        fields,
+        [](const wire::header& item)
         {
-            kept.push_back(item);
-        }
-    }
-    return kept;
+            return item.name.starts_with(daemon_prefix);
+        });
+    return fields;
 }
 
 } // namespace nutmegusher::routed
--- a/nutmegusher/routed/peer_fields.hpp
+++ b/nutmegusher/routed/peer_fields.hpp
@@ -49,7 +49,7 @@
 parse_crashed_upstream(const wire::headers& from);
 
 // The fields of the caller or the upstream, without those that daemons add.
-[[nodiscard]] wire::headers without_own_fields(const wire::headers& fields);
+[[nodiscard]] wire::headers without_own_fields(wire::headers fields);
 
 } // namespace nutmegusher::routed
 
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -13,7 +13,9 @@
 
 using node::call_reason;
 
-constexpr std::size_t chunk_bytes = 16384;
+// Most answers fit; a larger array would be allocated with the frame of each
+// call.
+constexpr std::size_t chunk_bytes = 4096;
 constexpr unsigned status_misdirected_request = 421;
 constexpr unsigned status_error = 400;
 constexpr unsigned status_server_error = 500;
