Write frames without a composed operation

A write of frames that the socket takes at once, as nearly all do, no longer allocates an operation and comes back through the event loop.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -99,10 +99,10 @@
     }
     if (!keep_alive)
     {
-        internal::append_field(text, "connection", "close");
+        internal::append_field(text, "Connection", "close");
     }
     internal::append_field(
-        text, "content-length", std::to_string(body_bytes));
+        text, "Content-Length", std::to_string(body_bytes));
     text += "\r\n";
     return text;
 }
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -293,7 +293,7 @@
     if (has_body_length(from))
     {
         const auto length = std::to_string(from.body.size());
-        internal::append_field(message, "content-length", length);
+        internal::append_field(message, "Content-Length", length);
     }
     message += "\r\n";
     message += from.body;
--- a/nutmegusher/wire/connection.cpp
+++ b/nutmegusher/wire/connection.cpp
@@ -244,27 +244,44 @@
 
 void connection::flush()
 {
-    if (writing_ || closed_)
+    while (!writing_ && !closed_)
     {
-        return;
+        fill_output();
+        if (closed_)
+        {
+            return;
+        }
+        if (output_.empty())
+        {
+            close_if_finished();
+            return;
+        }
+        write_output();
     }
-    fill_output();
-    if (closed_)
+}
+
+// Writes in the background what the socket doesn't take at once.
+void connection::write_output()
+{
+    const auto output = asio::buffer(std::as_const(output_));
+    error_code error;
+    const auto sent = socket_.write_some(output, error);
+    if (sent == output.size())
     {
         return;
     }
-    if (output_.empty())
+    if (error && error != asio::error::would_block)
     {
-        close_if_finished();
+        close(stream_failure::cut);
         return;
     }
     writing_ = true;
     const auto done =
-        [self = shared_from_this()](const error_code& error, std::size_t)
+        [self = shared_from_this()](const error_code& failed, std::size_t)
     {
-        self->write_finished(error);
+        self->write_finished(failed);
     };
-    asio::async_write(socket_, asio::buffer(output_), done);
+    asio::async_write(socket_, output + sent, done);
 }
 
 void connection::fill_output()
--- a/nutmegusher/wire/connection.hpp
+++ b/nutmegusher/wire/connection.hpp
@@ -159,6 +159,7 @@
     void schedule_flush();
     void flush();
     void fill_output();
+    void write_output();
     void write_finished(const error_code& error);
     void close_if_finished();
     [[nodiscard]] bool busy() const;
