--- a/nutmegusher/node/body_reading.hpp
+++ b/nutmegusher/node/body_reading.hpp
@@ -94,8 +94,9 @@
 // `parsed`. Like `http::async_read_header`, without a composed operation around
 // each read.
 //
-// Errors: those of the stream and of the parser; `http::error::end_of_stream` if
-// the connection was closed before the first byte; `buffer_overflow` as above.
+// Errors: those of the stream and of the parser; `http::error::end_of_stream`
+// if the connection was closed before the first byte; `buffer_overflow` as
+// above.
 template <class Parser>
 asio::awaitable<boost::system::error_code> read_head(
     beast::tcp_stream& stream,
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -84,8 +84,7 @@
 std::string make_head_text(
     const wire::response_head& head, std::size_t body_bytes, bool keep_alive)
 {
-    const auto reason =
-        http::obsolete_reason(http::int_to_status(head.status));
+    const auto reason = http::obsolete_reason(http::int_to_status(head.status));
     std::string text;
     text.reserve(typical_head_bytes);
     text += "HTTP/1.1 " + std::to_string(head.status) + ' ';
@@ -101,8 +100,7 @@
     {
         internal::append_field(text, "Connection", "close");
     }
-    internal::append_field(
-        text, "Content-Length", std::to_string(body_bytes));
+    internal::append_field(text, "Content-Length", std::to_string(body_bytes));
     text += "\r\n";
     return text;
 }
@@ -359,8 +357,7 @@
     {
         stop_watch();
         begin_head();
-        const auto text =
-            make_head_text(head, body.size(), keeps_connection_);
+        const auto text = make_head_text(head, body.size(), keeps_connection_);
         const auto failed =
             co_await write_all(text, is_head_request() ? "" : body);
         answer_finished_ = !failed;
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -346,8 +346,8 @@
 using call_state = std::shared_ptr<internal::upstream_call_state>;
 
 // Sends head and body, in the background what the socket doesn't take at once.
-// A failed write shows when the answer is read: an answer that has begun counts,
-// even if the body wasn't sent completely.
+// A failed write shows when the answer is read: an answer that has begun
+// counts, even if the body wasn't sent completely.
 void start_write(const call_state& call)
 {
     auto& stream = call->connection->stream;
@@ -563,8 +563,8 @@
     }
     // A late copy of an answer to HEAD would be skipped with the beginning of
     // the next answer in place of a body.
-    if (call.connection && call.request_done && call.in_sync &&
-        !call.is_head && call.parser->keep_alive() && call.buffer.size() == 0)
+    if (call.connection && call.request_done && call.in_sync && !call.is_head &&
+        call.parser->keep_alive() && call.buffer.size() == 0)
     {
         call.connection->stream.expires_never();
         call.pool->put(
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -36,8 +36,7 @@
 }
 
 // Apart from `forward_answer`, whose frame would hold the array of each answer.
-asio::awaitable<void>
-forward_rest(entry_request& request, answer_rest& rest)
+asio::awaitable<void> forward_rest(entry_request& request, answer_rest& rest)
 {
     std::array<std::byte, chunk_bytes> chunk;
     bool open = true;
