--- a/tools/install-dependencies.sh
+++ b/tools/install-dependencies.sh
@@ -7,7 +7,7 @@
   g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev
   libboost1.81-dev libboost-json1.81-dev libnghttp2-dev liblog4cxx-dev
   libcxxopts-dev libprotobuf-dev protobuf-compiler libxxhash-dev libssl-dev
-  libmimalloc-dev
+  libmimalloc-dev valgrind
   libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev"
 missing=""
 for package in $packages; do
