--- a/nutmegusher/node/upstream_client_test.cpp
+++ b/nutmegusher/node/upstream_client_test.cpp
@@ -65,6 +65,13 @@
     co_return end;
 }
 
+std::string make_answer(std::string_view id, std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nid: " + std::string(id) +
+           "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+}
+
 class upstream_client : public ::testing::Test
 {
 protected:
@@ -149,9 +156,33 @@
             });
     }
 
-    call_end call(const std::string& id, const std::string& method = "POST")
+    // Starts an upstream that begins to read a request after a pause and
+    // answers with the request's body.
+    void start_late_reader()
+    {
+        upstream_ = std::make_unique<scripted_upstream>(
+            [](test::tcp::socket& socket)
+            {
+                std::this_thread::sleep_for(10 * part_interval);
+                beast::flat_buffer buffer;
+                http::request_parser<http::string_body> parser;
+                parser.body_limit(boost::none);
+                boost::system::error_code failed;
+                http::read(socket, buffer, parser, failed);
+                const auto& request = parser.get();
+                const auto answer =
+                    make_answer(std::string(request["id"]), request.body());
+                asio::write(socket, asio::buffer(answer), failed);
+            });
+    }
+
+    call_end call(
+        const std::string& id,
+        const std::string& method = "POST",
+        std::string_view body = "")
     {
         upstream_request request;
+        request.body = body;
         request.head.method = method;
         request.head.path = "/";
         request.head.fields = {{"host", "a"}, {"id", id}};
@@ -184,13 +215,6 @@
                         }};
 };
 
-std::string make_answer(std::string_view id, std::string_view body)
-{
-    return "HTTP/1.1 200 OK\r\nid: " + std::string(id) +
-           "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           std::string(body);
-}
-
 std::string own_answer(const text_request& request)
 {
     return make_answer(std::string(request["id"]), "own");
@@ -204,6 +228,18 @@
     EXPECT_EQ(connections(), 1);
 }
 
+// Guards against losing what the socket doesn't take at once.
+TEST_F(upstream_client, sends_a_body_beyond_the_send_buffer_whole)
+{
+    start_late_reader();
+    std::string body(32 * 1024 * 1024, 'x');
+    body.front() = 'a';
+    body.back() = 'z';
+    const auto end = call("a", "POST", body);
+    EXPECT_FALSE(end.failure);
+    EXPECT_TRUE(end.body == body);
+}
+
 // Guards against a late answer to the first send that is taken for the answer
 // to the second one.
 TEST_F(upstream_client, sends_an_id_once_on_a_connection)
