Refuse an upstream's answer whose status is none

Callers got an answer with status 000, which their own parsers refuse.

Cause: Beast's parser takes any three digits, and nobody between it and the caller asked whether they are a status. The client of the upstream now takes 100 to 599 (RFC 9110, section 15); any other is malformed, like every head that can't be read: 502 with outcome "unknown", an error of this upstream, the connection closed. A "not run" in such a head isn't believed.

Before: invalid_status.reaches_no_caller fails for 000, 099, 600 and 999 over the routed path, and invalid_status.is_malformed for the four beside the client. After: all eight pass; 20 unrepeatable requests each run once, on a connection of their own. A status without a registered meaning (299) passed and passes.

--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -417,6 +417,14 @@
         call.connection->stream, call.buffer, *call.parser, call.parsed_bytes);
 }
 
+// RFC 9110, section 15. The parser takes any three digits.
+bool is_valid_status(unsigned status)
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
 bool is_interim(unsigned status)
 {
     constexpr unsigned first_interim = 100;
@@ -438,7 +446,12 @@
         {
             co_return failed;
         }
-        if (is_interim(call.parser->get().result_int()))
+        const auto status = call.parser->get().result_int();
+        if (!is_valid_status(status))
+        {
+            co_return http::error::bad_status;
+        }
+        if (is_interim(status))
         {
             if (call.parser->get().result() ==
                 http::status::switching_protocols)
