Don't take the part of an answer before a reset for the whole

Callers got the beginning of a 200 without a length as a complete answer: the upstream sent it while the upload was still being written, and then reset the connection.

Cause: the socket reports a reset once. The write of the request took it, in the background, and nobody looked; the read that followed ended as if the upstream had closed the connection, which is where an answer without a length ends.

Such an answer is now whole only if the upstream has received the request, or if no reset shows within 100 ms after the end. An upstream that closes with the request unread, or that breaks off, resets at once or when more of the request arrives; one that ends its own side on purpose doesn't. Asked is the state of the socket, which stays, and not an error, which is reported to one reader. Weighed: to refuse each early answer without a length, which would lose sound errors of upstreams that end their side and read on; to look only at the result of the write, which says nothing of an upload that the socket took whole. An answer with a length or chunks says itself whether it is whole and isn't held up: an early 413 with a length arrives as before.

--- a/nutmegusher/node/scripted_upstream.hpp
+++ b/nutmegusher/node/scripted_upstream.hpp
@@ -4,11 +4,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
+#include <array>
 #include <atomic>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -92,6 +97,70 @@
     std::thread accept_thread_;
 };
 
+// How an upstream ends a connection whose request it hasn't read.
+enum class connection_end : std::uint8_t
+{
+    reset,
+    // Ends its side and reads the rest of the request.
+    half_close_and_read,
+    // Ends its side and leaves the rest of the request unread.
+    half_close_and_wait,
+    half_close_and_reset
+};
+
+inline void reset(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+inline void end_connection(tcp::socket& socket, connection_end end)
+{
+    constexpr std::chrono::milliseconds time_to_reset(20);
+    constexpr std::chrono::milliseconds time_unread(1000);
+    boost::system::error_code failed;
+    if (end != connection_end::reset)
+    {
+        socket.shutdown(tcp::socket::shutdown_send, failed);
+    }
+    std::array<char, 65536> rest{};
+    switch (end)
+    {
+    case connection_end::half_close_and_reset:
+        std::this_thread::sleep_for(time_to_reset);
+        [[fallthrough]];
+    case connection_end::reset:
+        reset(socket);
+        return;
+    case connection_end::half_close_and_wait:
+        std::this_thread::sleep_for(time_unread);
+        [[fallthrough]];
+    case connection_end::half_close_and_read:
+        while (!failed)
+        {
+            socket.read_some(asio::buffer(rest), failed);
+        }
+    }
+}
+
+// Answers with these bytes when the first bytes of a request arrive, and ends
+// the connection soon after.
+inline scripted_upstream::script
+make_early_answer(std::string answer, connection_end end)
+{
+    return [answer = std::move(answer), end](tcp::socket& socket)
+    {
+        constexpr std::chrono::milliseconds time_to_end(60);
+        boost::system::error_code failed;
+        std::array<char, 1024> beginning{};
+        socket.read_some(asio::buffer(beginning), failed);
+        asio::write(socket, asio::buffer(answer), failed);
+        std::this_thread::sleep_for(time_to_end);
+        end_connection(socket, end);
+    };
+}
+
 } // namespace nutmegusher::node::test
 
 #endif
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -11,6 +11,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -53,6 +56,11 @@
 // each; a stopped upstream shows within that.
 constexpr int max_probes = 3;
 constexpr duration probe_delay = std::chrono::milliseconds(5);
+// An upstream that closes a connection without having read the request resets
+// it within a round trip, on the same host: at once, or when more of the
+// request arrives.
+constexpr duration max_reset_delay = std::chrono::milliseconds(100);
+constexpr duration reset_check_interval = std::chrono::milliseconds(5);
 constexpr std::uint32_t max_answer_header_bytes = 65536;
 // Bounds what the parser holds: a head, or a line of chunked coding, and what
 // was read along with it.
@@ -107,6 +115,24 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// Whether the peer has reset the connection, or it was closed here. Unlike the
+// error of a read or a write, which the socket reports only once, this stays.
+// Requires: this side hasn't ended its side of the connection.
+bool is_reset(tcp::socket& socket)
+{
+    pollfd state{socket.native_handle(), 0, 0};
+    return !socket.is_open() || (::poll(&state, 1, 0) > 0 &&
+                                 (state.revents & (POLLERR | POLLHUP)) != 0);
+}
+
+// Whether the peer has acknowledged all bytes that were written.
+bool all_acknowledged(tcp::socket& socket)
+{
+    int outstanding = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &outstanding) == 0 &&
+           outstanding == 0;
+}
+
 // A connection to an upstream. The destructor closes it.
 struct upstream_connection
 {
@@ -346,8 +372,8 @@
 using call_state = std::shared_ptr<internal::upstream_call_state>;
 
 // Sends head and body, in the background what the socket doesn't take at once.
-// A failed write shows when the answer is read: an answer that has begun
-// counts, even if the body wasn't sent completely.
+// A failed write leaves `request_done` unset: an answer that has begun counts,
+// even if the body wasn't sent completely, if it is whole (see `confirm_end`).
 void start_write(const call_state& call)
 {
     auto& stream = call->connection->stream;
@@ -403,6 +429,34 @@
     co_return boost::system::error_code();
 }
 
+// Confirms that an answer whose end is the end of the connection is whole,
+// which a reset doesn't show. Fails if the connection is reset before the
+// upstream has received the request, or within `max_reset_delay`.
+//
+// Pattern of failure: the socket reports a reset to the write of the request,
+// and the read that follows ends as if the upstream had closed the connection.
+asio::awaitable<boost::system::error_code>
+confirm_end(internal::upstream_call_state& call)
+{
+    auto& socket = call.connection->stream.socket();
+    const auto until = host_clock().now() + max_reset_delay;
+    asio::steady_timer pause(call.pool->context);
+    while (!call.request_done || !all_acknowledged(socket))
+    {
+        if (is_reset(socket))
+        {
+            co_return asio::error::connection_reset;
+        }
+        if (host_clock().now() >= until)
+        {
+            co_return boost::system::error_code();
+        }
+        pause.expires_after(reset_check_interval);
+        co_await pause.async_wait(as_tuple_awaitable);
+    }
+    co_return boost::system::error_code();
+}
+
 asio::awaitable<boost::system::error_code>
 read_one_head(internal::upstream_call_state& call)
 {
@@ -574,6 +628,13 @@
             co_return received;
         }
     }
+    if (call.parser->need_eof())
+    {
+        if (const auto failed = co_await confirm_end(call))
+        {
+            co_return call.failure_of(failed);
+        }
+    }
     // A late copy of an answer to HEAD would be skipped with the beginning of
     // the next answer in place of a body.
     if (call.connection && call.request_done && call.in_sync && !call.is_head &&
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -60,7 +60,9 @@
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
 
     // Reads a part of the answer's body and returns its size; 0 at the answer's
-    // end.
+    // end. The end of the connection is the end of an answer without a length,
+    // unless the upstream resets the connection. If it ends its side before it
+    // has received the request, that is known after at most 100 ms.
     asio::awaitable<outcome<std::size_t, upstream_failure>>
     read_some(std::span<std::byte> into);
 
--- a/nutmegusher/node/upstream_client_fixture.hpp
+++ b/nutmegusher/node/upstream_client_fixture.hpp
@@ -157,6 +157,13 @@
             });
     }
 
+    // See `make_early_answer`.
+    void start_early_answer(const std::string& answer, connection_end end)
+    {
+        upstream_ =
+            std::make_unique<scripted_upstream>(make_early_answer(answer, end));
+    }
+
     // Starts an upstream that begins to read a request after a pause and
     // answers with the request's body.
     void start_late_reader()
--- a/nutmegusher/routed/broken_answer_test.cpp
+++ b/nutmegusher/routed/broken_answer_test.cpp
@@ -123,5 +123,115 @@
 INSTANTIATE_TEST_SUITE_P(
     codes, invalid_status, ::testing::Values("000", "099", "600", "999"));
 
+// An answer without a length that comes while the request is still sent.
+struct early_answer_case
+{
+    const char* name;
+    unsigned status;
+    std::string rest;
+    connection_end end;
+    bool is_whole;
+};
+
+class early_answers : public broken_answers,
+                      public ::testing::WithParamInterface<early_answer_case>
+{
+protected:
+    void start_early_answer()
+    {
+        start(node::test::make_early_answer(
+            "HTTP/1.1 " + std::to_string(GetParam().status) +
+                " Early\r\nnutmeg-request-id: id-1\r\n" + GetParam().rest,
+            GetParam().end));
+    }
+
+    [[nodiscard]] received_answer upload() const
+    {
+        auto request = make_request(
+            "/pay/1", "id-1", std::string(long_request_bytes, 'x'));
+        request.method(http::verb::put);
+        return exchange(request);
+    }
+};
+
+// Guards against the part of an answer that came before a reset and reaches the
+// caller as a whole answer.
+TEST_P(early_answers, are_whole_unless_the_connection_is_reset)
+{
+    start_early_answer();
+    const auto answer = upload();
+    if (GetParam().is_whole)
+    {
+        EXPECT_TRUE(answer.whole);
+        EXPECT_EQ(answer.status, GetParam().status);
+        EXPECT_EQ(answer.body, "whole");
+    }
+    else if (answer.status == status_ok)
+    {
+        // The part is longer than what a daemon holds, so its head was sent.
+        EXPECT_GE(GetParam().rest.size(), long_answer_bytes);
+        EXPECT_FALSE(answer.whole);
+    }
+    else
+    {
+        expect_broken(answer);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    ends,
+    early_answers,
+    ::testing::Values(
+        early_answer_case{
+            "reset", 200, "\r\npart", connection_end::reset, false},
+        early_answer_case{
+            "reset_of_an_error", 400, "\r\npart", connection_end::reset, false},
+        early_answer_case{
+            "reset_with_connection_close",
+            200,
+            "connection: close\r\n\r\npart",
+            connection_end::reset,
+            false},
+        early_answer_case{
+            "reset_after_a_long_part",
+            200,
+            "\r\n" + std::string(long_answer_bytes, 'a'),
+            connection_end::reset,
+            false},
+        early_answer_case{
+            "reset_within_a_length",
+            200,
+            "content-length: 100\r\n\r\npart",
+            connection_end::reset,
+            false},
+        early_answer_case{
+            "reset_within_chunks",
+            200,
+            "transfer-encoding: chunked\r\n\r\n4\r\npart\r\n",
+            connection_end::reset,
+            false},
+        early_answer_case{
+            "error_with_a_length",
+            413,
+            "content-length: 5\r\n\r\nwhole",
+            connection_end::reset,
+            true},
+        early_answer_case{
+            "error_with_half_close",
+            413,
+            "\r\nwhole",
+            connection_end::half_close_and_read,
+            true},
+        early_answer_case{
+            "success_with_half_close",
+            200,
+            "\r\nwhole",
+            connection_end::half_close_and_wait,
+            true}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 } // namespace
 } // namespace nutmegusher::routed
