Test malformed lines, unclear lengths and sound answers of unusual form

All of them pass without a change: a blank, a tab, a control byte, NUL, DEL or CR in a field's name, before its colon or at the start of the first line; lengths that contradict each other or are no numbers; chunks and trailers that are malformed. Whole arrive an answer that ends with its connection, one without a reason phrase, 299, chunk extensions and trailers, bytes above 127.

--- a/nutmegusher/node/broken_answer_test.cpp
+++ b/nutmegusher/node/broken_answer_test.cpp
@@ -46,6 +46,54 @@
     EXPECT_EQ(end.body, "own");
 }
 
+struct malformed_line_case
+{
+    const char* name;
+    std::string line;
+};
+
+class malformed_line : public upstream_client,
+                       public ::testing::WithParamInterface<malformed_line_case>
+{
+};
+
+// Guards against a line that is passed on, or that hides the length of the
+// body: RFC 9112, section 5.1.
+TEST_P(malformed_line, makes_the_answer_malformed)
+{
+    start(
+        [](const text_request& request)
+        {
+            return "HTTP/1.1 200 OK\r\n" + GetParam().line +
+                   "\r\nid: " + std::string(request["id"]) +
+                   "\r\ncontent-length: 4\r\n\r\nbody";
+        });
+    EXPECT_EQ(call("a").failure, upstream_failure::malformed);
+    EXPECT_EQ(call("b").failure, upstream_failure::malformed);
+    EXPECT_EQ(connections(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    lines,
+    malformed_line,
+    ::testing::Values(
+        malformed_line_case{"blank_at_the_start", " x: b"},
+        malformed_line_case{"tab_at_the_start", "\tx: b"},
+        malformed_line_case{"blank_in_name", "x a: b"},
+        malformed_line_case{"blank_before_colon", "content-length : 2"},
+        malformed_line_case{"tab_before_colon", "content-length\t: 2"},
+        malformed_line_case{"tab_in_name", "x\ta: b"},
+        malformed_line_case{"control_byte_in_name", "x\x01: b"},
+        malformed_line_case{"nul_in_name", std::string("x\0: b", 5)},
+        malformed_line_case{"del_in_name", "x\x7f: b"},
+        malformed_line_case{"carriage_return_in_name", "x\ra: b"},
+        malformed_line_case{"no_name", ": b"},
+        malformed_line_case{"no_colon", "x"}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 // An answer that comes before its request has been sent whole.
 struct early_answer_case
 {
@@ -156,5 +204,51 @@
         return std::string(info.param.name);
     });
 
+// What follows the id in an answer whose length is unclear.
+struct unclear_length_case
+{
+    const char* name;
+    const char* rest;
+};
+
+class unclear_length : public upstream_client,
+                       public ::testing::WithParamInterface<unclear_length_case>
+{
+};
+
+TEST_P(unclear_length, is_malformed)
+{
+    start_in_parts(
+        {std::string("HTTP/1.1 200 OK\r\nid: a\r\n") + GetParam().rest});
+    EXPECT_EQ(call("a").failure, upstream_failure::malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    framings,
+    unclear_length,
+    ::testing::Values(
+        unclear_length_case{"two", "content-length: 4, 5\r\n\r\nparts"},
+        unclear_length_case{
+            "on_two_lines",
+            "content-length: 4\r\ncontent-length: 5\r\n\r\nparts"},
+        unclear_length_case{"with_a_sign", "content-length: +4\r\n\r\npart"},
+        unclear_length_case{"no_number", "content-length: a\r\n\r\npart"},
+        unclear_length_case{
+            "chunk_without_an_end",
+            "transfer-encoding: chunked\r\n\r\n4\r\npartpart0\r\n\r\n"},
+        unclear_length_case{
+            "chunk_with_a_sign",
+            "transfer-encoding: chunked\r\n\r\n-4\r\npart\r\n0\r\n\r\n"},
+        unclear_length_case{
+            "chunk_beyond_64_bits",
+            "transfer-encoding: chunked\r\n\r\n10000000000000004\r\npart\r\n"},
+        unclear_length_case{
+            "malformed_trailer",
+            "transfer-encoding: chunked\r\n\r\n0\r\nx y\r\n\r\n"}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 } // namespace
 } // namespace nutmegusher::node
--- a/nutmegusher/routed/broken_answer_test.cpp
+++ b/nutmegusher/routed/broken_answer_test.cpp
@@ -233,5 +233,115 @@
         return std::string(info.param.name);
     });
 
+// A line in the head of an answer in which a blank or control byte stands where
+// none may.
+struct malformed_line_case
+{
+    const char* name;
+    std::string line;
+};
+
+class malformed_lines
+    : public broken_answers,
+      public ::testing::WithParamInterface<malformed_line_case>
+{
+};
+
+// Guards against a line that is passed on, or that hides the length of the
+// body.
+TEST_P(malformed_lines, reach_no_caller)
+{
+    start_answering(
+        "HTTP/1.1 200 OK\r\n" + GetParam().line +
+        "\r\nnutmeg-request-id: @\r\ncontent-length: 4\r\n\r\nbody");
+    expect_broken(pay("id-1"));
+    expect_broken(pay("id-2"));
+    EXPECT_EQ(runs(), 2);
+    EXPECT_EQ(connections(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    lines,
+    malformed_lines,
+    ::testing::Values(
+        malformed_line_case{"blank_at_the_start", " x: b"},
+        malformed_line_case{"tab_at_the_start", "\tx: b"},
+        malformed_line_case{"blank_in_name", "x a: b"},
+        malformed_line_case{"blank_before_colon", "content-length : 2"},
+        malformed_line_case{"tab_before_colon", "content-length\t: 2"},
+        malformed_line_case{"tab_in_name", "x\ta: b"},
+        malformed_line_case{"control_byte_in_name", "x\x01: b"},
+        malformed_line_case{"nul_in_name", std::string("x\0: b", 5)},
+        malformed_line_case{"del_in_name", "x\x7f: b"},
+        malformed_line_case{"carriage_return_in_name", "x\ra: b"},
+        malformed_line_case{"no_name", ": b"},
+        malformed_line_case{"no_colon", "x"}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
+// Answers of unusual form that are sound.
+struct sound_answer_case
+{
+    const char* name;
+    // After "HTTP/1.1 ".
+    std::string bytes;
+};
+
+class sound_answers : public broken_answers,
+                      public ::testing::WithParamInterface<sound_answer_case>
+{
+};
+
+TEST_P(sound_answers, arrive_whole)
+{
+    start(
+        [](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            boost::system::error_code failed;
+            if (read_request(socket, buffer))
+            {
+                asio::write(
+                    socket,
+                    asio::buffer("HTTP/1.1 " + GetParam().bytes),
+                    failed);
+            }
+        });
+    const auto answer = pay("id-1");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.status / 100, 2U);
+    EXPECT_EQ(answer.body, "whole");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    forms,
+    sound_answers,
+    ::testing::Values(
+        sound_answer_case{
+            "without_a_length",
+            "200 OK\r\nnutmeg-request-id: id-1\r\n\r\nwhole"},
+        sound_answer_case{
+            "without_a_reason",
+            "200 \r\nnutmeg-request-id: id-1\r\ncontent-length: "
+            "5\r\n\r\nwhole"},
+        sound_answer_case{
+            "unregistered_status",
+            "299 OK\r\nnutmeg-request-id: id-1\r\ncontent-length: "
+            "5\r\n\r\nwhole"},
+        sound_answer_case{
+            "chunk_extensions_and_trailers",
+            "200 OK\r\nnutmeg-request-id: id-1\r\ntransfer-encoding: "
+            "Chunked\r\n\r\n2;a=b\r\nwh\r\n3\r\nole\r\n0\r\nx: y\r\n\r\n"},
+        sound_answer_case{
+            "bytes_above_127",
+            "200 OK\r\nnutmeg-request-id: id-1\r\nx: \xc3\xa9\xff\r\n"
+            "content-length: 5\r\n\r\nwhole"}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 } // namespace
 } // namespace nutmegusher::routed
