Refuse an answer in a transfer coding other than chunks

Callers got the coded bytes as the body of a success: "transfer-encoding: gzip, chunked" is a field of the hop and was taken out, but only the chunks were decoded.

Cause: Beast's parser leaves a coding that it doesn't know in the body, and reads to the end of the connection if the last coding isn't chunked. The client of the upstream now takes no transfer coding or chunks alone, these in HTTP/1.1 only (RFC 9112, section 6.1); all else is malformed.

Before: 8 of 9 of coded_answer.is_malformed fail (chunks beside a length were refused already), and broken_answers.with_an_unknown_coding_reach_no_caller over the routed path. After: all pass.

--- a/nutmegusher/node/broken_answer_test.cpp
+++ b/nutmegusher/node/broken_answer_test.cpp
@@ -204,6 +204,59 @@
         return std::string(info.param.name);
     });
 
+struct coding_case
+{
+    const char* name;
+    const char* version;
+    const char* fields;
+};
+
+class coded_answer : public upstream_client,
+                     public ::testing::WithParamInterface<coding_case>
+{
+};
+
+// Guards against a body that is passed on in a coding whose name isn't.
+TEST_P(coded_answer, is_malformed)
+{
+    start_in_parts(
+        {std::string(GetParam().version) + " 200 OK\r\nid: a\r\n" +
+         GetParam().fields + "\r\n\r\n4\r\ncode\r\n0\r\n\r\n"});
+    EXPECT_EQ(call("a").failure, upstream_failure::malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    codings,
+    coded_answer,
+    ::testing::Values(
+        coding_case{"gzip", "HTTP/1.1", "transfer-encoding: gzip"},
+        coding_case{
+            "gzip_in_chunks", "HTTP/1.1", "transfer-encoding: gzip, chunked"},
+        coding_case{
+            "chunks_in_gzip", "HTTP/1.1", "transfer-encoding: chunked, gzip"},
+        coding_case{
+            "on_two_lines",
+            "HTTP/1.1",
+            "transfer-encoding: gzip\r\ntransfer-encoding: chunked"},
+        coding_case{
+            "chunks_twice", "HTTP/1.1", "transfer-encoding: chunked, chunked"},
+        coding_case{"none_named", "HTTP/1.1", "transfer-encoding:"},
+        coding_case{
+            "with_a_length",
+            "HTTP/1.1",
+            "transfer-encoding: gzip\r\ncontent-length: 4"},
+        coding_case{
+            "chunked_with_a_length",
+            "HTTP/1.1",
+            "transfer-encoding: chunked\r\ncontent-length: 4"},
+        // RFC 9112, section 6.1: its framing is faulty.
+        coding_case{
+            "chunked_in_http_1_0", "HTTP/1.0", "transfer-encoding: chunked"}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 // What follows the id in an answer whose length is unclear.
 struct unclear_length_case
 {
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -479,6 +479,16 @@
     return status >= first && status <= last;
 }
 
+// Whether the body is in no transfer coding or in chunks (RFC 9112, section
+// 6.1). The parser decodes chunks and leaves any other coding in the body.
+bool has_known_coding(const http::response_header<>& head)
+{
+    const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+    return first == last ||
+           (std::next(first) == last && head.version() == http_11 &&
+            beast::iequals(first->value(), "chunked"));
+}
+
 bool is_interim(unsigned status)
 {
     constexpr unsigned first_interim = 100;
@@ -505,6 +515,10 @@
         {
             co_return http::error::bad_status;
         }
+        if (!has_known_coding(call.parser->get()))
+        {
+            co_return http::error::bad_transfer_encoding;
+        }
         if (is_interim(status))
         {
             if (call.parser->get().result() ==
--- a/nutmegusher/routed/broken_answer_test.cpp
+++ b/nutmegusher/routed/broken_answer_test.cpp
@@ -343,5 +343,14 @@
         return std::string(info.param.name);
     });
 
+TEST_F(broken_answers, with_an_unknown_coding_reach_no_caller)
+{
+    start_answering(
+        "HTTP/1.1 200 OK\r\nnutmeg-request-id: @\r\n"
+        "transfer-encoding: gzip, chunked\r\n\r\n4\r\ncode\r\n0\r\n\r\n");
+    expect_broken(pay("id-1"));
+    EXPECT_EQ(runs(), 1);
+}
+
 } // namespace
 } // namespace nutmegusher::routed
