Check the status that a peer forwards

The status of a routed answer crosses the connection between two daemons as a field of its own, and any number was taken there; one above 999 isn't three digits to the caller.

Only the status of a final answer is taken now (200 to 599); any other ends the call as broken, outcome unknown.

Before: 5 of 7 of peer_status.must_be_that_of_a_final_answer fail (000, 099, 101, 600, 99999). After: all pass.

--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -51,6 +51,19 @@
     return value;
 }
 
+// The status of the answer that a peer forwards; empty unless it is that of a
+// final answer.
+std::optional<unsigned> status_in(const wire::response_head& head)
+{
+    constexpr unsigned first_final = 200;
+    constexpr unsigned last = 599;
+    const auto text = wire::find_header(head.fields, status_field);
+    const auto status = node::parse_count(text.value_or(""));
+    return status && *status >= first_final && *status <= last
+               ? std::optional<unsigned>(*status)
+               : std::nullopt;
+}
+
 failed_call not_sent()
 {
     const refusal details{
@@ -190,15 +203,14 @@
 
     asio::awaitable<routed_result> read_body(wire::response_head head)
     {
-        const auto status = wire::find_header(head.fields, status_field);
-        const auto code = node::parse_count(status.value_or(""));
-        if (!code)
+        const auto status = status_in(head);
+        if (!status)
         {
             co_return failed(wire::stream_failure::protocol);
         }
         routed_answer answer;
         answer.length = length_in(head);
-        answer.head.status = *code;
+        answer.head.status = *status;
         answer.head.fields = without_own_fields(std::move(head.fields));
         std::array<std::byte, short_chunk_bytes> chunk;
         while (answer.body.size() <= max_buffered_answer_bytes)
--- a/nutmegusher/routed/peer_exchange_test.cpp
+++ b/nutmegusher/routed/peer_exchange_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace nutmegusher::routed
@@ -76,5 +77,58 @@
     EXPECT_FALSE(worker.peers.had_recent_loss());
 }
 
+class peer_status : public ::testing::TestWithParam<const char*>
+{
+};
+
+// Guards against a status of a peer that no caller can read.
+TEST_P(peer_status, must_be_that_of_a_final_answer)
+{
+    node::controllers shared(
+        routed_node::make_settings("entry"), incarnation(1));
+    node::worker worker(shared, 0);
+    const auto serve =
+        [](std::shared_ptr<wire::server_stream> stream) -> asio::awaitable<void>
+    {
+        wire::response_head head{200, {{"nutmeg-status", GetParam()}}};
+        co_await stream->write_head(std::move(head), true);
+    };
+    const auto peer = std::move(
+        wire::server::listen(
+            worker.context, any_port, serve, wire::session_options(), false)
+            .value());
+    routed_call call;
+    call.head.method = "GET";
+    call.head.path = "/";
+    call.metadata.repeatable = true;
+    call.metadata.deadline = host_clock().now() + std::chrono::seconds(20);
+    peer_feedback feedback;
+    std::optional<node::refusal> refused;
+    bool ended = false;
+    const auto run = [&]() -> asio::awaitable<void>
+    {
+        const auto result =
+            co_await call_peer(worker, peer->local_endpoint(), call, feedback);
+        if (!result)
+        {
+            refused = result.error().details;
+        }
+        ended = true;
+    };
+    asio::co_spawn(worker.context, run(), asio::detached);
+    while (!ended)
+    {
+        worker.context.run_one();
+    }
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->reason, node::call_reason::answer_broken);
+    EXPECT_EQ(refused->result, call_outcome::unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    values,
+    peer_status,
+    ::testing::Values("", "2x0", "000", "099", "101", "600", "99999"));
+
 } // namespace
 } // namespace nutmegusher::routed
