Don't let an upstream's fields pass for those of its daemon

An upstream that answered 404 with "nutmeg-status: 200" reached the caller as a success with its error text, and one with "nutmeg-outcome: not-run" as a call that hasn't run, which the entry may send again.

Cause: the daemon beside the upstream adds its own fields after those of the answer, and the entry reads the first.

--- a/nutmegusher/routed/broken_answer_test.cpp
+++ b/nutmegusher/routed/broken_answer_test.cpp
@@ -343,6 +343,35 @@
         return std::string(info.param.name);
     });
 
+// Fields that daemons add to what they send each other.
+class own_fields : public broken_answers,
+                   public ::testing::WithParamInterface<const char*>
+{
+};
+
+// Guards against an upstream's field that is taken for a daemon's: an error
+// that reaches the caller as a success, or a call that ran and is refused as
+// not run.
+TEST_P(own_fields, of_an_upstream_mean_nothing)
+{
+    start_answering(
+        "HTTP/1.1 404 Missing\r\nnutmeg-request-id: @\r\n" +
+        std::string(GetParam()) + "\r\ncontent-length: 5\r\n\r\nwhole");
+    const auto answer = pay("id-1");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.status, 404U);
+    EXPECT_EQ(answer.outcome, "");
+    EXPECT_EQ(answer.body, "whole");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    fields,
+    own_fields,
+    ::testing::Values(
+        "nutmeg-status: 200",
+        "nutmeg-status: 000",
+        "nutmeg-outcome: not-run\r\nnutmeg-reason: leaving"));
+
 TEST_F(broken_answers, with_an_unknown_coding_reach_no_caller)
 {
     start_answering(
