Don't report a payout that ran as not run because its answer says so

The upstream's fields of that prefix are dropped as its head is read, except for nutmeg-not-run, which is the upstream's to say.

Before: path.an_upstreams_field_is_not_taken_for_the_daemons and path.an_upstreams_field_is_not_taken_for_the_outcome_of_a_payout get 503 and "not-run". After: they pass.

--- a/nutmegusher/node/path_test.cpp
+++ b/nutmegusher/node/path_test.cpp
@@ -118,6 +118,41 @@
     EXPECT_EQ(bad_timeout.field("nutmeg-reason"), "bad-header");
 }
 
+// Guards against a call that ran and is reported as not run.
+TEST_F(path, an_upstreams_field_is_not_taken_for_the_daemons)
+{
+    const auto answer_as_daemon =
+        [](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        wire::response_head head{
+            404, {{"nutmeg-outcome", "not-run"}, {"nutmeg-reason", "leaving"}}};
+        co_await exchange.answer(std::move(head), "whole");
+    };
+    serve_with(answer_as_daemon, "balances");
+    const auto answer = request(entry_node.callers(), "GET", "/balances/all");
+    EXPECT_EQ(answer.status, 404U);
+    EXPECT_EQ(answer.field("nutmeg-outcome"), "completed");
+    EXPECT_EQ(answer.body, "whole");
+}
+
+TEST_F(path, an_upstreams_field_is_not_taken_for_the_outcome_of_a_payout)
+{
+    const auto answer_as_daemon =
+        [](caller_exchange& exchange) -> asio::awaitable<void>
+    {
+        co_await body_of(exchange);
+        wire::response_head head{
+            200, {{"nutmeg-outcome", "not-run"}, {"nutmeg-reason", "leaving"}}};
+        co_await exchange.answer(std::move(head), "whole");
+    };
+    serve_with(answer_as_daemon, "disbursement");
+    const auto answer = pay("key-1");
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.field("nutmeg-outcome"), "completed");
+    EXPECT_EQ(answer.body, "whole");
+    EXPECT_EQ(pay("key-1").field("nutmeg-outcome"), "completed");
+}
+
 TEST_F(path, a_long_answer_streams_whole)
 {
     const std::string chunk(1 << 20, 'x');
--- a/nutmegusher/node/upstream_filter.cpp
+++ b/nutmegusher/node/upstream_filter.cpp
@@ -95,6 +95,19 @@
     return {call_reason::upstream_failed, call_outcome::unknown};
 }
 
+// Drops fields of an upstream that would be taken for this daemon's, except for
+// `not_run`, which is the upstream's.
+void drop_own_fields(wire::response_head& head)
+{
+    const auto not_run = wire::find_header(head.fields, field::not_run);
+    auto kept = without_own_fields(head.fields);
+    if (not_run)
+    {
+        kept.push_back({std::string(field::not_run), std::string(*not_run)});
+    }
+    head.fields = std::move(kept);
+}
+
 // One call to the upstream: sends the request and handles the answer.
 class upstream_exchange
 {
@@ -156,6 +169,7 @@
             co_await fail(head.error());
             co_return;
         }
+        drop_own_fields(*head);
         call_.result = result_of(head->status);
         if (call_.result == call_result::shed_by_upstream && sub_call_refused())
         {
