Don't reuse a connection after a 204 that announces content

Such an answer ends with its head, whatever it announces. If the upstream sends that content all the same, a little later, it meets the next request of the connection: that one ran, and its answer can't be read.

Before: does_not_reuse_a_connection_after_204_with_a_length finds the second call malformed, on the same connection. After: it is answered, on a connection of its own. A 204 with a length of 0 is reused as before.

--- a/nutmegusher/node/broken_answer_test.cpp
+++ b/nutmegusher/node/broken_answer_test.cpp
@@ -303,5 +303,26 @@
         return std::string(info.param.name);
     });
 
+// Guards against the body of an answer that has none, on a connection that
+// carries the next request by then.
+TEST_F(upstream_client, does_not_reuse_a_connection_after_204_with_a_length)
+{
+    start(
+        [this](const text_request& request)
+        {
+            if (request["id"] == "a")
+            {
+                return std::string(
+                    "HTTP/1.1 204 Empty\r\nid: a\r\ncontent-length: 4\r\n\r\n");
+            }
+            return (connections() == 1 ? "late" : "") + own_answer(request);
+        });
+    EXPECT_EQ(call("a").status, 204U);
+    const auto end = call("b");
+    EXPECT_EQ(end.failure, std::nullopt);
+    EXPECT_EQ(end.body, "own");
+    EXPECT_EQ(connections(), 2);
+}
+
 } // namespace
 } // namespace nutmegusher::node
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -401,6 +401,16 @@
            found->value() != call.echoed_value;
 }
 
+// Whether the answer announces content that its status doesn't allow, so that
+// bytes may follow which belong to no answer.
+bool announces_forbidden_content(const internal::upstream_call_state& call)
+{
+    const auto& head = call.parser->get();
+    return head.result() == http::status::no_content &&
+           (call.parser->content_length().value_or(0) > 0 ||
+            call.parser->chunked());
+}
+
 // Discards the rest of an answer that is being skipped. Fails if more than
 // `limit` bytes have been parsed by then.
 asio::awaitable<boost::system::error_code>
@@ -652,7 +662,8 @@
     // A late copy of an answer to HEAD would be skipped with the beginning of
     // the next answer in place of a body.
     if (call.connection && call.request_done && call.in_sync && !call.is_head &&
-        call.parser->keep_alive() && call.buffer.size() == 0)
+        call.parser->keep_alive() && call.buffer.size() == 0 &&
+        !announces_forbidden_content(call))
     {
         call.connection->stream.expires_never();
         call.pool->put(
