Don't state a length of 0 for answers to HEAD, 204 and 304

The length of an answer is a field of the hop, so the daemon states its own: that of the body it holds, which is 0 where no body follows. To a caller it means that the content has no bytes (HEAD, 304), and a 204 mustn't have it at all (RFC 9110, section 8.6). It is left out now.

Before: answers_without_content.state_no_length_of_their_own fails for both codes, and answer_framing.an_answer_to_head_states_no_length_of_its_own. After: they pass.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -80,9 +80,19 @@
     message.keep_alive(keep_alive);
 }
 
-// Head of an answer whose body has `body_bytes`.
+// Whether an answer with this status never has content.
+bool is_without_content(unsigned status)
+{
+    return status == static_cast<unsigned>(http::status::no_content) ||
+           status == static_cast<unsigned>(http::status::not_modified);
+}
+
+// Head of an answer; `length` is that of its body, and empty if no body follows
+// a head of this kind.
 std::string make_head_text(
-    const wire::response_head& head, std::size_t body_bytes, bool keep_alive)
+    const wire::response_head& head,
+    std::optional<std::size_t> length,
+    bool keep_alive)
 {
     const auto reason = http::obsolete_reason(http::int_to_status(head.status));
     std::string text;
@@ -100,7 +110,10 @@
     {
         internal::append_field(text, "Connection", "close");
     }
-    internal::append_field(text, "Content-Length", std::to_string(body_bytes));
+    if (length)
+    {
+        internal::append_field(text, "Content-Length", std::to_string(*length));
+    }
     text += "\r\n";
     return text;
 }
@@ -357,9 +370,12 @@
     {
         stop_watch();
         begin_head();
-        const auto text = make_head_text(head, body.size(), keeps_connection_);
-        const auto failed =
-            co_await write_all(text, is_head_request() ? "" : body);
+        const bool has_content =
+            !is_head_request() && !is_without_content(head.status);
+        const auto length =
+            has_content ? std::optional(body.size()) : std::nullopt;
+        const auto text = make_head_text(head, length, keeps_connection_);
+        const auto failed = co_await write_all(text, has_content ? body : "");
         answer_finished_ = !failed;
         co_return answer_finished_;
     }
--- /dev/null
+++ b/nutmegusher/routed/answer_framing_test.cpp
@@ -0,0 +1,104 @@
+// How an answer reaches callers for which a length or chunks would say
+// something else than the upstream's answer.
+#include "nutmegusher/routed/test_path.hpp"
+
+#include <boost/asio/read.hpp>
+
+namespace nutmegusher::routed
+{
+namespace
+{
+
+using namespace test_path;
+
+// More than a daemon holds of an answer that it forwards.
+constexpr std::size_t long_answer_bytes = 600'000;
+
+// What a connection carried until it ended.
+struct received_bytes
+{
+    std::string head;
+    std::string body;
+    boost::system::error_code end;
+
+    [[nodiscard]] bool has(std::string_view line) const
+    {
+        return head.find("\r\n" + std::string(line)) != std::string::npos;
+    }
+};
+
+class answer_framing : public routed_path
+{
+protected:
+    // Starts an upstream that answers each request with these bytes after the
+    // id, and then closes the connection.
+    void start_answering(const std::string& status, const std::string& rest)
+    {
+        start(
+            [status, rest](tcp::socket& socket)
+            {
+                beast::flat_buffer buffer;
+                const auto request = read_request(socket, buffer);
+                boost::system::error_code failed;
+                asio::write(
+                    socket,
+                    asio::buffer(
+                        "HTTP/1.1 " + status + " Any\r\nnutmeg-request-id: " +
+                        id_of(*request) + "\r\n" + rest),
+                    failed);
+            });
+    }
+
+    [[nodiscard]] received_bytes
+    ask_raw(const std::string& method, const std::string& version) const
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(entry->caller_server->local_endpoint());
+        asio::write(
+            socket,
+            asio::buffer(
+                method + " /views/1 " + version +
+                "\r\nhost: a.example\r\nnutmeg-request-id: id-1\r\n"
+                "nutmeg-timeout-ms: 2000\r\nconnection: close\r\n\r\n"));
+        std::string text;
+        received_bytes received;
+        asio::read(socket, asio::dynamic_buffer(text), received.end);
+        const auto head_end = text.find("\r\n\r\n") + 4;
+        received.head = text.substr(0, head_end);
+        received.body = text.substr(head_end);
+        return received;
+    }
+};
+
+class answers_without_content
+    : public answer_framing,
+      public ::testing::WithParamInterface<const char*>
+{
+};
+
+// Guards against a length of 0 that isn't the upstream's: to a cache it is that
+// of the content (RFC 9110, section 8.6).
+TEST_P(answers_without_content, state_no_length_of_their_own)
+{
+    start_answering(GetParam(), "etag: \"a\"\r\n\r\n");
+    const auto answer = ask_raw("GET", "HTTP/1.1");
+    EXPECT_TRUE(answer.has("etag: \"a\"")) << answer.head;
+    EXPECT_FALSE(answer.has("Content-Length:")) << answer.head;
+    EXPECT_EQ(answer.body, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    codes, answers_without_content, ::testing::Values("204", "304"));
+
+TEST_F(answer_framing, an_answer_to_head_states_no_length_of_its_own)
+{
+    start_answering("200", "content-length: 5\r\n\r\n");
+    const auto answer = ask_raw("HEAD", "HTTP/1.1");
+    EXPECT_TRUE(answer.head.starts_with("HTTP/1.1 200")) << answer.head;
+    EXPECT_FALSE(answer.has("Content-Length:")) << answer.head;
+    EXPECT_EQ(answer.body, "");
+}
+
+} // namespace
+} // namespace nutmegusher::routed
