Send long answers to callers of HTTP/1.0 without chunks

A caller of HTTP/1.0 got a long answer without a length in chunks, which it takes for a part of the body, and couldn't tell one that broke off from a whole one.

Such an answer now ends with its connection. If it breaks off, the connection is reset; the socket is set so from the first byte on, so that the end of the process resets it as well.

Before: answer_framing.a_long_answer_ends_with_a_connection_of_http_1_0 finds chunks, a_broken_answer_resets_a_connection_of_http_1_0 a clean end. After: they pass. With a length, and in HTTP/1.1, a broken answer was recognisable and is.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -128,6 +128,18 @@
            (read_size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Sets whether the end of the connection is a reset, which holds even when the
+// process ends. The socket's own option wouldn't: its destructor takes it back.
+void set_reset_on_close(tcp::socket& socket, bool enabled)
+{
+    const struct ::linger option
+    {
+        enabled ? 1 : 0, 0
+    };
+    ::setsockopt(
+        socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 // Notices that the caller closes its connection while its request is handled.
 // The exchange owns it; the pending wait holds a weak reference, as it may
 // complete after the exchange is destroyed.
@@ -383,6 +395,9 @@
     asio::awaitable<bool> begin_answer(
         wire::response_head head, std::optional<std::uint64_t> length) override
     {
+        // Callers of HTTP/1.0 don't know chunks (RFC 9112, section 6.1).
+        ends_with_connection_ =
+            !length && parser_.get().version() < http_11 && !is_head_request();
         begin_head();
         response_.version(http_11);
         fill_head(response_, head, keeps_connection_);
@@ -390,6 +405,11 @@
         {
             response_.content_length(*length);
         }
+        else if (ends_with_connection_)
+        {
+            // Only a reset can tell the caller that the answer broke off.
+            set_reset_on_close(stream_.socket(), true);
+        }
         else
         {
             response_.chunked(true);
@@ -434,6 +454,10 @@
         auto [failed, size] = co_await http::async_write(
             stream_, *serializer_, as_tuple_awaitable);
         answer_finished_ = !failed;
+        if (answer_finished_ && ends_with_connection_)
+        {
+            set_reset_on_close(stream_.socket(), false);
+        }
         co_return answer_finished_;
     }
 
@@ -523,6 +547,12 @@
         return answer_finished_ && keeps_connection_;
     }
 
+    // True if the connection must end without a clean end of the answer.
+    [[nodiscard]] bool must_reset() const
+    {
+        return ends_with_connection_ && !answer_finished_;
+    }
+
     void close_after_answer()
     {
         keep_alive_ = false;
@@ -588,7 +618,7 @@
     [[nodiscard]] bool can_keep_alive() const
     {
         return keep_alive_ && !read_failed_ && parser_.is_done() &&
-               intake_ == intake_state::open;
+               !ends_with_connection_ && intake_ == intake_state::open;
     }
 
     [[nodiscard]] bool is_given_up() const
@@ -643,6 +673,8 @@
     time_point left_at_;
     bool keep_alive_ = false;
     bool keeps_connection_ = false;
+    // The answer has neither a length nor chunks.
+    bool ends_with_connection_ = false;
     bool answer_begun_ = false;
     bool is_reading_body_ = false;
     bool continue_sent_ = false;
@@ -725,7 +757,9 @@
     keep_alive,
     close,
     // Close after reading and dropping what the caller still sends.
-    linger
+    linger,
+    // Close without announcing the end first, which would be a clean one.
+    reset
 };
 
 template <class State>
@@ -775,6 +809,10 @@
     {
         co_return after_request::keep_alive;
     }
+    if (exchange.must_reset())
+    {
+        co_return after_request::reset;
+    }
     co_return exchange.has_unread_body() ? after_request::linger
                                          : after_request::close;
 }
@@ -811,6 +849,11 @@
     {
         after = co_await serve_request(*server, *connection, buffer);
     }
+    if (after == after_request::reset)
+    {
+        stream.close();
+        co_return;
+    }
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (after == after_request::linger)
     {
--- a/nutmegusher/routed/answer_framing_test.cpp
+++ b/nutmegusher/routed/answer_framing_test.cpp
@@ -71,6 +71,52 @@
     }
 };
 
+// Guards against chunks that a caller of HTTP/1.0 takes for a part of the body.
+TEST_F(answer_framing, a_long_answer_ends_with_a_connection_of_http_1_0)
+{
+    const std::string body(long_answer_bytes, 'a');
+    start_answering("200", "\r\n" + body);
+    const auto answer = ask_raw("GET", "HTTP/1.0");
+    EXPECT_TRUE(answer.head.starts_with("HTTP/1.1 200")) << answer.head;
+    EXPECT_FALSE(answer.has("Transfer-Encoding:")) << answer.head;
+    EXPECT_TRUE(answer.has("Connection: close")) << answer.head;
+    EXPECT_TRUE(answer.body == body);
+    EXPECT_EQ(answer.end, asio::error::eof);
+}
+
+// Guards against the part of an answer that a caller of HTTP/1.0 takes for the
+// whole one.
+TEST_F(answer_framing, a_broken_answer_resets_a_connection_of_http_1_0)
+{
+    start_answering(
+        "200",
+        "transfer-encoding: chunked\r\n\r\n927c0\r\n" +
+            std::string(long_answer_bytes, 'a') + "\r\n");
+    const auto answer = ask_raw("GET", "HTTP/1.0");
+    EXPECT_EQ(answer.end, asio::error::connection_reset);
+}
+
+TEST_F(answer_framing, a_broken_answer_lacks_its_last_chunk)
+{
+    start_answering(
+        "200",
+        "transfer-encoding: chunked\r\n\r\n927c0\r\n" +
+            std::string(long_answer_bytes, 'a') + "\r\n");
+    const auto answer = ask_raw("GET", "HTTP/1.1");
+    EXPECT_TRUE(answer.has("Transfer-Encoding: chunked")) << answer.head;
+    EXPECT_FALSE(answer.body.ends_with("0\r\n\r\n"));
+}
+
+TEST_F(answer_framing, a_broken_answer_is_shorter_than_its_length)
+{
+    start_answering(
+        "200",
+        "content-length: 600001\r\n\r\n" + std::string(long_answer_bytes, 'a'));
+    const auto answer = ask_raw("GET", "HTTP/1.0");
+    EXPECT_TRUE(answer.has("Content-Length: 600001")) << answer.head;
+    EXPECT_LE(answer.body.size(), long_answer_bytes);
+}
+
 class answers_without_content
     : public answer_framing,
       public ::testing::WithParamInterface<const char*>
