Let nutmegusherctl refuse a reply whose status isn't final

It took a reply with status 000 or 103 for one. Such a reply now isn't an HTTP reply to it.

Before: connect_with_beast.a_status_that_is_not_final_is_a_bad_reply fails; after: it passes. A reply without a length that is reset counted as lost before and does: the request is written whole before the reply is read.

--- a/nutmegusher/ctl/beast_exchange.cpp
+++ b/nutmegusher/ctl/beast_exchange.cpp
@@ -46,6 +46,14 @@
     return endpoint(address, port);
 }
 
+// The parser takes any three digits.
+bool is_final_status(unsigned status)
+{
+    constexpr unsigned first_final = 200;
+    constexpr unsigned last = 599;
+    return status >= first_final && status <= last;
+}
+
 // Sends one query on its own connection and reads the reply. Runs its own I/O
 // context, since Beast applies timeouts to asynchronous operations only.
 class exchange_operation
@@ -84,6 +92,10 @@
             return *failure_;
         }
         auto& message = parser_.get();
+        if (!is_final_status(message.result_int()))
+        {
+            return exchange_failure::bad_reply;
+        }
         return http_reply{message.result_int(), std::move(message.body())};
     }
 
--- a/nutmegusher/ctl/beast_exchange_test.cpp
+++ b/nutmegusher/ctl/beast_exchange_test.cpp
@@ -18,12 +18,19 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-// Accepts one connection, replies with the given bytes and closes it.
+// Accepts one connection, replies with the given bytes and ends it.
 class one_reply_server
 {
 public:
-    explicit one_reply_server(std::string bytes)
-        : acceptor_(
+    enum class end
+    {
+        close,
+        reset
+    };
+
+    explicit one_reply_server(std::string bytes, end how = end::close)
+        : end_(how)
+        , acceptor_(
               context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , thread_(
               [this, bytes = std::move(bytes)]
@@ -57,8 +64,15 @@
             "\r\n\r\n",
             ignored);
         asio::write(socket, asio::buffer(bytes), ignored);
+        if (end_ == end::reset)
+        {
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            // The destructor would wait for what hasn't been sent.
+            socket.close(ignored);
+        }
     }
 
+    const end end_;
     asio::io_context context_;
     tcp::acceptor acceptor_;
     std::string received_request_;
@@ -105,6 +119,32 @@
     server.received_request();
 }
 
+TEST(connect_with_beast, a_status_that_is_not_final_is_a_bad_reply)
+{
+    for (const auto* const status : {"000", "099", "103", "600", "999"})
+    {
+        one_reply_server server(
+            "HTTP/1.1 " + std::string(status) +
+            " OK\r\nContent-Length: 4\r\n\r\ndone");
+        const auto reply =
+            exchange_with(server.address(), {"GET", "/v1/dump", ""});
+        ASSERT_FALSE(reply) << status;
+        EXPECT_EQ(reply.error(), exchange_failure::bad_reply) << status;
+        server.received_request();
+    }
+}
+
+// The part before the reset isn't the whole reply.
+TEST(connect_with_beast, a_reply_without_a_length_that_is_reset_is_lost)
+{
+    one_reply_server server(
+        "HTTP/1.1 200 OK\r\n\r\npart", one_reply_server::end::reset);
+    const auto reply = exchange_with(server.address(), {"GET", "/v1/dump", ""});
+    ASSERT_FALSE(reply);
+    EXPECT_EQ(reply.error(), exchange_failure::connection_lost);
+    server.received_request();
+}
+
 TEST(connect_with_beast, refused_connection_is_unreachable)
 {
     std::string address;
