Drop an upstream's daemon fields where its answer is accepted

A request that entered at the daemon beside its upstream still got them: a payout that had run, answered with "nutmeg-outcome: not-run", reached the caller with these words.

They were dropped before the connection between two daemons, which such a call doesn't cross. They are now dropped as the answer is accepted, for both ways.

Before: of_an_upstream_beside_the_entry_mean_nothing fails for the outcome. After: all six of own_fields pass.

--- a/nutmegusher/routed/broken_answer_test.cpp
+++ b/nutmegusher/routed/broken_answer_test.cpp
@@ -33,20 +33,17 @@
     // for the id of the request.
     void start_answering(const std::string& answer)
     {
-        start(
-            [this, answer](tcp::socket& socket)
-            {
-                ++connections_;
-                beast::flat_buffer buffer;
-                boost::system::error_code failed;
-                while (const auto request = read_request(socket, buffer))
-                {
-                    ++runs_;
-                    auto bytes = answer;
-                    bytes.replace(bytes.find('@'), 1, id_of(*request));
-                    asio::write(socket, asio::buffer(bytes), failed);
-                }
-            });
+        start(make_script(answer));
+    }
+
+    // The same with the upstream beside the entry.
+    void start_answering_beside_entry(const std::string& answer)
+    {
+        upstream = std::make_unique<scripted_upstream>(make_script(answer));
+        entry = std::make_unique<routed_node>("entry");
+        announce(*entry, *upstream);
+        entry->start();
+        install_routes();
     }
 
     [[nodiscard]] received_answer exchange(const text_request& request) const
@@ -85,6 +82,23 @@
     }
 
 private:
+    scripted_upstream::script make_script(const std::string& answer)
+    {
+        return [this, answer](tcp::socket& socket)
+        {
+            ++connections_;
+            beast::flat_buffer buffer;
+            boost::system::error_code failed;
+            while (const auto request = read_request(socket, buffer))
+            {
+                ++runs_;
+                auto bytes = answer;
+                bytes.replace(bytes.find('@'), 1, id_of(*request));
+                asio::write(socket, asio::buffer(bytes), failed);
+            }
+        };
+    }
+
     std::atomic<int> runs_ = 0;
     std::atomic<int> connections_ = 0;
 };
@@ -347,6 +361,20 @@
 class own_fields : public broken_answers,
                    public ::testing::WithParamInterface<const char*>
 {
+protected:
+    static std::string make_answer()
+    {
+        return "HTTP/1.1 404 Missing\r\nnutmeg-request-id: @\r\n" +
+               std::string(GetParam()) + "\r\ncontent-length: 5\r\n\r\nwhole";
+    }
+
+    static void expect_unchanged(const received_answer& answer)
+    {
+        EXPECT_TRUE(answer.whole);
+        EXPECT_EQ(answer.status, 404U);
+        EXPECT_EQ(answer.outcome, "");
+        EXPECT_EQ(answer.body, "whole");
+    }
 };
 
 // Guards against an upstream's field that is taken for a daemon's: an error
@@ -354,14 +382,14 @@
 // not run.
 TEST_P(own_fields, of_an_upstream_mean_nothing)
 {
-    start_answering(
-        "HTTP/1.1 404 Missing\r\nnutmeg-request-id: @\r\n" +
-        std::string(GetParam()) + "\r\ncontent-length: 5\r\n\r\nwhole");
-    const auto answer = pay("id-1");
-    EXPECT_TRUE(answer.whole);
-    EXPECT_EQ(answer.status, 404U);
-    EXPECT_EQ(answer.outcome, "");
-    EXPECT_EQ(answer.body, "whole");
+    start_answering(make_answer());
+    expect_unchanged(pay("id-1"));
+}
+
+TEST_P(own_fields, of_an_upstream_beside_the_entry_mean_nothing)
+{
+    start_answering_beside_entry(make_answer());
+    expect_unchanged(pay("id-1"));
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -309,9 +309,7 @@
     routed_answer answer,
     upstream_load_report load_report)
 {
-    // A field of the upstream mustn't be taken for one of this daemon.
-    wire::response_head head{
-        status_ok, without_own_fields(std::move(answer.head.fields))};
+    wire::response_head head{status_ok, std::move(answer.head.fields)};
     const auto add = [&head](std::string_view name, std::string value)
     {
         head.fields.push_back({std::string(name), std::move(value)});
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -1,6 +1,7 @@
 #include "nutmegusher/routed/upstream_run.hpp"
 
 #include "nutmegusher/node/upstream_client.hpp"
+#include "nutmegusher/routed/peer_fields.hpp"
 
 #include <array>
 #include <utility>
@@ -519,7 +520,8 @@
     asio::awaitable<routed_result> read_body(wire::response_head head)
     {
         routed_answer answer;
-        answer.head = std::move(head);
+        // A field of the upstream mustn't be taken for one of a daemon.
+        answer.head = {head.status, without_own_fields(std::move(head.fields))};
         answer.length = upstream_->content_length();
         std::array<std::byte, chunk_bytes> chunk;
         while (answer.body.size() <= max_buffered_answer_bytes)
