Name the classes of HTTP status codes in one place

Three readers of answers each had the bounds of their own. What one of them checks of a head is now one function, and the header of the upstream's client says it. No change of behaviour. A test adds the streamed request, whose write fails at a reset: it passes, as before.

--- a/nutmegusher/base/base.hpp
+++ b/nutmegusher/base/base.hpp
@@ -1,5 +1,5 @@
-// Basic types that all packages share: time, ids, errors, log events and random
-// numbers.
+// Basic types that all packages share: time, ids, errors, log events, classes of
+// HTTP status codes and random numbers.
 //
 // Include only this header; it includes the others in this folder.
 //
@@ -13,6 +13,7 @@
 #include "nutmegusher/base/clock.hpp"
 #include "nutmegusher/base/error.hpp"
 #include "nutmegusher/base/events.hpp"
+#include "nutmegusher/base/http_status.hpp"
 #include "nutmegusher/base/identifier.hpp"
 #include "nutmegusher/base/random.hpp"
 #include "nutmegusher/base/uptime_clock.hpp"
--- a/nutmegusher/ctl/beast_exchange.cpp
+++ b/nutmegusher/ctl/beast_exchange.cpp
@@ -46,14 +46,6 @@
     return endpoint(address, port);
 }
 
-// The parser takes any three digits.
-bool is_final_status(unsigned status)
-{
-    constexpr unsigned first_final = 200;
-    constexpr unsigned last = 599;
-    return status >= first_final && status <= last;
-}
-
 // Sends one query on its own connection and reads the reply. Runs its own I/O
 // context, since Beast applies timeouts to asynchronous operations only.
 class exchange_operation
--- a/nutmegusher/node/broken_answer_test.cpp
+++ b/nutmegusher/node/broken_answer_test.cpp
@@ -204,6 +204,16 @@
         return std::string(info.param.name);
     });
 
+// A body that is streamed is written before the answer is read, so it is the
+// write that fails.
+TEST_F(upstream_client, a_reset_ends_a_streamed_request)
+{
+    start_early_answer(
+        "HTTP/1.1 200 OK\r\nid: a\r\n\r\npart", connection_end::reset);
+    const std::string body(long_request_bytes, 'x');
+    EXPECT_EQ(call_streamed("a", body).failure, upstream_failure::broken);
+}
+
 struct coding_case
 {
     const char* name;
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -132,10 +132,8 @@
 // process ends. The socket's own option wouldn't: its destructor takes it back.
 void set_reset_on_close(tcp::socket& socket, bool enabled)
 {
-    const struct ::linger option
-    {
-        enabled ? 1 : 0, 0
-    };
+    struct ::linger option = {};
+    option.l_onoff = enabled ? 1 : 0;
     ::setsockopt(
         socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -481,14 +481,6 @@
         call.connection->stream, call.buffer, *call.parser, call.parsed_bytes);
 }
 
-// RFC 9110, section 15. The parser takes any three digits.
-bool is_valid_status(unsigned status)
-{
-    constexpr unsigned first = 100;
-    constexpr unsigned last = 599;
-    return status >= first && status <= last;
-}
-
 // Whether the body is in no transfer coding or in chunks (RFC 9112, section
 // 6.1). The parser decodes chunks and leaves any other coding in the body.
 bool has_known_coding(const http::response_header<>& head)
@@ -499,11 +491,19 @@
             beast::iequals(first->value(), "chunked"));
 }
 
-bool is_interim(unsigned status)
+// Checks what the parser lets pass although no caller could read it.
+boost::system::error_code check_head(const http::response_header<>& head)
 {
-    constexpr unsigned first_interim = 100;
-    constexpr unsigned first_final = 200;
-    return status >= first_interim && status < first_final;
+    const auto status = head.result_int();
+    if (!is_interim_status(status) && !is_final_status(status))
+    {
+        return http::error::bad_status;
+    }
+    if (!has_known_coding(head))
+    {
+        return http::error::bad_transfer_encoding;
+    }
+    return {};
 }
 
 // Reads heads up to the one that answers this call, and discards interim
@@ -516,20 +516,15 @@
     while (true)
     {
         auto failed = co_await read_one_head(call);
-        if (failed)
-        {
-            co_return failed;
-        }
-        const auto status = call.parser->get().result_int();
-        if (!is_valid_status(status))
+        if (!failed)
         {
-            co_return http::error::bad_status;
+            failed = check_head(call.parser->get());
         }
-        if (!has_known_coding(call.parser->get()))
+        if (failed)
         {
-            co_return http::error::bad_transfer_encoding;
+            co_return failed;
         }
-        if (is_interim(status))
+        if (is_interim_status(call.parser->get().result_int()))
         {
             if (call.parser->get().result() ==
                 http::status::switching_protocols)
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -53,6 +53,9 @@
     asio::awaitable<outcome<void, upstream_failure>>
     write_some(std::span<const std::byte> bytes, bool end);
 
+    // Reads the head of the final answer. `malformed` if it can't be read, if
+    // its status isn't one (100 to 599), or if its body is in a transfer coding
+    // other than chunks.
     asio::awaitable<outcome<wire::response_head, upstream_failure>> read_head();
 
     // The answer's content length, if the upstream sent it. Requires:
--- a/nutmegusher/node/upstream_client_fixture.hpp
+++ b/nutmegusher/node/upstream_client_fixture.hpp
@@ -188,6 +188,26 @@
         const std::string& id,
         const std::string& method = "POST",
         std::string_view body = "")
+    {
+        return run(make_request(id, method, body));
+    }
+
+    // Sends the body as the first part of a longer one.
+    call_end call_streamed(const std::string& id, std::string_view body)
+    {
+        auto request = make_request(id, "POST", body);
+        request.streamed = true;
+        return run(request);
+    }
+
+    [[nodiscard]] int connections() const
+    {
+        return connections_;
+    }
+
+private:
+    static upstream_request make_request(
+        const std::string& id, const std::string& method, std::string_view body)
     {
         upstream_request request;
         request.body = body;
@@ -197,6 +217,11 @@
         request.needs_fresh_connection = true;
         request.echoed_field = "id";
         request.time_left = time_limit;
+        return request;
+    }
+
+    call_end run(const upstream_request& request)
+    {
         return asio::co_spawn(
                    context_,
                    exchange(*pool_, upstream_->address(), request),
@@ -204,12 +229,6 @@
             .get();
     }
 
-    [[nodiscard]] int connections() const
-    {
-        return connections_;
-    }
-
-private:
     std::atomic<int> connections_ = 0;
     asio::io_context context_{1};
     asio::executor_work_guard<asio::io_context::executor_type> work_{
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -55,13 +55,10 @@
 // final answer.
 std::optional<unsigned> status_in(const wire::response_head& head)
 {
-    constexpr unsigned first_final = 200;
-    constexpr unsigned last = 599;
     const auto text = wire::find_header(head.fields, status_field);
     const auto status = node::parse_count(text.value_or(""));
-    return status && *status >= first_final && *status <= last
-               ? std::optional<unsigned>(*status)
-               : std::nullopt;
+    return status && is_final_status(*status) ? std::optional<unsigned>(*status)
+                                              : std::nullopt;
 }
 
 failed_call not_sent()
