Let no time bound of the tests of broken answers depend on the machine

The upstream that ends its side and then resets waited 20 ms in between, of the 100 ms within which the reset must show; it doesn't wait any more, and fails with the code of as before the change of the product.

--- a/nutmegusher/node/scripted_upstream.hpp
+++ b/nutmegusher/node/scripted_upstream.hpp
@@ -117,7 +117,6 @@
 
 inline void end_connection(tcp::socket& socket, connection_end end)
 {
-    constexpr std::chrono::milliseconds time_to_reset(20);
     constexpr std::chrono::milliseconds time_unread(1000);
     boost::system::error_code failed;
     if (end != connection_end::reset)
@@ -128,8 +127,6 @@
     switch (end)
     {
     case connection_end::half_close_and_reset:
-        std::this_thread::sleep_for(time_to_reset);
-        [[fallthrough]];
     case connection_end::reset:
         reset(socket);
         return;
--- a/nutmegusher/routed/answer_framing_test.cpp
+++ b/nutmegusher/routed/answer_framing_test.cpp
@@ -64,9 +64,13 @@
         std::string text;
         received_bytes received;
         asio::read(socket, asio::dynamic_buffer(text), received.end);
-        const auto head_end = text.find("\r\n\r\n") + 4;
+        constexpr std::string_view separator = "\r\n\r\n";
+        const auto head_end = text.find(separator);
         received.head = text.substr(0, head_end);
-        received.body = text.substr(head_end);
+        if (head_end != std::string::npos)
+        {
+            received.body = text.substr(head_end + separator.size());
+        }
         return received;
     }
 };
--- a/nutmegusher/routed/broken_answer_test.cpp
+++ b/nutmegusher/routed/broken_answer_test.cpp
@@ -164,6 +164,7 @@
         auto request = make_request(
             "/pay/1", "id-1", std::string(long_request_bytes, 'x'));
         request.method(http::verb::put);
+        request.set("nutmeg-timeout-ms", "3000");
         return exchange(request);
     }
 };
