--- a/nutmegusher/base/base.hpp
+++ b/nutmegusher/base/base.hpp
@@ -1,5 +1,5 @@
-// Basic types that all packages share: time, ids, errors, log events, classes of
-// HTTP status codes and random numbers.
+// Basic types that all packages share: time, ids, errors, log events, classes
+// of HTTP status codes and random numbers.
 //
 // Include only this header; it includes the others in this folder.
 //
