Name the reason when a daemon of daemon_test cannot start

Change: the test handles the errors of the start and throws the address or the file with the system's error. No check changes.

--- a/nutmegusher/node/daemon_test.cpp
+++ b/nutmegusher/node/daemon_test.cpp
@@ -18,6 +18,9 @@
 #include <cstdlib>
 #include <functional>
 #include <span>
+#include <sstream>
+#include <stdexcept>
+#include <system_error>
 #include <thread>
 
 namespace nutmegusher::node
@@ -59,6 +62,13 @@
     return made;
 }
 
+std::string to_text(const endpoint& address)
+{
+    std::ostringstream text;
+    text << address;
+    return text.str();
+}
+
 // Counts the handlers that haven't ended.
 class counted_handler
 {
@@ -146,6 +156,34 @@
     std::atomic<int>& handlers_;
 };
 
+// Throws the reason if the daemon cannot start.
+std::unique_ptr<daemon> start_daemon(
+    const settings& from, std::unique_ptr<extension> optional_extension)
+{
+    return leaf::try_handle_all(
+        [&]
+        {
+            return daemon::start(from, std::move(optional_extension));
+        },
+        [](const listen_error& error) -> std::unique_ptr<daemon>
+        {
+            throw std::system_error(error.code, to_text(error.address));
+        },
+        [](const wire::listen_failure& error) -> std::unique_ptr<daemon>
+        {
+            throw std::system_error(error.cause, to_text(error.address));
+        },
+        [](const storage_failure& error) -> std::unique_ptr<daemon>
+        {
+            throw std::system_error(
+                error.code, std::generic_category(), error.file);
+        },
+        []() -> std::unique_ptr<daemon>
+        {
+            throw std::runtime_error("daemon start failed");
+        });
+}
+
 // A daemon on a thread of its own.
 class running_daemon
 {
@@ -153,8 +191,7 @@
     explicit running_daemon(
         const settings& from,
         std::unique_ptr<extension> optional_extension = nullptr)
-        : daemon_(std::move(
-              daemon::start(from, std::move(optional_extension)).value()))
+        : daemon_(start_daemon(from, std::move(optional_extension)))
         , thread_(
               [this]
               {
