Test broken answers to calls over the native path

What was missing: only the routed path and the upstream's client had tests of status 000, malformed names and an early answer that is reset.

Change: the same four answers to a repeatable call, to an upload of 24 MB and to a payout, through two daemons. The product doesn't change.

--- a/nutmegusher/node/path_test.cpp
+++ b/nutmegusher/node/path_test.cpp
@@ -1,5 +1,6 @@
 // End-to-end tests of calls over real sockets, from the caller through two
 // daemons to an upstream and back.
+#include "nutmegusher/node/scripted_upstream.hpp"
 #include "nutmegusher/node/test_deployment.hpp"
 
 #include <boost/asio/write.hpp>
@@ -63,9 +64,14 @@
     void serve_with(http_handler handler, const std::string& service)
     {
         upstream = std::make_unique<fake_upstream>(std::move(handler));
+        serve_at(upstream->address(), service);
+    }
+
+    void serve_at(const endpoint& address, const std::string& service)
+    {
         announcement announced;
         announced.service = service_name(service);
-        announced.address = upstream->address();
+        announced.address = address;
         upstream_node.shared.upstream.announce(announced, host_clock().now());
         entry_node.start();
         upstream_node.start();
@@ -153,6 +159,76 @@
     EXPECT_EQ(pay("key-1").field("nutmeg-outcome"), "completed");
 }
 
+struct broken_answer_case
+{
+    const char* name;
+    const char* bytes;
+    connection_end end;
+};
+
+class broken_answer : public path,
+                      public ::testing::WithParamInterface<broken_answer_case>
+{
+protected:
+    void serve_broken_answer(const std::string& service)
+    {
+        broken_upstream = std::make_unique<scripted_upstream>(
+            make_early_answer(GetParam().bytes, GetParam().end));
+        serve_at(broken_upstream->address(), service);
+    }
+
+    static void expect_unknown(const client_answer& answer, unsigned status)
+    {
+        EXPECT_EQ(answer.status, status);
+        EXPECT_EQ(answer.field("nutmeg-outcome"), "unknown");
+        EXPECT_TRUE(answer.is_complete);
+    }
+
+    std::unique_ptr<scripted_upstream> broken_upstream;
+};
+
+TEST_P(broken_answer, reaches_no_caller)
+{
+    constexpr std::size_t more_than_sockets_hold = 24'000'000;
+    const std::string upload(more_than_sockets_hold, 'x');
+    serve_broken_answer("balances");
+    expect_unknown(request(entry_node.callers(), "GET", "/balances/all"), 502);
+    expect_unknown(
+        request(entry_node.callers(), "PUT", "/balances/all", {}, upload), 502);
+}
+
+TEST_P(broken_answer, is_not_the_answer_of_a_payout)
+{
+    const std::string body(30'000, 'x');
+    serve_broken_answer("disbursement");
+    expect_unknown(pay("key-1", body), 502);
+    // The payout may have run, so it isn't sent again.
+    expect_unknown(pay("key-1", body), 409);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers,
+    broken_answer,
+    ::testing::Values(
+        broken_answer_case{
+            "invalid_status",
+            "HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nbody",
+            connection_end::half_close_and_read},
+        broken_answer_case{
+            "blank_in_a_name",
+            "HTTP/1.1 200 OK\r\nx a: b\r\ncontent-length: 4\r\n\r\nbody",
+            connection_end::half_close_and_read},
+        broken_answer_case{
+            "control_byte_in_a_name",
+            "HTTP/1.1 200 OK\r\nx\x01: b\r\ncontent-length: 4\r\n\r\nbody",
+            connection_end::half_close_and_read},
+        broken_answer_case{
+            "reset", "HTTP/1.1 200 OK\r\n\r\npart", connection_end::reset}),
+    [](const auto& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST_F(path, a_long_answer_streams_whole)
 {
     const std::string chunk(1 << 20, 'x');
