--- a/nutmegusher/routed/answer_framing_test.cpp
+++ b/nutmegusher/routed/answer_framing_test.cpp
@@ -39,6 +39,10 @@
             {
                 beast::flat_buffer buffer;
                 const auto request = read_request(socket, buffer);
+                if (!request)
+                {
+                    return;
+                }
                 boost::system::error_code failed;
                 asio::write(
                     socket,
