--- a/nutmegusher/routed/answer_framing_test.cpp
+++ b/nutmegusher/routed/answer_framing_test.cpp
@@ -53,6 +53,15 @@
             });
     }
 
+    // The same; the connection closes before the last chunk.
+    void start_breaking_off_after_a_chunk()
+    {
+        start_answering(
+            "200",
+            "transfer-encoding: chunked\r\n\r\n927c0\r\n" +
+                std::string(long_answer_bytes, 'a') + "\r\n");
+    }
+
     [[nodiscard]] received_bytes
     ask_raw(const std::string& method, const std::string& version) const
     {
@@ -96,20 +105,14 @@
 // whole one.
 TEST_F(answer_framing, a_broken_answer_resets_a_connection_of_http_1_0)
 {
-    start_answering(
-        "200",
-        "transfer-encoding: chunked\r\n\r\n927c0\r\n" +
-            std::string(long_answer_bytes, 'a') + "\r\n");
+    start_breaking_off_after_a_chunk();
     const auto answer = ask_raw("GET", "HTTP/1.0");
     EXPECT_EQ(answer.end, asio::error::connection_reset);
 }
 
 TEST_F(answer_framing, a_broken_answer_lacks_its_last_chunk)
 {
-    start_answering(
-        "200",
-        "transfer-encoding: chunked\r\n\r\n927c0\r\n" +
-            std::string(long_answer_bytes, 'a') + "\r\n");
+    start_breaking_off_after_a_chunk();
     const auto answer = ask_raw("GET", "HTTP/1.1");
     EXPECT_TRUE(answer.has("Transfer-Encoding: chunked")) << answer.head;
     EXPECT_FALSE(answer.body.ends_with("0\r\n\r\n"));
