--- a/testing/process.cpp
+++ b/testing/process.cpp
@@ -202,6 +202,14 @@
     return status_kib(id_, "VmRSS:");
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code failed;
+    const std::filesystem::directory_iterator open(
+        "/proc/" + std::to_string(id_) + "/fd", failed);
+    return failed ? 0 : std::distance(begin(open), end(open));
+}
+
 std::chrono::milliseconds child_process::processor_time() const
 {
     const std::string text =
--- a/testing/process.hpp
+++ b/testing/process.hpp
@@ -79,6 +79,8 @@
     [[nodiscard]] std::uint64_t peak_memory_kib() const;
     // Current resident memory, KiB; 0 if unknown.
     [[nodiscard]] std::uint64_t resident_memory_kib() const;
+    // Number of open descriptors; 0 if unknown.
+    [[nodiscard]] std::size_t open_descriptors() const;
     // Processor time used up to now.
     [[nodiscard]] std::chrono::milliseconds processor_time() const;
 
