Bound what a parser waits for from a caller

What callers saw: nothing, the process ended. One connection that sends trailers without end took a daemon from 13 to 125 MB with 64 MB of them.

Cause: Beast's parser takes the trailers of a chunked body, and the line before each chunk, only as a whole. Until it has one, `read_body_some` reads on, and the buffer of a caller's connection had no largest size. The upstream's side has one.

The buffer holds at most twice `header_bytes` now: a head, or what is sent beside the content, and what was read along with it. The same server listens for reports, operators and metrics, and at control hosts.

--- a/nutmegusher/node/entry_chain.cpp
+++ b/nutmegusher/node/entry_chain.cpp
@@ -241,6 +241,11 @@
                     const refusal refused{call_reason::bad_request};
                     co_await call.refuse(refused);
                 }
+                if (received.error() == caller_failure::too_large)
+                {
+                    const refusal refused{call_reason::too_large};
+                    co_await call.refuse(refused);
+                }
                 if (received.error() == caller_failure::given_up)
                 {
                     const refusal refused{
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -575,6 +575,10 @@
         {
             return caller_failure::too_slow;
         }
+        if (code == http::error::buffer_overflow)
+        {
+            return caller_failure::too_large;
+        }
         return code.category() == http::make_error_code(http::error::bad_method)
                                       .category() &&
                        code != http::error::partial_message &&
@@ -841,7 +845,8 @@
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     stream.socket().non_blocking(true, ignored);
-    beast::flat_buffer buffer;
+    // A head, or the trailers of a body, and what was read along with it.
+    beast::flat_buffer buffer(2 * std::size_t{server->options.header_bytes});
     auto after = after_request::keep_alive;
     while (after == after_request::keep_alive)
     {
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -32,6 +32,9 @@
 {
     disconnected,
     malformed,
+    // What is sent beside the content, such as trailers, exceeds
+    // `http_server_options::header_bytes`.
+    too_large,
     too_slow,
     // The process is stopping: see `caller_exchange::on_give_up`.
     given_up
--- a/nutmegusher/routed/entry_reading.cpp
+++ b/nutmegusher/routed/entry_reading.cpp
@@ -143,6 +143,11 @@
                 const refusal refused{call_reason::bad_request};
                 co_await refuse(request, refused);
             }
+            if (got.error() == node::caller_failure::too_large)
+            {
+                const refusal refused{call_reason::too_large};
+                co_await refuse(request, refused);
+            }
             if (got.error() == node::caller_failure::given_up)
             {
                 co_await refuse(request, stopping(request));
