Bound the bytes of all bodies that a process holds

What callers saw: their connections ended without an answer when the platform killed a process that held too many bodies.

Cause: nothing bounds the sum of all bodies. Each one also cost more than its size: its string grew by doubling, with both copies in memory, and the message to the upstream held a second copy.

- policy/memory_budget decides, without a clock or a lock: memory is taken as bytes arrive; nobody waits for it; whoever hasn't moved for a second gives way first; a request that has no more than an equal share isn't refused for a larger one, and the last eighth is for small ones.
- node/memory_account counts, for the whole process, what requests and answers hold beyond 8 KiB each.
Its capacity is two bodies of the largest size, or less where the machine has less ([limits] memory_mb, filled in by the platform's templates).
- A body with a length is read into its final place, and one without grows by four times at most; the copy for the upstream is gone for long ones.
A length over the limit is refused at its head.
- A refusal for want of memory: 503 `no-room`, not run, come back after a second; event 406, counters, gauges of what is held and of the capacity.
The daemon beside an upstream refuses before it sends the call, so that the entry may try another one.

--- /dev/null
+++ b/nutmegusher/node/body_reader.hpp
@@ -0,0 +1,28 @@
+// Reads a request's body whole.
+#ifndef NUTMEGUSHER_NODE_BODY_READER_HPP
+#define NUTMEGUSHER_NODE_BODY_READER_HPP
+
+#include "nutmegusher/node/http_server.hpp"
+#include "nutmegusher/node/memory_account.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace nutmegusher::node
+{
+
+// Reads up to the end of the body into `body`, in memory of `memory`. A body
+// of more than `most` bytes fails with `too_large`, before anything is read
+// if its length is announced; one that there is no memory for fails with
+// `no_room`. Requires: `body` is empty.
+asio::awaitable<outcome<void, caller_failure>> read_whole_body(
+    caller_exchange& exchange,
+    std::uint64_t most,
+    held_memory& memory,
+    std::string& body);
+
+} // namespace nutmegusher::node
+
+#endif
--- a/nutmegusher/node/call.cpp
+++ b/nutmegusher/node/call.cpp
@@ -34,6 +34,7 @@
     reason_text{call_reason::in_progress, "in-progress", 409},
     reason_text{call_reason::key_reused, "key-reused", 422},
     reason_text{call_reason::too_large, "too-large", 413},
+    reason_text{call_reason::no_room, "no-room", 503},
     reason_text{call_reason::fair_share, "fair-share", 429},
     reason_text{call_reason::over_quota, "over-quota", 429},
     reason_text{call_reason::overload, "overload", 503},
--- a/nutmegusher/node/call.hpp
+++ b/nutmegusher/node/call.hpp
@@ -53,6 +53,7 @@
     in_progress,
     key_reused,
     too_large,
+    no_room, // the process is short of memory or of connections
     fair_share,
     over_quota, // the team has used its quota
     overload,
--- a/nutmegusher/node/entry_call.hpp
+++ b/nutmegusher/node/entry_call.hpp
@@ -21,6 +21,7 @@
         , exchange(exchange)
         , origin(origin)
         , arrived(host_clock().now())
+        , memory(owner.shared.request_memory, exchange)
     {
     }
 
@@ -41,6 +42,8 @@
     // tokens from `sub_call`.
     retry_tokens own_tokens;
     std::optional<request_ledger::sub_call> sub_call;
+    // What `body` holds.
+    held_memory memory;
     std::string body;
     bool body_complete = false;
     std::uint32_t tries = 0;
--- a/nutmegusher/node/entry_chain.cpp
+++ b/nutmegusher/node/entry_chain.cpp
@@ -3,6 +3,7 @@
 #include "nutmegusher/node/entry_call.hpp"
 #include "nutmegusher/node/filter_chain.hpp"
 #include "nutmegusher/node/forward_filter.hpp"
+#include "nutmegusher/node/growing_body.hpp"
 
 #include <array>
 #include <cstdio>
@@ -13,7 +14,6 @@
 namespace
 {
 
-constexpr std::size_t chunk_bytes = 16384;
 // Retry after a refusal that concerns this daemon alone, not the upstream:
 // another daemon can serve the retry.
 constexpr duration retry_elsewhere_after = std::chrono::milliseconds(100);
@@ -230,42 +230,69 @@
 
     static asio::awaitable<bool> read(entry_call& call, std::size_t max_bytes)
     {
-        std::array<std::byte, chunk_bytes> chunk;
-        while (call.body.size() <= max_bytes)
+        growing_body growing(call.body, call.memory, max_bytes + 1);
+        while (!growing.is_full())
         {
-            const auto received = co_await call.exchange.read_some(chunk);
+            const auto room = growing.room();
+            if (room.empty())
+            {
+                co_await refuse(call, caller_failure::no_room);
+                co_return false;
+            }
+            const auto received = co_await call.exchange.read_some(room);
             if (!received)
             {
-                if (received.error() == caller_failure::malformed)
-                {
-                    const refusal refused{call_reason::bad_request};
-                    co_await call.refuse(refused);
-                }
-                if (received.error() == caller_failure::too_large)
-                {
-                    const refusal refused{call_reason::too_large};
-                    co_await call.refuse(refused);
-                }
-                if (received.error() == caller_failure::given_up)
-                {
-                    const refusal refused{
-                        call_reason::leaving,
-                        call_outcome::not_run,
-                        retry_elsewhere_after};
-                    co_await call.refuse(refused);
-                }
+                co_await refuse(call, received.error());
                 co_return false;
             }
             if (*received == 0)
             {
+                growing.finish();
                 call.body_complete = true;
-                co_return true;
+                break;
             }
-            call.body.append(
-                reinterpret_cast<const char*>(chunk.data()), *received);
+            growing.commit(*received);
         }
+        call.memory.finish_arriving();
         co_return true;
     }
+
+    // Does nothing if the caller has left.
+    static asio::awaitable<void>
+    refuse(entry_call& call, caller_failure failure)
+    {
+        std::optional<refusal> refused;
+        switch (failure)
+        {
+        case caller_failure::disconnected:
+            break;
+        case caller_failure::malformed:
+            refused = refusal{call_reason::bad_request};
+            break;
+        case caller_failure::too_large:
+            refused = refusal{call_reason::too_large};
+            break;
+        case caller_failure::too_slow:
+            refused = refusal{call_reason::deadline};
+            break;
+        case caller_failure::no_room:
+            refused = refusal{
+                call_reason::no_room,
+                call_outcome::not_run,
+                memory_budget::stall_time};
+            break;
+        case caller_failure::given_up:
+            refused = refusal{
+                call_reason::leaving,
+                call_outcome::not_run,
+                retry_elsewhere_after};
+            break;
+        }
+        if (refused)
+        {
+            co_await call.refuse(*refused);
+        }
+    }
 };
 
 // Refuses at the entry the calls that would be refused further down the call
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -292,6 +292,10 @@
 
     ~beast_exchange() override
     {
+        if (self_)
+        {
+            *self_ = nullptr;
+        }
         stop_watch();
         if (head_read_at_ && !answer_finished_ &&
             !peer_has_closed(stream_.socket()))
@@ -329,6 +333,37 @@
         return head_;
     }
 
+    [[nodiscard]] std::optional<std::uint64_t> body_length() const override
+    {
+        if (parser_.chunked())
+        {
+            return std::nullopt;
+        }
+        const auto length = parser_.content_length();
+        return length ? std::uint64_t{*length} : 0;
+    }
+
+    [[nodiscard]] std::function<void()> make_ender() override
+    {
+        if (!self_)
+        {
+            self_ = std::make_shared<beast_exchange*>(this);
+        }
+        return [weak = std::weak_ptr(self_), executor = stream_.get_executor()]
+        {
+            asio::post(
+                executor,
+                [weak]
+                {
+                    const auto self = weak.lock();
+                    if (self && *self != nullptr)
+                    {
+                        (*self)->make_room();
+                    }
+                });
+        };
+    }
+
     [[nodiscard]] tcp::endpoint caller() const override
     {
         boost::system::error_code ignored;
@@ -345,10 +380,10 @@
         auto& body = parser_.get().body();
         while (!parser_.is_done())
         {
-            if (is_given_up())
+            if (const auto why = why_stopped())
             {
                 read_failed_ = true;
-                co_return caller_failure::given_up;
+                co_return *why;
             }
             body.data = into.data();
             body.size = into.size();
@@ -357,15 +392,10 @@
             const auto failed = co_await internal::read_body_some(
                 stream_, buffer_, parser_, parsed);
             is_reading_body_ = false;
-            if (failed && is_given_up())
-            {
-                read_failed_ = true;
-                co_return caller_failure::given_up;
-            }
             if (failed)
             {
                 read_failed_ = true;
-                co_return to_failure(failed);
+                co_return why_stopped().value_or(to_failure(failed));
             }
             if (const auto read_size = into.size() - body.size; read_size > 0)
             {
@@ -557,6 +587,33 @@
     }
 
 private:
+    // Ends the reading of the body: the caller sends for too long, or others
+    // need the memory that its request holds.
+    void stop_reading(caller_failure why)
+    {
+        if (parser_.is_done() || read_stop_)
+        {
+            return;
+        }
+        read_stop_ = why;
+        if (is_reading_body_)
+        {
+            stream_.cancel();
+        }
+    }
+
+    void make_room()
+    {
+        stop_reading(caller_failure::no_room);
+    }
+
+    // Why the body isn't read any further.
+    [[nodiscard]] std::optional<caller_failure> why_stopped() const
+    {
+        return is_given_up() ? std::optional(caller_failure::given_up)
+                             : read_stop_;
+    }
+
     void log_unanswered() const
     {
         using milliseconds = std::chrono::duration<double, std::milli>;
@@ -670,6 +727,9 @@
     http::response<http::buffer_body> response_;
     std::optional<http::response_serializer<http::buffer_body>> serializer_;
     std::shared_ptr<disconnect_watch> watch_;
+    // For functions that outlive this object, which resets it.
+    std::shared_ptr<beast_exchange*> self_;
+    std::optional<caller_failure> read_stop_;
     std::function<void()> give_up_callback_;
     std::optional<time_point> head_read_at_;
     time_point left_at_;
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -8,6 +8,7 @@
 #define NUTMEGUSHER_NODE_HTTP_SERVER_HPP
 
 #include "nutmegusher/base/base.hpp"
+#include "nutmegusher/node/evictable.hpp"
 #include "nutmegusher/wire/wire.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -36,6 +37,8 @@
     // `http_server_options::header_bytes`.
     too_large,
     too_slow,
+    // The request gives way to others; see `evictable`.
+    no_room,
     // The process is stopping: see `caller_exchange::on_give_up`.
     given_up
 };
@@ -50,13 +53,15 @@
 };
 
 // One request and its answer on a caller's connection.
-class caller_exchange
+class caller_exchange : public evictable
 {
 public:
-    virtual ~caller_exchange() = default;
-
     [[nodiscard]] virtual const wire::request_head& head() const = 0;
 
+    // The announced length of the request's body; 0 if it has none, empty if
+    // its length isn't known in advance.
+    [[nodiscard]] virtual std::optional<std::uint64_t> body_length() const = 0;
+
     // The caller's address.
     [[nodiscard]] virtual asio::ip::tcp::endpoint caller() const = 0;
 
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -190,6 +190,8 @@
         {"crash_records", shared.crashes.size()},
         {"quotas", shared.quotas.dump()},
         {"decisions", shared.decisions.dump()},
+        {"request_memory", shared.request_memory.dump()},
+        {"control_memory", shared.control_memory.dump()},
         {"sync", callbacks.sync()}};
     if (const auto own = shared.upstream.record())
     {
@@ -334,7 +336,8 @@
 {
     const auto& shared = current_worker.shared;
     const auto text =
-        shared.request_metrics.exposition() + shared.decisions.exposition();
+        shared.request_metrics.exposition() + shared.decisions.exposition() +
+        shared.request_memory.exposition() + shared.control_memory.exposition();
     wire::response_head text_head{
         200, {{"content-type", "text/plain; version=0.0.4"}}};
     co_await exchange.answer(std::move(text_head), text);
--- a/nutmegusher/node/peer_call.cpp
+++ b/nutmegusher/node/peer_call.cpp
@@ -1,6 +1,6 @@
 #include "nutmegusher/node/peer_call.hpp"
 
-#include <array>
+#include "nutmegusher/node/growing_body.hpp"
 
 namespace nutmegusher::node
 {
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr std::size_t chunk_bytes = 16384;
 constexpr std::uint8_t max_rank = 9;
 
 std::string header_text(const wire::request_head& head, std::string_view name)
@@ -63,21 +62,31 @@
 
 asio::awaitable<bool> read_body(peer_call& call, std::size_t max_bytes)
 {
-    std::array<std::byte, chunk_bytes> chunk;
-    while (call.body.size() <= max_bytes)
+    growing_body growing(call.body, call.memory, max_bytes + 1);
+    while (!growing.is_full())
     {
-        const auto received = co_await call.stream->read_some(chunk);
+        const auto room = growing.room();
+        if (room.empty())
+        {
+            const refusal refused{
+                call_reason::overload,
+                call_outcome::not_run,
+                memory_budget::stall_time};
+            co_await call.refuse(refused);
+            co_return false;
+        }
+        const auto received = co_await call.stream->read_some(room);
         if (!received)
         {
             co_return false;
         }
         if (*received == 0)
         {
+            growing.finish();
             call.body_complete = true;
             co_return true;
         }
-        call.body.append(
-            reinterpret_cast<const char*>(chunk.data()), *received);
+        growing.commit(*received);
     }
     co_return true;
 }
--- a/nutmegusher/node/peer_call.hpp
+++ b/nutmegusher/node/peer_call.hpp
@@ -54,6 +54,7 @@
         , stream(std::move(stream))
         , cancelled(std::make_shared<cancellation>())
         , arrived(host_clock().now())
+        , memory(owner.shared.request_memory)
     {
     }
 
@@ -62,6 +63,8 @@
     std::shared_ptr<cancellation> cancelled;
     time_point arrived;
     peer_metadata metadata;
+    // What `body` holds.
+    held_memory memory;
     // The request's body, or its first part if it is longer than the limit.
     std::string body;
     bool body_complete = false;
@@ -99,7 +102,8 @@
     const wire::request_head& head, const configuration_view& classes);
 
 // Reads the body up to its end or until it exceeds `max_bytes`. Returns false
-// if the peer has disconnected.
+// if the peer has disconnected, or if the call was refused as there is no
+// memory for it.
 asio::awaitable<bool> read_body(peer_call& call, std::size_t max_bytes);
 
 } // namespace nutmegusher::node
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -95,6 +95,13 @@
         "claimed_body_bytes",
         "1048576",
         "largest request of a class that may not be repeated, bytes"},
+    known_setting{
+        "limits",
+        "memory_mb",
+        "0",
+        "memory that the process may use, in 10^6 bytes, 64 to 1000000; from "
+        "it and from the largest body follows how much requests and answers "
+        "may hold; 0: the machine's"},
     known_setting{
         "listen",
         "dialect",
@@ -156,6 +163,8 @@
 constexpr std::uint32_t max_connections = 1000000;
 constexpr std::uint32_t min_header_bytes = 1024;
 constexpr std::uint32_t max_header_bytes = 1048576;
+constexpr std::uint32_t min_memory_mb = 64;
+constexpr std::uint32_t max_memory_mb = 1000000;
 constexpr std::uint32_t max_shutdown_ms = 3600000;
 constexpr std::uint32_t default_killed_after_ms = 66000;
 constexpr std::uint32_t min_killed_after_ms = 1000;
@@ -288,6 +297,9 @@
             limits.claimed_body_bytes,
             0,
             max_body_bytes));
+    BOOST_LEAF_ASSIGN(
+        limits.memory_mb,
+        in.count("limits", "memory_mb", 0, min_memory_mb, max_memory_mb));
     return limits;
 }
 
--- a/nutmegusher/node/settings.hpp
+++ b/nutmegusher/node/settings.hpp
@@ -115,6 +115,8 @@
     std::uint32_t buffered_body_bytes = 65536;
     // Largest request body in bytes of a class that may not be repeated.
     std::uint32_t claimed_body_bytes = 1048576;
+    // Memory that the process may use, in 10^6 bytes; 0: the machine's.
+    std::uint32_t memory_mb = 0;
 };
 
 // Replaces the decisions under load by naive ones, as a baseline for
--- a/nutmegusher/node/upstream_client.cpp
+++ b/nutmegusher/node/upstream_client.cpp
@@ -269,9 +269,11 @@
     std::unique_ptr<upstream_connection> connection;
     tcp::endpoint address;
     beast::flat_buffer buffer{max_buffered_bytes};
-    // Head and body while they are sent in the background; empty if the body is
-    // streamed.
+    // The head and, unless `body` is set, the body, while they are sent in the
+    // background; empty if the body is streamed.
     std::string message;
+    // A long body that outlives the call.
+    std::string_view body;
     std::unique_ptr<streamed_request> streamed;
     std::optional<http::response_parser<http::buffer_body>> parser;
     bool is_head = false;
@@ -302,11 +304,21 @@
            (request.head.method != "GET" && request.head.method != "HEAD");
 }
 
-// Head and body of a request whose body is complete.
+// A longer body is sent from where it is, if it stays there.
+constexpr std::size_t max_copied_body_bytes = 65536;
+
+bool is_sent_in_place(const upstream_request& request)
+{
+    return request.body_outlives_call &&
+           request.body.size() > max_copied_body_bytes;
+}
+
+// The head of a request whose body is complete, and a body that is copied.
 std::string make_message(const upstream_request& from)
 {
+    const auto body = is_sent_in_place(from) ? "" : from.body;
     std::string message;
-    message.reserve(typical_head_bytes + from.body.size());
+    message.reserve(typical_head_bytes + body.size());
     message.append(from.head.method).append(" ").append(from.head.path);
     message += " HTTP/1.1\r\n";
     for (const auto& field : from.head.fields)
@@ -322,7 +334,7 @@
         internal::append_field(message, "Content-Length", length);
     }
     message += "\r\n";
-    message += from.body;
+    message += body;
     return message;
 }
 
@@ -378,16 +390,19 @@
 {
     auto& stream = call->connection->stream;
     const auto message = asio::buffer(std::as_const(call->message));
+    const auto body = asio::buffer(call->body.data(), call->body.size());
     boost::system::error_code failed;
-    const auto sent = stream.socket().write_some(message, failed);
-    call->request_done = sent == message.size();
+    const auto sent =
+        stream.socket().write_some(std::array{message, body}, failed);
+    call->request_done = sent == message.size() + body.size();
     if (call->request_done || (failed && failed != asio::error::would_block))
     {
         return;
     }
     asio::async_write(
         stream,
-        message + sent,
+        std::array{
+            message + sent, body + (sent - std::min(sent, message.size()))},
         [call](boost::system::error_code write_failed, std::size_t)
         {
             call->request_done = !write_failed;
@@ -790,6 +805,7 @@
     if (!request.streamed)
     {
         call->message = make_message(request);
+        call->body = is_sent_in_place(request) ? request.body : "";
         start_write(call);
         co_return std::make_unique<upstream_call>(call);
     }
--- a/nutmegusher/node/upstream_client.hpp
+++ b/nutmegusher/node/upstream_client.hpp
@@ -88,6 +88,8 @@
     wire::request_head head;
     // The whole body, or its first part when `streamed`.
     std::string_view body;
+    // `body` outlives the call, so that a long one needs no copy.
+    bool body_outlives_call = false;
     bool streamed = false;
     // Set for calls that aren't repeatable: uses only a new connection or one
     // that was in use a moment ago, because a stale connection could leave the
--- a/nutmegusher/node/worker.cpp
+++ b/nutmegusher/node/worker.cpp
@@ -18,6 +18,19 @@
           from.measurement.naive,
           router_options{from.dialect == "own"})
     , claims(from.control_hosts)
+    , request_memory(
+          "requests",
+          [this]
+          {
+              const auto& limits = configuration.current()->routes().limits();
+              return request_memory_for(configured.limits, limits.body_bytes());
+          })
+    , control_memory(
+          "control",
+          []
+          {
+              return control_memory_bytes;
+          })
 {
 }
 
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -10,6 +10,7 @@
 #include "nutmegusher/node/configuration_controller.hpp"
 #include "nutmegusher/node/crash_tracker.hpp"
 #include "nutmegusher/node/decision_counters.hpp"
+#include "nutmegusher/node/memory_account.hpp"
 #include "nutmegusher/node/metrics.hpp"
 #include "nutmegusher/node/own_upstream.hpp"
 #include "nutmegusher/node/pressure_controller.hpp"
@@ -50,6 +51,10 @@
     route_controller routes;
     claim_directory claims;
     crash_tracker crashes;
+    // Of requests and their answers.
+    memory_account request_memory;
+    // Of reports of upstreams and calls of operators.
+    memory_account control_memory;
     metrics request_metrics;
     decision_counters decisions;
     // A graceful shutdown has begun.
--- a/nutmegusher/policy/policy.hpp
+++ b/nutmegusher/policy/policy.hpp
@@ -15,6 +15,8 @@
 // - `entry_gate`: one per daemon, where requests of members and clerks enter.
 // - `crash_evidence`, `in_flight_requests`: one each per daemon; they find the
 //   requests that crash the upstreams that run them.
+// - `memory_budget`: one per process; which of the requests and answers that it
+//   holds give way when its memory runs short.
 // - `retry_budget`, `decide_retry`, `split_tokens`: at each hop that makes
 //   calls.
 #ifndef NUTMEGUSHER_POLICY_POLICY_HPP
@@ -27,6 +29,7 @@
 #include "nutmegusher/policy/crash_evidence.hpp"
 #include "nutmegusher/policy/entry_gate.hpp"
 #include "nutmegusher/policy/error_meter.hpp"
+#include "nutmegusher/policy/memory_budget.hpp"
 #include "nutmegusher/policy/path_shares.hpp"
 #include "nutmegusher/policy/rate_meter.hpp"
 #include "nutmegusher/policy/rejection_control.hpp"
--- a/nutmegusher/routed/entry_reading.cpp
+++ b/nutmegusher/routed/entry_reading.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/routed/entry_reading.hpp"
 
+#include "nutmegusher/node/body_reader.hpp"
 #include "nutmegusher/routed/entry_answer.hpp"
 #include "nutmegusher/routed/entry_team.hpp"
 
@@ -7,7 +8,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace nutmegusher::routed::internal
 {
@@ -18,7 +18,6 @@
 using node::call_reason;
 using node::refusal;
 
-constexpr std::size_t chunk_bytes = 16384;
 // Longest wait for the first document of routes after the daemon's start. A
 // control host sends it within tens of milliseconds once it has a leader, and a
 // refused caller retries once at most. The wait is also limited to a fraction
@@ -130,45 +129,55 @@
     }
 }
 
+// The refusal of a request whose body can't be read; empty if the caller has
+// left.
+std::optional<refusal>
+refusal_of(const entry_request& request, node::caller_failure failure)
+{
+    switch (failure)
+    {
+    case node::caller_failure::disconnected:
+        break;
+    case node::caller_failure::malformed:
+        return refusal{call_reason::bad_request};
+    case node::caller_failure::too_large:
+        return request.has_routes() ? refusal{call_reason::too_large}
+                                    : no_routes_known();
+    case node::caller_failure::too_slow:
+        return refusal{call_reason::deadline};
+    case node::caller_failure::no_room:
+        return refusal{
+            call_reason::no_room,
+            call_outcome::not_run,
+            memory_budget::stall_time};
+    case node::caller_failure::given_up:
+        return stopping(request);
+    }
+    return std::nullopt;
+}
+
 asio::awaitable<bool> read_body(entry_request& request, std::uint64_t limit)
 {
-    std::array<std::byte, chunk_bytes> chunk;
-    while (true)
+    const auto most =
+        limit > 0 ? limit
+                  : request.state.process.request_memory.largest_share();
+    const auto read = co_await node::read_whole_body(
+        request.exchange, most, request.memory, request.call.body);
+    if (read)
     {
-        const auto got = co_await request.exchange.read_some(chunk);
-        if (!got)
-        {
-            if (got.error() == node::caller_failure::malformed)
-            {
-                const refusal refused{call_reason::bad_request};
-                co_await refuse(request, refused);
-            }
-            if (got.error() == node::caller_failure::too_large)
-            {
-                const refusal refused{call_reason::too_large};
-                co_await refuse(request, refused);
-            }
-            if (got.error() == node::caller_failure::given_up)
-            {
-                co_await refuse(request, stopping(request));
-            }
-            co_return false;
-        }
-        if (*got == 0)
-        {
-            co_return true;
-        }
-        if (limit > 0 && request.call.body.size() + *got > limit)
-        {
-            co_await refuse(
-                request,
-                request.has_routes() ? refusal{call_reason::too_large}
-                                     : no_routes_known());
-            co_return false;
-        }
-        request.call.body.append(
-            reinterpret_cast<const char*>(chunk.data()), *got);
+        request.memory.finish_arriving();
+        co_return true;
+    }
+    const auto rejection = refusal_of(request, read.error());
+    if (rejection && rejection->reason == call_reason::no_room)
+    {
+        co_await give_up(request, *rejection);
+    }
+    else if (rejection)
+    {
+        co_await refuse(request, *rejection);
     }
+    co_return false;
 }
 
 } // namespace
--- a/nutmegusher/routed/entry_request.hpp
+++ b/nutmegusher/routed/entry_request.hpp
@@ -25,6 +25,7 @@
         , state(state)
         , exchange(exchange)
         , arrived(host_clock().now())
+        , memory(state.process.request_memory, exchange)
     {
     }
 
@@ -64,6 +65,8 @@
     routed_state& state;
     node::caller_exchange& exchange;
     const time_point arrived;
+    // What `call` holds.
+    node::held_memory memory;
     // Keeps `route` alive.
     std::shared_ptr<const node::configuration_view> view;
     const request_route* route = nullptr;
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/routed/peer_exchange.hpp"
 
+#include "nutmegusher/node/growing_body.hpp"
 #include "nutmegusher/routed/peer_fields.hpp"
 #include "nutmegusher/routed/upstream_run.hpp"
 
@@ -61,6 +62,17 @@
                                               : std::nullopt;
 }
 
+// This process has no memory for the call. Entries of earlier releases know no
+// reason for that but an overload.
+failed_call no_room()
+{
+    const refusal details{
+        call_reason::overload,
+        call_outcome::not_run,
+        memory_budget::stall_time};
+    return {details, false};
+}
+
 failed_call not_sent()
 {
     const refusal details{
@@ -260,25 +272,37 @@
     std::unique_ptr<wire::client_stream> stream_;
 };
 
-asio::awaitable<std::optional<std::string>>
-read_whole(wire::server_stream& stream)
+// Why a call's body wasn't read.
+enum class body_failure : std::uint8_t
+{
+    unreadable,
+    no_room
+};
+
+asio::awaitable<outcome<void, body_failure>> read_whole(
+    wire::server_stream& stream, node::held_memory& memory, std::string& body)
 {
-    std::string body;
-    std::array<std::byte, short_chunk_bytes> chunk;
-    while (body.size() <= max_body_bytes)
+    node::growing_body growing(body, memory, max_body_bytes + 1);
+    while (!growing.is_full())
     {
-        const auto got = co_await stream.read_some(chunk);
+        const auto room = growing.room();
+        if (room.empty())
+        {
+            co_return body_failure::no_room;
+        }
+        const auto got = co_await stream.read_some(room);
         if (!got)
         {
-            co_return std::nullopt;
+            co_return body_failure::unreadable;
         }
         if (*got == 0)
         {
-            co_return body;
+            growing.finish();
+            co_return outcome<void, body_failure>();
         }
-        body.append(reinterpret_cast<const char*>(chunk.data()), *got);
+        growing.commit(*got);
     }
-    co_return std::nullopt;
+    co_return body_failure::unreadable;
 }
 
 // Forwards the rest of the answer; a stream that isn't ended cleanly is reset.
@@ -471,17 +495,23 @@
     routed_state& state,
     std::shared_ptr<wire::server_stream> stream)
 {
+    node::held_memory memory(state.process.request_memory);
     routed_call call;
     auto metadata = parse_metadata(stream->head().fields);
-    auto body = co_await read_whole(*stream);
-    if (!metadata || !body)
+    const auto read = co_await read_whole(*stream, memory, call.body);
+    if (metadata && !read && read.error() == body_failure::no_room)
+    {
+        co_await write_failure(
+            *stream, no_room(), own_load_report(state, *metadata));
+        co_return;
+    }
+    if (!metadata || !read)
     {
         wire::response_head head{400, {}};
         co_await stream->write_head(std::move(head), true);
         co_return;
     }
     call.metadata = *std::move(metadata);
-    call.body = *std::move(body);
     call.head = stream->head();
     call.head.fields = without_own_fields(std::move(call.head.fields));
     run_progress progress;
--- a/nutmegusher/routed/upstream_run.hpp
+++ b/nutmegusher/routed/upstream_run.hpp
@@ -24,7 +24,8 @@
 // Waits for a slot, sends the call and reads the answer. Fails with `not_run`
 // only if the upstream certainly didn't and won't run the call: it was never
 // sent, or the upstream says so. An interrupted run releases its slot and
-// closes its connection, which cancels the call at the upstream.
+// closes its connection, which cancels the call at the upstream. Requires:
+// `call` outlives the answer's `rest`.
 asio::awaitable<routed_result> run_on_upstream(
     node::worker& worker,
     routed_state& state,
