Count heads and answers as memory, and let idle connections keep little

What callers saw: nothing, the process ended. 255 callers with heads of 16 KiB that consist of 4,000 fields took a daemon to 210 MiB: as fields with strings of their own, in several copies, such a head costs fifty times its size.

Cause: only bodies were counted. Answers of up to 256 KiB were held for every caller that doesn't read, and the buffer of a connection never shrank.

- The memory of a head, in the copies that exist while a request is sent on, is taken before its body is read.
- Answers are counted while they are buffered.
Where there is no memory for more, the rest is passed on as it comes, as for long answers.
An answer that its caller hasn't read for a second gives way after requests that stall: the connection is reset, so that a part isn't taken for the whole.
- A request's body is freed when its whole answer is written.
- A connection without a request keeps 4 KiB of its buffer at most.

--- a/nutmegusher/node/body_reader.cpp
+++ b/nutmegusher/node/body_reader.cpp
@@ -36,6 +36,10 @@
     held_memory& memory,
     std::string& body)
 {
+    if (!memory.take(memory_of_head(exchange.head())))
+    {
+        co_return caller_failure::no_room;
+    }
     const auto length = exchange.body_length();
     if (length.value_or(0) > most)
     {
--- a/nutmegusher/node/body_reader.hpp
+++ b/nutmegusher/node/body_reader.hpp
@@ -13,10 +13,10 @@
 namespace nutmegusher::node
 {
 
-// Reads up to the end of the body into `body`, in memory of `memory`. A body
-// of more than `most` bytes fails with `too_large`, before anything is read
-// if its length is announced; one that there is no memory for fails with
-// `no_room`. Requires: `body` is empty.
+// Reads up to the end of the body into `body`, in memory of `memory`, which
+// also counts the request's head. A body of more than `most` bytes fails with
+// `too_large`, before anything is read if its length is announced; one that
+// there is no memory for fails with `no_room`. Requires: `body` is empty.
 asio::awaitable<outcome<void, caller_failure>> read_whole_body(
     caller_exchange& exchange,
     std::uint64_t most,
--- a/nutmegusher/node/entry_chain.cpp
+++ b/nutmegusher/node/entry_chain.cpp
@@ -230,6 +230,11 @@
 
     static asio::awaitable<bool> read(entry_call& call, std::size_t max_bytes)
     {
+        if (!call.memory.take(memory_of_head(call.exchange.head())))
+        {
+            co_await refuse(call, caller_failure::no_room);
+            co_return false;
+        }
         growing_body growing(call.body, call.memory, max_bytes + 1);
         while (!growing.is_full())
         {
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -40,6 +40,8 @@
 // Read size for the first bytes of a request; most requests fit into it.
 constexpr std::size_t first_read_bytes = 1024;
 constexpr std::size_t typical_head_bytes = 512;
+// What a connection without a request keeps of its buffer.
+constexpr std::size_t max_idle_buffer_bytes = 4096;
 
 wire::request_head to_request_head(const http::request_header<>& from)
 {
@@ -445,8 +447,11 @@
         response_.body().data = nullptr;
         response_.body().more = true;
         serializer_.emplace(response_);
-        auto [failed, size] = co_await http::async_write_header(
-            stream_, *serializer_, as_tuple_awaitable);
+        const auto write = [this](auto token)
+        {
+            return http::async_write_header(stream_, *serializer_, token);
+        };
+        const auto failed = co_await await_write(write);
         co_return !failed;
     }
 
@@ -462,8 +467,7 @@
         body.data = const_cast<std::byte*>(bytes.data());
         body.size = bytes.size();
         body.more = true;
-        auto [failed, size] = co_await http::async_write(
-            stream_, *serializer_, as_tuple_awaitable);
+        const auto failed = co_await write_serialized();
         co_return !failed || failed == http::error::need_buffer;
     }
 
@@ -479,8 +483,7 @@
         body.data = nullptr;
         body.size = 0;
         body.more = false;
-        auto [failed, size] = co_await http::async_write(
-            stream_, *serializer_, as_tuple_awaitable);
+        const auto failed = co_await write_serialized();
         answer_finished_ = !failed;
         if (answer_finished_ && ends_with_connection_)
         {
@@ -602,9 +605,26 @@
         }
     }
 
+    // A caller that doesn't read its answer gets a reset: it mustn't take the
+    // part that it has for the whole.
     void make_room()
     {
         stop_reading(caller_failure::no_room);
+        if (is_writing_)
+        {
+            set_reset_on_close(stream_.socket(), true);
+            stream_.close();
+        }
+    }
+
+    // Awaits a write to the caller.
+    template <class Write>
+    asio::awaitable<boost::system::error_code> await_write(Write write)
+    {
+        is_writing_ = true;
+        auto [failed, size] = co_await write(as_tuple_awaitable);
+        is_writing_ = false;
+        co_return failed;
     }
 
     // Why the body isn't read any further.
@@ -644,6 +664,15 @@
                    : caller_failure::disconnected;
     }
 
+    asio::awaitable<boost::system::error_code> write_serialized()
+    {
+        const auto write = [this](auto token)
+        {
+            return http::async_write(stream_, *serializer_, token);
+        };
+        co_return co_await await_write(write);
+    }
+
     // Suspends only if the socket doesn't take all at once.
     asio::awaitable<boost::system::error_code>
     write_all(std::string_view head, std::string_view body)
@@ -664,9 +693,11 @@
         const std::array rest{
             buffers[0] + sent,
             buffers[1] + (sent - std::min(sent, head.size()))};
-        std::tie(failed, std::ignore) =
-            co_await asio::async_write(stream_, rest, as_tuple_awaitable);
-        co_return failed;
+        const auto write = [this, &rest](auto token)
+        {
+            return asio::async_write(stream_, rest, token);
+        };
+        co_return co_await await_write(write);
     }
 
     [[nodiscard]] bool is_head_request() const
@@ -739,6 +770,7 @@
     bool ends_with_connection_ = false;
     bool answer_begun_ = false;
     bool is_reading_body_ = false;
+    bool is_writing_ = false;
     bool continue_sent_ = false;
     bool read_failed_ = false;
     bool answer_finished_ = false;
@@ -805,6 +837,10 @@
     {
         co_return false;
     }
+    if (buffer.capacity() > max_idle_buffer_bytes)
+    {
+        buffer.shrink_to_fit();
+    }
     const scoped_entry stream_entry(server.idle_streams, stream);
     stream.expires_after(server.options.idle_timeout);
     auto [failed, size] = co_await stream.async_read_some(
--- a/nutmegusher/node/memory_account.cpp
+++ b/nutmegusher/node/memory_account.cpp
@@ -18,6 +18,11 @@
 constexpr std::uint64_t own_bytes = 48ULL * 1024 * 1024;
 // On a machine that has no more, requests still get this part of it.
 constexpr std::uint64_t least_part = 8;
+// A head as the parser has it, as the handler reads it, as it is forwarded, and
+// in the message to the next process.
+constexpr std::uint64_t head_copies = 4;
+// Of one field, beside its text.
+constexpr std::uint64_t field_bytes = head_copies * sizeof(wire::header);
 constexpr std::uint64_t bytes_per_mb = 1000 * 1000;
 constexpr std::uint64_t default_max_body_bytes = 64ULL * 1024 * 1024;
 
@@ -35,6 +40,17 @@
 
 } // namespace
 
+std::uint64_t memory_of_head(const wire::request_head& head)
+{
+    std::uint64_t bytes = head.path.size() * head_copies;
+    for (const auto& field : head.fields)
+    {
+        bytes += (field.name.size() + field.value.size()) * head_copies +
+                 field_bytes;
+    }
+    return bytes;
+}
+
 std::uint64_t
 request_memory_for(const limit_settings& limits, std::uint64_t max_body_bytes)
 {
@@ -187,7 +203,7 @@
 {
     if (this != &other)
     {
-        close();
+        release();
         account_ = other.account_;
         owner_ = other.owner_;
         bytes_ = std::exchange(other.bytes_, 0);
@@ -198,7 +214,7 @@
 
 held_memory::~held_memory()
 {
-    close();
+    release();
 }
 
 bool held_memory::take(std::uint64_t bytes)
@@ -256,7 +272,7 @@
     return owner_ == nullptr ? nullptr : owner_->make_ender();
 }
 
-void held_memory::close()
+void held_memory::release()
 {
     if (holder_)
     {
--- a/nutmegusher/node/memory_account.hpp
+++ b/nutmegusher/node/memory_account.hpp
@@ -12,6 +12,7 @@
 #include "nutmegusher/node/evictable.hpp"
 #include "nutmegusher/node/settings.hpp"
 #include "nutmegusher/policy/policy.hpp"
+#include "nutmegusher/wire/wire.hpp"
 
 #include <boost/json/value.hpp>
 
@@ -89,6 +90,9 @@
     // Requires: as many bytes were taken.
     void give_back(std::uint64_t bytes);
 
+    // Gives back all.
+    void release();
+
     // The request has arrived: it isn't evicted any more.
     void finish_arriving();
 
@@ -101,7 +105,6 @@
 
 private:
     [[nodiscard]] std::function<void()> make_ender() const;
-    void close();
 
     memory_account* account_;
     evictable* owner_ = nullptr;
@@ -110,6 +113,10 @@
     std::optional<memory_holder> holder_;
 };
 
+// Memory that a request's head takes while the request is read and sent on: as
+// it was read, and as fields in a few copies.
+[[nodiscard]] std::uint64_t memory_of_head(const wire::request_head& head);
+
 // Bytes that requests and answers may use: two bodies of the largest size, or
 // what the machine has beside the process's own needs and its callers'
 // connections, if that is less. `max_body_bytes`: the configured limit; 0:
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -151,8 +151,13 @@
         request.metrics_class(),
         host_clock().now() - request.arrived,
         request.sent_tries + 1);
+    answer.memory.await_reader(request.exchange);
     if (!answer.rest)
     {
+        // The request isn't sent again. With a rest, its own rest may be on its
+        // way.
+        request.call.body = std::string();
+        request.memory.release();
         co_await request.exchange.answer(std::move(answer.head), answer.body);
         co_return;
     }
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -217,12 +217,13 @@
         {
             co_return failed(wire::stream_failure::protocol);
         }
-        routed_answer answer;
+        routed_answer answer(worker_.shared.request_memory);
         answer.length = length_in(head);
         answer.head.status = *status;
         answer.head.fields = without_own_fields(std::move(head.fields));
         std::array<std::byte, short_chunk_bytes> chunk;
-        while (answer.body.size() <= max_buffered_answer_bytes)
+        bool has_room = true;
+        while (has_room && answer.body.size() <= max_buffered_answer_bytes)
         {
             const auto got = co_await stream_->read_some(chunk);
             if (!got)
@@ -238,6 +239,7 @@
             {
                 co_return answer;
             }
+            has_room = answer.memory.take(*got);
             answer.body.append(
                 reinterpret_cast<const char*>(chunk.data()), *got);
         }
--- a/nutmegusher/routed/routed_call.hpp
+++ b/nutmegusher/routed/routed_call.hpp
@@ -5,6 +5,7 @@
 
 #include "nutmegusher/base/base.hpp"
 #include "nutmegusher/node/call.hpp"
+#include "nutmegusher/node/memory_account.hpp"
 #include "nutmegusher/wire/wire.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -106,15 +107,22 @@
 // An answer of an upstream: whole, or its beginning and a source of the rest.
 struct routed_answer
 {
+    explicit routed_answer(node::memory_account& account)
+        : memory(account)
+    {
+    }
+
     wire::response_head head;
+    // What `body` holds.
+    node::held_memory memory;
     std::string body;
     std::unique_ptr<answer_rest> rest;
     std::optional<std::uint64_t> length;
 };
 
 // Answers up to this size are forwarded only when they are complete, so that a
-// broken one can still be fetched elsewhere. Thirty times the mean answer of
-// the users' largest class.
+// broken one can still be fetched elsewhere, as long as there is memory for
+// them. Thirty times the mean answer of the users' largest class.
 inline constexpr std::size_t max_buffered_answer_bytes = 256 * 1024;
 
 // When a caller may retry a request that is quarantined, or one that is
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -520,12 +520,13 @@
 
     asio::awaitable<routed_result> read_body(wire::response_head head)
     {
-        routed_answer answer;
+        routed_answer answer(state_.process.request_memory);
         // A field of the upstream mustn't be taken for one of a daemon.
         answer.head = {head.status, without_own_fields(std::move(head.fields))};
         answer.length = upstream_->content_length();
         std::array<std::byte, chunk_bytes> chunk;
-        while (answer.body.size() <= max_buffered_answer_bytes)
+        bool has_room = true;
+        while (has_room && answer.body.size() <= max_buffered_answer_bytes)
         {
             const auto got = co_await upstream_->read_some(chunk);
             if (!got)
@@ -544,6 +545,7 @@
                 slot_->set_result(call_result::ok);
                 co_return answer;
             }
+            has_room = answer.memory.take(*got);
             answer.body.append(
                 reinterpret_cast<const char*>(chunk.data()), *got);
         }
