End bodies that don't come in time, and connections that wait for others

What callers saw: with a new connection, nothing: callers that had stopped within a body, within a head or before one held all connections, the former for ever, and a further connection was closed at once.

Cause: after the head a connection's timeout was taken away, and the request's own time limit was looked at once the body was there. A full listener refused the newcomer, whoever held its connections.

- A body must have come by the request's own time limit, or within 60 s where it has none; otherwise the request is refused as before, not run.
The timer is set only when a body isn't there with its head.
- node/connection_table: where a listener is full, the connection goes whose caller has been waited for longest, if that is a second or more.
One that is being served never goes.
A request whose body is cut off gets its refusal first.
- A caller that takes nothing of its answer for 60 s is reset.
- An accept that fails for want of descriptors ends such a connection as well and tries again after 20 ms; it used to fail again at once, without end.

--- a/nutmegusher/node/body_reader_test.cpp
+++ b/nutmegusher/node/body_reader_test.cpp
@@ -69,6 +69,10 @@
 
     asio::awaitable<void> answer(caller_exchange& exchange)
     {
+        if (wire::find_header(exchange.head().fields, "x-hasty"))
+        {
+            exchange.limit_reading(host_clock().now());
+        }
         held_memory memory(account, exchange);
         std::string body;
         const auto read =
@@ -166,6 +170,16 @@
     EXPECT_EQ(ask(chunked, "1;" + std::string(70'000, 'e')), "too-large");
 }
 
+// The rest of the body isn't sent.
+TEST_F(body_reader_test, ends_a_body_that_does_not_come_in_time)
+{
+    const std::string hasty = "x-hasty: yes\r\n";
+    EXPECT_EQ(
+        ask(hasty + length_field(1000), std::string(1000, 'b')), "1000 b");
+    EXPECT_EQ(ask(hasty + length_field(1000), "b"), "too-slow");
+    EXPECT_EQ(ask(hasty + chunked, "1\r\nc\r\n"), "too-slow");
+}
+
 TEST_F(body_reader_test, refuses_what_there_is_no_memory_for)
 {
     held_memory other(account);
--- a/nutmegusher/node/body_reading.hpp
+++ b/nutmegusher/node/body_reading.hpp
@@ -33,15 +33,18 @@
 // bytes to `parsed`. Use it in place of `http::async_read_some` for a message
 // whose head has been read; see `is_partial_last_chunk`.
 //
+// Calls `on_wait` before each wait for the stream.
+//
 // Errors: those of the stream and of the parser; `http::error::need_buffer` is
 // none. `http::error::buffer_overflow` if what the parser needs at once exceeds
 // the buffer's maximum.
-template <class Parser>
+template <class Parser, class OnWait>
 asio::awaitable<boost::system::error_code> read_body_some(
     beast::tcp_stream& stream,
     beast::flat_buffer& buffer,
     Parser& parser,
-    std::size_t& parsed)
+    std::size_t& parsed,
+    const OnWait& on_wait)
 {
     constexpr std::size_t max_read_bytes = 65536;
     constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
@@ -74,6 +77,7 @@
             co_return beast::http::error::buffer_overflow;
         }
         const auto room = buffer.prepare(wanted);
+        on_wait();
         const auto [failed, size] =
             co_await stream.async_read_some(room, as_tuple_awaitable);
         buffer.commit(size);
@@ -90,6 +94,16 @@
     }
 }
 
+template <class Parser>
+asio::awaitable<boost::system::error_code> read_body_some(
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buffer,
+    Parser& parser,
+    std::size_t& parsed)
+{
+    return read_body_some(stream, buffer, parser, parsed, [] {});
+}
+
 // Reads up to the end of a message's head. Adds the number of consumed bytes to
 // `parsed`. Like `http::async_read_header`, without a composed operation around
 // each read.
--- a/nutmegusher/node/entry_chain.cpp
+++ b/nutmegusher/node/entry_chain.cpp
@@ -211,6 +211,7 @@
     template <class Next>
     asio::awaitable<void> operator()(entry_call& call, Next next)
     {
+        call.exchange.limit_reading(call.deadline);
         const auto& limits = call.owner.shared.configured.limits;
         const auto max_bytes = call.work_class->repeatable
                                    ? limits.buffered_body_bytes
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -1,10 +1,12 @@
 #include "nutmegusher/node/http_server.hpp"
 
 #include "nutmegusher/node/body_reading.hpp"
+#include "nutmegusher/node/connection_table.hpp"
 #include "nutmegusher/node/message_text.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,6 +37,10 @@
 constexpr unsigned http_11 = 11;
 // Time left for the rest of a partly read head once the server has given up.
 constexpr duration final_head_timeout = std::chrono::milliseconds(50);
+// A caller that sends so much of its body isn't stalled.
+constexpr std::size_t progress_bytes = 65536;
+// Until the next try when the process has no descriptor for a connection.
+constexpr duration accept_retry_delay = std::chrono::milliseconds(20);
 // How long a caller may keep sending its body after the answer.
 constexpr duration linger_timeout = std::chrono::seconds(1);
 // Read size for the first bytes of a request; most requests fit into it.
@@ -217,16 +223,31 @@
     std::function<void()> on_gone_;
 };
 
+class beast_exchange;
+
 // A caller's connection and the handling of its current request.
 struct caller_connection
 {
-    explicit caller_connection(tcp::socket socket)
+    caller_connection(
+        tcp::socket socket, std::shared_ptr<connection_table> table)
         : stream(std::move(socket))
+        , place(
+              std::move(table),
+              [this]
+              {
+                  end();
+              })
     {
     }
 
+    // Ends the connection for another one.
+    void end();
+
     beast::tcp_stream stream;
+    connection_table::entry place;
     wire::interruptible work;
+    // Null: no request has been read.
+    beast_exchange* exchange = nullptr;
 };
 
 } // namespace
@@ -244,23 +265,28 @@
     giving_up
 };
 
-class beast_exchange;
-
 } // namespace
 
 struct http_server::state
 {
-    state(asio::io_context& context, http_handler handler)
+    state(
+        asio::io_context& context,
+        http_handler handler,
+        const http_server_options& options)
         : acceptor(context)
+        , table(std::make_shared<connection_table>(options.connections))
         , tasks(context)
         , handler(std::move(handler))
+        , options(options)
     {
     }
 
     tcp::acceptor acceptor;
+    // Connections may outlive the server until its context is destroyed.
+    std::shared_ptr<connection_table> table;
     wire::task_group tasks;
     http_handler handler;
-    http_server_options options;
+    const http_server_options options;
     intake_state intake = intake_state::open;
     // Connections on which no byte of a request has been read.
     std::set<beast::tcp_stream*> idle_streams;
@@ -280,20 +306,23 @@
     beast_exchange(
         caller_connection& connection,
         beast::flat_buffer& buffer,
-        std::uint32_t header_bytes,
+        const http_server_options& options,
         const intake_state& intake)
-        : stream_(connection.stream)
+        : connection_(connection)
+        , stream_(connection.stream)
         , work_(connection.work)
         , buffer_(buffer)
-        , header_bytes_(header_bytes)
+        , options_(options)
         , intake_(intake)
     {
-        parser_.header_limit(header_bytes);
+        connection_.exchange = this;
+        parser_.header_limit(options.header_bytes);
         parser_.body_limit(boost::none);
     }
 
     ~beast_exchange() override
     {
+        connection_.exchange = nullptr;
         if (self_)
         {
             *self_ = nullptr;
@@ -318,8 +347,10 @@
         buffer_.consume(used);
         if (failed == http::error::need_more)
         {
+            connection_.place.wait_for_caller(host_clock().now());
             std::tie(failed, std::ignore) = co_await http::async_read_header(
                 stream_, buffer_, parser_, as_tuple_awaitable);
+            connection_.place.stop_waiting();
         }
         if (!failed)
         {
@@ -345,13 +376,14 @@
         return length ? std::uint64_t{*length} : 0;
     }
 
+    void limit_reading(time_point until) override
+    {
+        read_until_ = until;
+    }
+
     [[nodiscard]] std::function<void()> make_ender() override
     {
-        if (!self_)
-        {
-            self_ = std::make_shared<beast_exchange*>(this);
-        }
-        return [weak = std::weak_ptr(self_), executor = stream_.get_executor()]
+        return [weak = weak_self(), executor = stream_.get_executor()]
         {
             asio::post(
                 executor,
@@ -391,9 +423,14 @@
             body.size = into.size();
             is_reading_body_ = true;
             std::size_t parsed = 0;
+            const auto on_wait = [this]
+            {
+                wait_for_body();
+            };
             const auto failed = co_await internal::read_body_some(
-                stream_, buffer_, parser_, parsed);
+                stream_, buffer_, parser_, parsed, on_wait);
             is_reading_body_ = false;
+            note_progress(parsed);
             if (failed)
             {
                 read_failed_ = true;
@@ -535,7 +572,10 @@
             return;
         }
         watch_ = std::make_shared<disconnect_watch>(
-            stream_.socket(), buffer_, header_bytes_, std::move(on_gone));
+            stream_.socket(),
+            buffer_,
+            options_.header_bytes,
+            std::move(on_gone));
         watch_->start();
     }
 
@@ -549,6 +589,24 @@
         give_up_callback_ = std::move(callback);
     }
 
+    // Ends the connection for another one. A request that is read gets its
+    // refusal first.
+    void give_way()
+    {
+        gives_way_ = true;
+        make_room();
+        if (!is_reading_body_ && !is_writing_)
+        {
+            stream_.close();
+        }
+    }
+
+    // True if the connection ends for another one.
+    [[nodiscard]] bool gives_way() const
+    {
+        return gives_way_;
+    }
+
     [[nodiscard]] std::function<void()> give_up()
     {
         if (is_reading_body_)
@@ -590,6 +648,53 @@
     }
 
 private:
+    [[nodiscard]] std::weak_ptr<beast_exchange*> weak_self()
+    {
+        if (!self_)
+        {
+            self_ = std::make_shared<beast_exchange*>(this);
+        }
+        return self_;
+    }
+
+    // The rest of the body hasn't arrived yet.
+    void wait_for_body()
+    {
+        connection_.place.wait_for_caller(host_clock().now());
+        if (body_timer_)
+        {
+            return;
+        }
+        body_timer_ =
+            std::make_unique<asio::steady_timer>(stream_.get_executor());
+        body_timer_->expires_at(
+            read_until_.value_or(*head_read_at_ + options_.body_timeout));
+        body_timer_->async_wait(
+            [weak = weak_self()](boost::system::error_code cancelled)
+            {
+                const auto self = weak.lock();
+                if (!cancelled && self && *self != nullptr)
+                {
+                    (*self)->stop_reading(caller_failure::too_slow);
+                }
+            });
+    }
+
+    void note_progress(std::size_t bytes)
+    {
+        connection_.place.pause();
+        progress_bytes_ += bytes;
+        if (parser_.is_done() || progress_bytes_ >= progress_bytes)
+        {
+            progress_bytes_ = 0;
+            connection_.place.stop_waiting();
+        }
+        if (parser_.is_done())
+        {
+            body_timer_.reset();
+        }
+    }
+
     // Ends the reading of the body: the caller sends for too long, or others
     // need the memory that its request holds.
     void stop_reading(caller_failure why)
@@ -622,7 +727,11 @@
     asio::awaitable<boost::system::error_code> await_write(Write write)
     {
         is_writing_ = true;
+        connection_.place.wait_for_caller(host_clock().now());
+        stream_.expires_after(options_.write_timeout);
         auto [failed, size] = co_await write(as_tuple_awaitable);
+        stream_.expires_never();
+        connection_.place.stop_waiting();
         is_writing_ = false;
         co_return failed;
     }
@@ -748,10 +857,11 @@
         }
     }
 
+    caller_connection& connection_;
     beast::tcp_stream& stream_;
     wire::interruptible& work_;
     beast::flat_buffer& buffer_;
-    const std::uint32_t header_bytes_;
+    const http_server_options& options_;
     const intake_state& intake_;
     http::request_parser<http::buffer_body> parser_;
     wire::request_head head_;
@@ -761,6 +871,11 @@
     // For functions that outlive this object, which resets it.
     std::shared_ptr<beast_exchange*> self_;
     std::optional<caller_failure> read_stop_;
+    std::optional<time_point> read_until_;
+    // Ends the reading of a body that didn't come with its head.
+    std::unique_ptr<asio::steady_timer> body_timer_;
+    // Of the body, since the caller was last seen to make progress.
+    std::size_t progress_bytes_ = 0;
     std::function<void()> give_up_callback_;
     std::optional<time_point> head_read_at_;
     time_point left_at_;
@@ -771,11 +886,24 @@
     bool answer_begun_ = false;
     bool is_reading_body_ = false;
     bool is_writing_ = false;
+    bool gives_way_ = false;
     bool continue_sent_ = false;
     bool read_failed_ = false;
     bool answer_finished_ = false;
 };
 
+void caller_connection::end()
+{
+    if (exchange != nullptr)
+    {
+        exchange->give_way();
+    }
+    else
+    {
+        stream.close();
+    }
+}
+
 // Increments a counter for the lifetime of this object.
 class scoped_count
 {
@@ -827,8 +955,9 @@
 // failed or timed out, or if the server takes no more requests.
 template <class State>
 asio::awaitable<bool> wait_for_request(
-    State& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    State& server, caller_connection& connection, beast::flat_buffer& buffer)
 {
+    auto& stream = connection.stream;
     if (buffer.size() > 0)
     {
         co_return true;
@@ -843,8 +972,10 @@
     }
     const scoped_entry stream_entry(server.idle_streams, stream);
     stream.expires_after(server.options.idle_timeout);
+    connection.place.wait_for_caller(host_clock().now());
     auto [failed, size] = co_await stream.async_read_some(
         buffer.prepare(first_read_bytes), as_tuple_awaitable);
+    connection.place.stop_waiting();
     buffer.commit(size);
     co_return !failed;
 }
@@ -865,12 +996,11 @@
     State& server, caller_connection& connection, beast::flat_buffer& buffer)
 {
     auto& stream = connection.stream;
-    if (!co_await wait_for_request(server, stream, buffer))
+    if (!co_await wait_for_request(server, connection, buffer))
     {
         co_return after_request::close;
     }
-    beast_exchange exchange(
-        connection, buffer, server.options.header_bytes, server.intake);
+    beast_exchange exchange(connection, buffer, server.options, server.intake);
     boost::system::error_code failed;
     {
         const scoped_entry stream_entry(server.streams_reading_head, stream);
@@ -911,15 +1041,18 @@
     {
         co_return after_request::reset;
     }
-    co_return exchange.has_unread_body() ? after_request::linger
-                                         : after_request::close;
+    co_return exchange.has_unread_body() && !exchange.gives_way()
+        ? after_request::linger
+        : after_request::close;
 }
 
 // Reads and drops what the caller still sends: closing a socket with unread
 // bytes resets the connection, and the caller may lose the end of its answer.
 template <class State>
-asio::awaitable<void> linger(State& server, beast::tcp_stream& stream)
+asio::awaitable<void> linger(State& server, caller_connection& connection)
 {
+    auto& stream = connection.stream;
+    connection.place.wait_for_caller(host_clock().now());
     std::array<char, 4096> dropped;
     stream.expires_after(linger_timeout);
     bool open = true;
@@ -956,11 +1089,28 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (after == after_request::linger)
     {
-        co_await linger(*server, stream);
+        co_await linger(*server, *connection);
     }
     stream.close();
 }
 
+// After an accept that has failed for want of descriptors, which otherwise
+// fails again at once: ends a connection and waits a moment.
+template <class State>
+asio::awaitable<void>
+wait_for_descriptors(State& server, boost::system::error_code failed)
+{
+    if (failed != asio::error::no_descriptors &&
+        failed != boost::system::errc::too_many_files_open_in_system)
+    {
+        co_return;
+    }
+    server.table->end_longest_waiting(host_clock().now());
+    asio::steady_timer pause(server.acceptor.get_executor());
+    pause.expires_after(accept_retry_delay);
+    co_await pause.async_wait(as_tuple_awaitable);
+}
+
 template <class State>
 asio::awaitable<void> accept_all(std::shared_ptr<State> server)
 {
@@ -970,15 +1120,16 @@
             co_await server->acceptor.async_accept(as_tuple_awaitable);
         if (failed)
         {
+            co_await wait_for_descriptors(*server, failed);
             continue;
         }
         if (server->intake >= intake_state::closed ||
-            server->connections >= server->options.connections)
+            !server->table->make_room(host_clock().now()))
         {
             continue; // destroys the socket, which closes the connection
         }
-        auto connection =
-            std::make_shared<caller_connection>(std::move(socket));
+        auto connection = std::make_shared<caller_connection>(
+            std::move(socket), server->table);
         std::shared_ptr<wire::interruptible> work(
             connection, &connection->work);
         server->tasks.spawn(
@@ -994,8 +1145,8 @@
     http_handler handler,
     const http_server_options& options)
 {
-    auto server_state = std::make_shared<state>(context, std::move(handler));
-    server_state->options = options;
+    auto server_state =
+        std::make_shared<state>(context, std::move(handler), options);
     auto& acceptor = server_state->acceptor;
     boost::system::error_code failed;
     acceptor.open(address.protocol(), failed);
@@ -1096,6 +1247,11 @@
     return state_->tasks.size();
 }
 
+std::uint64_t http_server::ended_for_others() const
+{
+    return state_->table->ended();
+}
+
 std::size_t http_server::connections() const
 {
     return state_->connections;
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -65,6 +65,10 @@
     // The caller's address.
     [[nodiscard]] virtual asio::ip::tcp::endpoint caller() const = 0;
 
+    // Reads of the body fail with `too_slow` from this time on, in place of
+    // `http_server_options::body_timeout` after the head.
+    virtual void limit_reading(time_point until) = 0;
+
     // Reads the next bytes of the request's body; 0 at its regular end.
     virtual asio::awaitable<outcome<std::size_t, caller_failure>>
     read_some(std::span<std::byte> into) = 0;
@@ -117,13 +121,20 @@
 
 struct http_server_options
 {
-    // Largest number of open connections; further ones are closed at once.
+    // Largest number of open connections. For a further one the connection
+    // ends whose caller has been waited for longest (see `connection_table`);
+    // if there is none, the further one is closed at once.
     std::uint32_t connections = 4096;
     // Largest request head in bytes; a larger one is answered with 431.
     std::uint32_t header_bytes = 16384;
     // Closes a connection on which no request begins, or a begun request head
     // isn't completed, within this time.
     duration idle_timeout = std::chrono::seconds(60);
+    // How long a request's body may take, unless its handler sets a limit.
+    duration body_timeout = std::chrono::seconds(60);
+    // Resets the connection of a caller that hasn't taken a part of its answer
+    // within this time.
+    duration write_timeout = std::chrono::seconds(60);
     bool reuse_port = false;
 };
 
@@ -176,6 +187,9 @@
     // for each connection.
     [[nodiscard]] std::size_t running_tasks() const;
 
+    // Number of connections that were ended for new ones.
+    [[nodiscard]] std::uint64_t ended_for_others() const;
+
     // Number of open connections, idle or with a request in flight.
     [[nodiscard]] std::size_t connections() const;
 
--- a/nutmegusher/routed/entry_reading.cpp
+++ b/nutmegusher/routed/entry_reading.cpp
@@ -193,6 +193,7 @@
         co_await refuse(request, *rejection);
         co_return false;
     }
+    request.exchange.limit_reading(request.call.metadata.deadline);
     co_return co_await read_body(
         request, request.view->routes().limits().body_bytes());
 }
