Bound what reports and calls of operators hold

What callers saw: nothing, the process ended. 64 reports or configurations of 2 MB that stall took a daemon or a control host past 160 MB. 1,280 silent connections to the operators' listener took as many descriptors, three times what the settings grant to callers.

Cause: the listeners for reports, operators and metrics are the same server as that for callers, with limits of their own: 16 MiB a body and 4,096 connections.

- Bodies come from an account of their own, 16 MiB a process, so that callers and operators don't take each other's memory.
What can't be read is answered 400, 408, 413 or 503 with its reason; before, the connection just closed.
- The listeners for operators and for metrics each take an eighth of the callers' connections, at least 64, and a newcomer ends a silent one.

--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <thread>
@@ -30,6 +31,9 @@
 constexpr duration idle_tick_interval = std::chrono::milliseconds(20);
 constexpr duration upstream_check_interval = std::chrono::milliseconds(500);
 constexpr std::size_t max_announcement_bytes = 4096;
+// Listeners for operators and metrics each take a part of the callers' limit.
+constexpr std::uint32_t operator_connections_part = 8;
+constexpr std::uint32_t min_operator_connections = 64;
 constexpr std::string_view control_prefix = "/control/";
 constexpr std::string_view announce_path = "/nutmegusher/announce";
 
@@ -52,6 +56,18 @@
     }
 }
 
+// Of a listener for operators or metrics. Collectors and operators are few, and
+// a probe that comes when there are more ends a silent connection.
+http_server_options options_for_operators(const settings& from)
+{
+    http_server_options options;
+    options.connections = std::max(
+        min_operator_connections,
+        from.limits.connections / operator_connections_part);
+    options.header_bytes = from.limits.header_bytes;
+    return options;
+}
+
 http_server_options options_for(const settings& from)
 {
     http_server_options options;
@@ -78,7 +94,7 @@
     {
         BOOST_LEAF_CHECK(open_worker(i));
     }
-    http_server_options options;
+    const auto options = options_for_operators(shared.configured);
     BOOST_LEAF_ASSIGN(
         operators,
         http_server::listen(
--- a/nutmegusher/node/operator_api.cpp
+++ b/nutmegusher/node/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/node/operator_api.hpp"
 
+#include "nutmegusher/node/body_reader.hpp"
 #include "nutmegusher/node/json_messages.hpp"
 #include "nutmegusher/node/outcome_api.hpp"
 
@@ -21,7 +22,6 @@
 namespace
 {
 
-constexpr std::size_t chunk_bytes = 16384;
 constexpr std::size_t max_body_bytes = 1024 * 1024;
 // Time limit for proposing one change; long enough to elect a new leader.
 constexpr duration change_timeout = std::chrono::seconds(4);
@@ -39,24 +39,19 @@
         status, json::object{{"error", json::object{{"problem", problem}}}}};
 }
 
-asio::awaitable<std::optional<std::string>> read_all(caller_exchange& exchange)
+// Answers a request whose body couldn't be read.
+asio::awaitable<void>
+answer_unread(caller_exchange& exchange, caller_failure failure)
 {
-    std::string text;
-    std::array<std::byte, chunk_bytes> chunk;
-    while (text.size() <= max_body_bytes)
+    auto head = to_unread_head(failure);
+    if (!head)
     {
-        const auto read_size = co_await exchange.read_some(chunk);
-        if (!read_size)
-        {
-            co_return std::nullopt;
-        }
-        if (*read_size == 0)
-        {
-            co_return text;
-        }
-        text.append(reinterpret_cast<const char*>(chunk.data()), *read_size);
+        co_return;
     }
-    co_return std::nullopt;
+    head->fields.push_back({"content-type", "application/json"});
+    const auto answer = error_answer(head->status, to_string(failure));
+    const auto text = json::serialize(answer.body) + "\n";
+    co_await exchange.answer(*std::move(head), text);
 }
 
 // Tries each control host in turn, repeatedly, until one returns a verdict on
@@ -362,9 +357,11 @@
     caller_exchange& exchange)
 {
     const auto& head = exchange.head();
-    auto body = co_await read_all(exchange);
+    held_memory memory(current_worker.shared.control_memory, exchange);
+    auto body = co_await read_text_body(exchange, max_body_bytes, memory);
     if (!body)
     {
+        co_await answer_unread(exchange, body.error());
         co_return;
     }
     if (is_metrics_request(head))
