Apply the configuration's limits on heads and idle connections

What callers saw: nothing; clients that stay silent held a connection for 60 s where the operator had allowed 15, or 3 within a head.

Cause: `max_header_bytes`, `header_timeout_ms` and `idle_timeout_ms` were read, stored and told to every daemon, and the listener for callers used numbers of its own.

The listener asks for its bounds with each request now. A configured head limit applies up to the setting `header_bytes`, which bounds the buffers; what the configuration leaves out stays as it was. Other listeners keep their own.

Evidence: request_bounds_test. Where the server doesn't ask for its bounds, none of the four cases ends within 5 s; all pass now.

--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -77,6 +77,26 @@
     return options;
 }
 
+// The configuration's bounds for callers, and the process's own where it has
+// none.
+request_bounds
+bounds_of(const messages::request_limits& limits, std::uint32_t header_bytes)
+{
+    using std::chrono::milliseconds;
+    request_bounds bounds;
+    bounds.header_bytes =
+        limits.header_bytes() > 0 ? limits.header_bytes() : header_bytes;
+    if (limits.idle_ms() > 0)
+    {
+        bounds.idle_timeout = milliseconds(limits.idle_ms());
+    }
+    if (limits.header_ms() > 0)
+    {
+        bounds.header_timeout = milliseconds(limits.header_ms());
+    }
+    return bounds;
+}
+
 } // namespace
 
 leaf::result<void> daemon::state::open()
@@ -130,6 +150,13 @@
     const auto options = options_for(shared.configured);
     if (listen.callers)
     {
+        auto caller_options = options;
+        caller_options.bounds = [this]
+        {
+            return bounds_of(
+                shared.configuration.current()->routes().limits(),
+                shared.configured.limits.header_bytes);
+        };
         BOOST_LEAF_ASSIGN(
             own.callers,
             http_server::listen(
@@ -139,7 +166,7 @@
                 {
                     return serve_caller(current_worker, exchange);
                 },
-                options));
+                caller_options));
     }
     if (listen.upstream)
     {
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -281,6 +281,16 @@
     {
     }
 
+    [[nodiscard]] request_bounds bounds() const
+    {
+        auto result = options.bounds ? options.bounds() : request_bounds();
+        if (!options.bounds || result.header_bytes > options.header_bytes)
+        {
+            result.header_bytes = options.header_bytes;
+        }
+        return result;
+    }
+
     tcp::acceptor acceptor;
     // Connections may outlive the server until its context is destroyed.
     std::shared_ptr<connection_table> table;
@@ -307,6 +317,7 @@
         caller_connection& connection,
         beast::flat_buffer& buffer,
         const http_server_options& options,
+        std::uint32_t header_bytes,
         const intake_state& intake)
         : connection_(connection)
         , stream_(connection.stream)
@@ -316,7 +327,7 @@
         , intake_(intake)
     {
         connection_.exchange = this;
-        parser_.header_limit(options.header_bytes);
+        parser_.header_limit(header_bytes);
         parser_.body_limit(boost::none);
     }
 
@@ -955,7 +966,10 @@
 // failed or timed out, or if the server takes no more requests.
 template <class State>
 asio::awaitable<bool> wait_for_request(
-    State& server, caller_connection& connection, beast::flat_buffer& buffer)
+    State& server,
+    caller_connection& connection,
+    beast::flat_buffer& buffer,
+    duration idle_timeout)
 {
     auto& stream = connection.stream;
     if (buffer.size() > 0)
@@ -971,7 +985,7 @@
         buffer.shrink_to_fit();
     }
     const scoped_entry stream_entry(server.idle_streams, stream);
-    stream.expires_after(server.options.idle_timeout);
+    stream.expires_after(idle_timeout);
     connection.place.wait_for_caller(host_clock().now());
     auto [failed, size] = co_await stream.async_read_some(
         buffer.prepare(first_read_bytes), as_tuple_awaitable);
@@ -996,18 +1010,20 @@
     State& server, caller_connection& connection, beast::flat_buffer& buffer)
 {
     auto& stream = connection.stream;
-    if (!co_await wait_for_request(server, connection, buffer))
+    const auto bounds = server.bounds();
+    if (!co_await wait_for_request(
+            server, connection, buffer, bounds.idle_timeout))
     {
         co_return after_request::close;
     }
-    beast_exchange exchange(connection, buffer, server.options, server.intake);
+    beast_exchange exchange(
+        connection, buffer, server.options, bounds.header_bytes, server.intake);
     boost::system::error_code failed;
     {
         const scoped_entry stream_entry(server.streams_reading_head, stream);
         stream.expires_after(
-            server.intake == intake_state::giving_up
-                ? final_head_timeout
-                : server.options.idle_timeout);
+            server.intake == intake_state::giving_up ? final_head_timeout
+                                                     : bounds.header_timeout);
         failed = co_await exchange.read_head();
     }
     stream.expires_never();
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -119,17 +119,29 @@
 
 using http_handler = std::function<asio::awaitable<void>(caller_exchange&)>;
 
+// Bounds on what a caller may send before its request is handled.
+struct request_bounds
+{
+    // Largest request head in bytes; a larger one is answered with 431.
+    std::uint32_t header_bytes = 16384;
+    // Closes a connection on which no request begins within this time.
+    duration idle_timeout = std::chrono::seconds(60);
+    // Closes a connection on which a begun head isn't completed within this
+    // time.
+    duration header_timeout = std::chrono::seconds(60);
+};
+
 struct http_server_options
 {
     // Largest number of open connections. For a further one the connection
     // ends whose caller has been waited for longest (see `connection_table`);
     // if there is none, the further one is closed at once.
     std::uint32_t connections = 4096;
-    // Largest request head in bytes; a larger one is answered with 431.
+    // The bounds of each request, asked for when the server waits for it; null:
+    // those that `request_bounds` has by itself, with `header_bytes`.
+    std::function<request_bounds()> bounds = nullptr;
+    // Upper limit of `request_bounds::header_bytes`.
     std::uint32_t header_bytes = 16384;
-    // Closes a connection on which no request begins, or a begun request head
-    // isn't completed, within this time.
-    duration idle_timeout = std::chrono::seconds(60);
     // How long a request's body may take, unless its handler sets a limit.
     duration body_timeout = std::chrono::seconds(60);
     // Resets the connection of a caller that hasn't taken a part of its answer
