End an answer that its caller doesn't read by the request's own time

What callers saw: an upstream's slot stayed taken for as long as a caller left the rest of a long answer unread, up to the time after which writes end at all.

Cause: only the upstream's side of such an answer had the request's time limit, and that is looked at when the upstream is read, which waits for the caller.

The rest of an answer must be taken by the request's deadline; then it breaks off, as any answer that breaks. Its beginning stays counted as memory while the rest is on its way, and every part that is taken counts as progress, so that a download that is read isn't taken for a stalled one.

--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -392,6 +392,11 @@
         read_until_ = until;
     }
 
+    void limit_writing(time_point until) override
+    {
+        write_until_ = until;
+    }
+
     [[nodiscard]] std::function<void()> make_ender() override
     {
         return [weak = weak_self(), executor = stream_.get_executor()]
@@ -738,8 +743,10 @@
     asio::awaitable<boost::system::error_code> await_write(Write write)
     {
         is_writing_ = true;
-        connection_.place.wait_for_caller(host_clock().now());
-        stream_.expires_after(options_.write_timeout);
+        const auto now = host_clock().now();
+        connection_.place.wait_for_caller(now);
+        const auto timeout = now + options_.write_timeout;
+        stream_.expires_at(std::min(timeout, write_until_.value_or(timeout)));
         auto [failed, size] = co_await write(as_tuple_awaitable);
         stream_.expires_never();
         connection_.place.stop_waiting();
@@ -883,6 +890,7 @@
     std::shared_ptr<beast_exchange*> self_;
     std::optional<caller_failure> read_stop_;
     std::optional<time_point> read_until_;
+    std::optional<time_point> write_until_;
     // Ends the reading of a body that didn't come with its head.
     std::unique_ptr<asio::steady_timer> body_timer_;
     // Of the body, since the caller was last seen to make progress.
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -69,6 +69,11 @@
     // `http_server_options::body_timeout` after the head.
     virtual void limit_reading(time_point until) = 0;
 
+    // Breaks the answer off if the caller hasn't taken a part of it by this
+    // time, or within `http_server_options::write_timeout` if that is
+    // earlier.
+    virtual void limit_writing(time_point until) = 0;
+
     // Reads the next bytes of the request's body; 0 at its regular end.
     virtual asio::awaitable<outcome<std::size_t, caller_failure>>
     read_some(std::span<std::byte> into) = 0;
@@ -144,8 +149,8 @@
     std::uint32_t header_bytes = 16384;
     // How long a request's body may take, unless its handler sets a limit.
     duration body_timeout = std::chrono::seconds(60);
-    // Resets the connection of a caller that hasn't taken a part of its answer
-    // within this time.
+    // Breaks an answer off if the caller hasn't taken a part of it within this
+    // time.
     duration write_timeout = std::chrono::seconds(60);
     bool reuse_port = false;
 };
--- a/nutmegusher/node/memory_account.cpp
+++ b/nutmegusher/node/memory_account.cpp
@@ -120,6 +120,12 @@
     enders_[id] = std::move(end);
 }
 
+void memory_account::note_progress(memory_holder id)
+{
+    const std::scoped_lock lock(mutex_);
+    budget_.set_use(id, memory_use::unread, host_clock().now());
+}
+
 bool memory_account::take(memory_holder id, std::uint64_t bytes)
 {
     std::vector<ender> enders;
@@ -267,6 +273,14 @@
     }
 }
 
+void held_memory::note_progress()
+{
+    if (holder_)
+    {
+        account_->note_progress(*holder_);
+    }
+}
+
 std::function<void()> held_memory::make_ender() const
 {
     return owner_ == nullptr ? nullptr : owner_->make_ender();
--- a/nutmegusher/node/memory_account.hpp
+++ b/nutmegusher/node/memory_account.hpp
@@ -53,6 +53,7 @@
 
     [[nodiscard]] memory_holder open(memory_use use, ender end);
     void set_use(memory_holder id, memory_use use, ender end);
+    void note_progress(memory_holder id);
     [[nodiscard]] bool take(memory_holder id, std::uint64_t bytes);
     void give_back(memory_holder id, std::uint64_t bytes);
     void close(memory_holder id);
@@ -99,6 +100,9 @@
     // The caller of `owner` reads the answer from now on.
     void await_reader(evictable& owner);
 
+    // The reader has taken more of the answer.
+    void note_progress();
+
     // Room that isn't counted: what a request with a usual head and a short
     // body needs.
     static constexpr std::uint64_t free_bytes = 8192;
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -36,8 +36,14 @@
 }
 
 // Apart from `forward_answer`, whose frame would hold the array of each answer.
-asio::awaitable<void> forward_rest(entry_request& request, answer_rest& rest)
+//
+// The rest holds a slot of the upstream, so a caller that doesn't read it must
+// not do so for longer than its request may take. The memory of the answer's
+// beginning stays counted: as much is on its way from the upstream.
+asio::awaitable<void> forward_rest(
+    entry_request& request, node::held_memory& memory, answer_rest& rest)
 {
+    request.exchange.limit_writing(request.call.metadata.deadline);
     std::array<std::byte, chunk_bytes> chunk;
     bool open = true;
     while (open)
@@ -59,6 +65,7 @@
         }
         open =
             co_await request.exchange.write_some(std::span(chunk).first(*got));
+        memory.note_progress();
     }
 }
 
@@ -166,9 +173,11 @@
         std::move(answer.head), answer.length);
     const auto first_bytes = std::as_bytes(std::span(answer.body));
     open = open && co_await request.exchange.write_some(first_bytes);
+    answer.body = std::string();
     if (open)
     {
-        co_await forward_rest(request, *answer.rest);
+        answer.memory.note_progress();
+        co_await forward_rest(request, answer.memory, *answer.rest);
     }
 }
 
