Count the connections that end or are refused where a listener is full

Operators couldn't see that a listener had as many connections as it may have: nothing counted what became of the further ones. nutmegusher_connections_ended_total and nutmegusher_connections_refused_total do, by listener. No decision changes.

--- a/nutmegusher/node/connection_table.cpp
+++ b/nutmegusher/node/connection_table.cpp
@@ -12,7 +12,7 @@
 
 bool connection_table::make_room(time_point now)
 {
-    return entries_.size() - ending_ < most_ || end_longest_waiting(now);
+    return !is_full() || end_longest_waiting(now);
 }
 
 bool connection_table::end_longest_waiting(time_point now)
@@ -34,7 +34,6 @@
     }
     longest->ending_ = true;
     ++ending_;
-    ++ended_;
     longest->end_();
     return true;
 }
--- a/nutmegusher/node/connection_table.hpp
+++ b/nutmegusher/node/connection_table.hpp
@@ -19,7 +19,6 @@
 #include "nutmegusher/base/clock.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -81,10 +80,10 @@
         return entries_.size();
     }
 
-    // Number of connections that were ended to make room.
-    [[nodiscard]] std::uint64_t ended() const
+    // Whether a further connection needs another one's place.
+    [[nodiscard]] bool is_full() const
     {
-        return ended_;
+        return entries_.size() - ending_ >= most_;
     }
 
     // Longer than a lost packet takes to be sent again, twice.
@@ -94,7 +93,6 @@
     const std::size_t most_;
     std::set<entry*> entries_;
     std::size_t ending_ = 0;
-    std::uint64_t ended_ = 0;
 };
 
 } // namespace nutmegusher::node
--- a/nutmegusher/node/connection_table_test.cpp
+++ b/nutmegusher/node/connection_table_test.cpp
@@ -64,7 +64,6 @@
     open();
     EXPECT_TRUE(table->make_room(clock.now()));
     EXPECT_EQ(ended, (std::vector<std::size_t>{2, 1}));
-    EXPECT_EQ(table->ended(), 2U);
 }
 
 TEST_F(connection_table_test, ends_nobody_that_moves_or_is_served)
--- a/nutmegusher/node/daemon.cpp
+++ b/nutmegusher/node/daemon.cpp
@@ -56,23 +56,40 @@
     }
 }
 
-// Of a listener for operators or metrics. Collectors and operators are few, and
-// a probe that comes when there are more ends a silent connection.
-http_server_options options_for_operators(const settings& from)
+http_server_options
+options_of_all(controllers& shared, std::string_view listener)
 {
     http_server_options options;
+    options.header_bytes = shared.configured.limits.header_bytes;
+    options.on_full = [&shared, listener](bool accepted)
+    {
+        shared.decisions.add(
+            accepted ? decision_counter::connections_ended
+                     : decision_counter::connections_refused,
+            listener);
+    };
+    return options;
+}
+
+// Of a listener for operators or metrics: both are few.
+http_server_options
+options_for_operators(controllers& shared, std::string_view listener)
+{
+    auto options = options_of_all(shared, listener);
     options.connections = std::max(
         min_operator_connections,
-        from.limits.connections / operator_connections_part);
-    options.header_bytes = from.limits.header_bytes;
+        shared.configured.limits.connections / operator_connections_part);
     return options;
 }
 
-http_server_options options_for(const settings& from)
+// Of a listener for callers or the upstream, one of which each worker has.
+http_server_options
+options_for_callers(controllers& shared, std::string_view listener)
 {
-    http_server_options options;
-    options.connections = from.limits.connections / from.host.threads + 1;
-    options.header_bytes = from.limits.header_bytes;
+    auto options = options_of_all(shared, listener);
+    const auto& configured = shared.configured;
+    options.connections =
+        configured.limits.connections / configured.host.threads + 1;
     options.reuse_port = true;
     return options;
 }
@@ -114,7 +131,6 @@
     {
         BOOST_LEAF_CHECK(open_worker(i));
     }
-    const auto options = options_for_operators(shared.configured);
     BOOST_LEAF_ASSIGN(
         operators,
         http_server::listen(
@@ -124,7 +140,7 @@
             {
                 return serve_operators(first(), exchange);
             },
-            options));
+            options_for_operators(shared, "operators")));
     const auto& metrics = shared.configured.listen.metrics;
     if (metrics)
     {
@@ -137,7 +153,7 @@
                 {
                     return serve_metrics(first(), exchange);
                 },
-                options));
+                options_for_operators(shared, "metrics")));
     }
     return {};
 }
@@ -147,11 +163,10 @@
     auto& current_worker = *workers[index];
     auto& own = listeners_by_worker[index];
     const auto& listen = shared.configured.listen;
-    const auto options = options_for(shared.configured);
     if (listen.callers)
     {
-        auto caller_options = options;
-        caller_options.bounds = [this]
+        auto options = options_for_callers(shared, "callers");
+        options.bounds = [this]
         {
             return bounds_of(
                 shared.configuration.current()->routes().limits(),
@@ -166,7 +181,7 @@
                 {
                     return serve_caller(current_worker, exchange);
                 },
-                caller_options));
+                options));
     }
     if (listen.upstream)
     {
@@ -179,7 +194,7 @@
                 {
                     return serve_own_upstream(current_worker, exchange);
                 },
-                options));
+                options_for_callers(shared, "upstream")));
     }
     BOOST_LEAF_ASSIGN(
         own.peers,
--- a/nutmegusher/node/decision_counters.cpp
+++ b/nutmegusher/node/decision_counters.cpp
@@ -32,6 +32,8 @@
     counter_name{"returns_promised", "rank"},
     counter_name{"returns_kept", "rank"},
     counter_name{"returns_not_promised", "rank"},
+    counter_name{"connections_ended", "listener"},
+    counter_name{"connections_refused", "listener"},
 };
 
 const counter_name& name_of(decision_counter counter)
--- a/nutmegusher/node/decision_counters.hpp
+++ b/nutmegusher/node/decision_counters.hpp
@@ -35,6 +35,10 @@
     returns_promised,
     returns_kept,
     returns_not_promised,
+    // Connections that ended for new ones, and new ones that were closed, as
+    // there were as many as there may be [listener].
+    connections_ended,
+    connections_refused,
 };
 
 // Thread-safe.
--- a/nutmegusher/node/http_server.cpp
+++ b/nutmegusher/node/http_server.cpp
@@ -291,6 +291,18 @@
         return result;
     }
 
+    // Whether another connection may be opened.
+    [[nodiscard]] bool make_room()
+    {
+        const bool full = table->is_full();
+        const bool accepted = table->make_room(host_clock().now());
+        if (full && options.on_full)
+        {
+            options.on_full(accepted);
+        }
+        return accepted;
+    }
+
     tcp::acceptor acceptor;
     // Connections may outlive the server until its context is destroyed.
     std::shared_ptr<connection_table> table;
@@ -1147,8 +1159,7 @@
             co_await wait_for_descriptors(*server, failed);
             continue;
         }
-        if (server->intake >= intake_state::closed ||
-            !server->table->make_room(host_clock().now()))
+        if (server->intake >= intake_state::closed || !server->make_room())
         {
             continue; // destroys the socket, which closes the connection
         }
@@ -1271,11 +1282,6 @@
     return state_->tasks.size();
 }
 
-std::uint64_t http_server::ended_for_others() const
-{
-    return state_->table->ended();
-}
-
 std::size_t http_server::connections() const
 {
     return state_->connections;
--- a/nutmegusher/node/http_server.hpp
+++ b/nutmegusher/node/http_server.hpp
@@ -142,6 +142,9 @@
     // ends whose caller has been waited for longest (see `connection_table`);
     // if there is none, the further one is closed at once.
     std::uint32_t connections = 4096;
+    // Called when a connection comes while there are as many as there may be:
+    // whether another one ended for it, or it was closed.
+    std::function<void(bool accepted)> on_full = nullptr;
     // The bounds of each request, asked for when the server waits for it; null:
     // those that `request_bounds` has by itself, with `header_bytes`.
     std::function<request_bounds()> bounds = nullptr;
@@ -204,9 +207,6 @@
     // for each connection.
     [[nodiscard]] std::size_t running_tasks() const;
 
-    // Number of connections that were ended for new ones.
-    [[nodiscard]] std::uint64_t ended_for_others() const;
-
     // Number of open connections, idle or with a request in flight.
     [[nodiscard]] std::size_t connections() const;
 
