--- a/nutmegusher/node/memory_account.hpp
+++ b/nutmegusher/node/memory_account.hpp
@@ -29,6 +29,7 @@
 namespace nutmegusher::node
 {
 
+// Counts the memory of all holders and ends those that must give way.
 // Thread-safe.
 class memory_account
 {
--- a/nutmegusher/node/settings.cpp
+++ b/nutmegusher/node/settings.cpp
@@ -99,9 +99,9 @@
         "limits",
         "memory_mb",
         "0",
-        "memory that the process may use, in 10^6 bytes, 64 to 1000000; from "
-        "it and from the largest body follows how much requests and answers "
-        "may hold; 0: the machine's"},
+        "memory that the process may use, in 10^6 bytes, 0 to 1000000; from it "
+        "and from the largest body follows how much requests and answers may "
+        "hold; 0: the machine's"},
     known_setting{
         "listen",
         "dialect",
@@ -163,7 +163,6 @@
 constexpr std::uint32_t max_connections = 1000000;
 constexpr std::uint32_t min_header_bytes = 1024;
 constexpr std::uint32_t max_header_bytes = 1048576;
-constexpr std::uint32_t min_memory_mb = 64;
 constexpr std::uint32_t max_memory_mb = 1000000;
 constexpr std::uint32_t max_shutdown_ms = 3600000;
 constexpr std::uint32_t default_killed_after_ms = 66000;
@@ -298,8 +297,7 @@
             0,
             max_body_bytes));
     BOOST_LEAF_ASSIGN(
-        limits.memory_mb,
-        in.count("limits", "memory_mb", 0, min_memory_mb, max_memory_mb));
+        limits.memory_mb, in.count("limits", "memory_mb", 0, 0, max_memory_mb));
     return limits;
 }
 
