--- a/review/stand_in_2/upstream.cpp
+++ b/review/stand_in_2/upstream.cpp
@@ -71,11 +71,19 @@
             from.send(make_answer(status_misdirected, head, ""));
             continue;
         }
-        std::this_thread::sleep_for(options_.work);
+        int status = status_ok;
+        if (options_.run)
+        {
+            status = options_.run(*request);
+        }
+        else
+        {
+            std::this_thread::sleep_for(options_.work);
+        }
         head.emplace(
             "nutmegusher-response-signature", options_.id + "." + attempt);
         if (!from.send(
-                make_answer(status_ok, head, "answer to " + attempt + "\n")))
+                make_answer(status, head, "answer to " + attempt + "\n")))
         {
             return;
         }
--- a/review/stand_in_2/upstream.hpp
+++ b/review/stand_in_2/upstream.hpp
@@ -3,6 +3,7 @@
 #define REVIEW_STAND_IN_2_UPSTREAM_HPP
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -25,6 +26,8 @@
     // Unix milliseconds of its start by its own clock; 0: not reported.
     std::int64_t born = 0;
     milliseconds work{20};
+    // Runs a request and returns the answer's status; instead of `work`.
+    std::function<int(const message&)> run;
     int slots = 32;
 };
 
