--- a/review/stand_in_2/stop_case.cpp
+++ b/review/stand_in_2/stop_case.cpp
@@ -127,7 +127,7 @@
     const auto answer = exchange(
         at.callers(host),
         make_request(
-            "GET",
+            path.starts_with("/pay/") ? "POST" : "GET",
             path + "/" + id,
             {{"host", host_name},
              {"nutmegusher-attempt-id", id},
@@ -260,7 +260,7 @@
     site_options options;
     options.services = {"pay", "look", "desk"};
     options.routes = {
-        {"pay", "/pay/", "safe", "pay"},
+        {"pay", "/pay/", "unsafe", "pay"},
         {"look", "/look/", "safe", "look"},
         {"view", "/view/", "safe", "look"}};
     options.timeout_ms = static_cast<int>(time_limit.count());
