--- a/review/stand_in_2/http.cpp
+++ b/review/stand_in_2/http.cpp
@@ -79,7 +79,7 @@
 {
     for (const auto& [name, value] : head)
     {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     text += "content-length: " + std::to_string(body.size()) + "\r\n\r\n";
     return text + body;
