--- a/review/stand_in_2/stop_case.cpp
+++ b/review/stand_in_2/stop_case.cpp
@@ -2,6 +2,7 @@
 // works on; the backend makes a call more than three seconds after SIGTERM.
 //
 //     stop_case REPOSITORY FOLDER RECORD TROUBLE
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -21,6 +22,8 @@
 constexpr int status_error = 500;
 constexpr milliseconds start_timeout(30000);
 constexpr milliseconds time_limit(6000);
+// The longest time limit of a backend's call on the site's sheet.
+constexpr milliseconds call_time_limit(3000);
 constexpr milliseconds grace_period(6000);
 // Requests that were sent no later than this after SIGTERM may be broken off.
 constexpr milliseconds excused_until(3000);
@@ -65,8 +68,9 @@
         std::this_thread::sleep_for(milliseconds(work));
         call_result made;
         made.sent = clock::now();
-        const auto left =
-            std::chrono::duration_cast<milliseconds>(deadline - made.sent);
+        const auto left = std::min(
+            std::chrono::duration_cast<milliseconds>(deadline - made.sent),
+            call_time_limit);
         const auto id = request.field("nutmegusher-attempt-id") + ".1";
         const auto to = at_.callers(stopped_host);
         events_.line("i-pay: sends call " + id + " /look/" + rest);
