--- a/review/stand_in_2/restart_case.cpp
+++ b/review/stand_in_2/restart_case.cpp
@@ -4,6 +4,7 @@
 //     restart_case REPOSITORY FOLDER RECORD TROUBLE
 #include <cstdio>
 #include <iostream>
+#include <list>
 #include <string>
 
 #include "upstream.hpp"
@@ -16,6 +17,8 @@
 constexpr int rule_held = 0;
 constexpr int rule_broken = 1;
 constexpr int could_not_run = 2;
+// One of ten backends goes down and up: `srv_flap` has a share of 0.1.
+constexpr std::size_t backends = 10;
 constexpr milliseconds start_timeout(30000);
 // Bounds of the deployment's settings.
 constexpr milliseconds drain_bound(2000);
@@ -25,7 +28,7 @@
 // The backend goes down and up again.
 constexpr milliseconds up_time(700);
 constexpr milliseconds down_time(700);
-constexpr milliseconds request_interval(50);
+constexpr milliseconds request_interval(20);
 constexpr milliseconds request_timeout(5000);
 constexpr milliseconds serving_after_drain(8000);
 
@@ -41,7 +44,7 @@
     upstream_options made;
     made.id = id;
     made.service = "payments";
-    made.zone = "zone-" + std::to_string(daemon + 1);
+    made.zone = "zone-" + std::to_string(daemon % 3 + 1);
     made.at = at.upstream(daemon);
     made.reports = at.reports(daemon);
     made.born = unix_milliseconds();
@@ -116,14 +119,19 @@
     {
         return could_not_run;
     }
-    for (std::size_t i = 0; i < 2; ++i)
+    for (std::size_t i = 0; i < backends; ++i)
     {
         if (!at.wait_until_ready(i, start_timeout))
         {
             return could_not_run;
         }
     }
-    const upstream other(make_options(at, 1, "i-other"), events);
+    std::list<upstream> others;
+    for (std::size_t i = 1; i < backends; ++i)
+    {
+        const auto id = "i-other-" + std::to_string(i);
+        others.emplace_back(make_options(at, i, id), events);
+    }
     auto first = make_options(at, 0, "i-again");
     if (trouble)
     {
@@ -140,7 +148,7 @@
     std::this_thread::sleep_for(down_time);
     again = std::make_unique<upstream>(make_options(at, 0, "i-again"), events);
 
-    const callers calling(at, 2, events);
+    const callers calling(at, backends, events);
     // Longer than the window in which a machine isn't in touch.
     std::this_thread::sleep_for(contact_window + milliseconds(2000));
     const auto before = again->arrivals().size();
@@ -180,7 +188,7 @@
     }
     record events(arguments[3]);
     site_options options;
-    options.services = {"payments", "payments"};
+    options.services.assign(backends, "payments");
     options.routes = {{"pay", "/pay/", "safe", "payments"}};
     site at(options, arguments[1], arguments[2], events);
     const bool trouble = std::string(arguments[4]) != "0";
