Log and count what the end of a stop breaks off

A stopping daemon that reaches its limit answers what is in flight by itself. Event 400 then says that a request was given up on, as it does for every refusal; nothing says that an upstream was at work, that the end of the stop is the cause, or how much of its own time the request had left. An answer that is cut while it is streamed leaves no trace at all, and neither does a call of another daemon.

Event 407 and the counter requests_given_up name each such request, on both sides of a call and on the native path.

--- a/nutmegusher/base/events.cpp
+++ b/nutmegusher/base/events.cpp
@@ -127,6 +127,8 @@
     event_description{
         event::request_cancelled, "request_cancelled", severity::info},
     event_description{event::memory_short, "memory_short", severity::warning},
+    event_description{
+        event::request_given_up, "request_given_up", severity::warning},
     event_description{event::claim_refused, "claim_refused", severity::info},
     event_description{
         event::claim_unreachable, "claim_unreachable", severity::warning},
--- a/nutmegusher/base/events.hpp
+++ b/nutmegusher/base/events.hpp
@@ -79,6 +79,7 @@
     request_quarantined = 404,
     request_cancelled = 405,
     memory_short = 406,
+    request_given_up = 407,
     claim_refused = 500,
     claim_unreachable = 501,
     outcome_not_recorded = 502,
--- a/nutmegusher/node/decision_counters.hpp
+++ b/nutmegusher/node/decision_counters.hpp
@@ -39,6 +39,8 @@
     // there were as many as there may be [listener].
     connections_ended,
     connections_refused,
+    // Requests whose work the end of a stop interrupted [side].
+    requests_given_up,
 };
 
 // Thread-safe.
--- a/nutmegusher/node/forward_try.cpp
+++ b/nutmegusher/node/forward_try.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/node/forward_try.hpp"
 
+#include "nutmegusher/node/given_up_request.hpp"
+
 #include <array>
 #include <charconv>
 
@@ -187,7 +189,15 @@
             }
         };
         call_.exchange.on_disconnect(end);
-        call_.exchange.on_give_up(end);
+        call_.exchange.on_give_up(
+            [end, weak]
+            {
+                if (const auto self = weak.lock())
+                {
+                    (*self)->record_given_up();
+                }
+                end();
+            });
     }
     start_slow_try_timer();
     if (!bodiless)
@@ -201,6 +211,19 @@
     co_return co_await read_answer();
 }
 
+void forward_try::record_given_up() const
+{
+    given_up_request ended;
+    ended.side = call_side::entry;
+    ended.request = call_.request.str();
+    ended.class_name = call_.work_class->id.str();
+    ended.phase = request_phase::running;
+    ended.sub_call = call_.origin == request_origin::own_upstream;
+    ended.arrived = call_.arrived;
+    ended.deadline = call_.deadline;
+    node::record_given_up(call_.owner.shared, ended);
+}
+
 // Pattern of load: one of several upstreams is slow. Without the timer, every
 // call routed to it waits there until its deadline.
 void forward_try::start_slow_try_timer()
--- a/nutmegusher/node/forward_try.hpp
+++ b/nutmegusher/node/forward_try.hpp
@@ -63,6 +63,7 @@
     void apply_feedback(const wire::response_head& head);
     void start_slow_try_timer();
     void switch_if_faster();
+    void record_given_up() const;
     void report(try_end how);
     try_failed refused_by_peer(const refusal& refused);
     try_failed failed(wire::stream_failure failure);
--- a/nutmegusher/node/metrics.cpp
+++ b/nutmegusher/node/metrics.cpp
@@ -36,11 +36,6 @@
         latency_axis(latency_bins, min_latency_ms, max_latency_ms));
 }
 
-std::string_view side_text(call_side side)
-{
-    return side == call_side::entry ? "entry" : "upstream";
-}
-
 struct class_counts
 {
     std::uint64_t completed = 0;
@@ -82,7 +77,7 @@
 std::string labels_of(const class_key& key)
 {
     return "class=\"" + key.first.str() + "\",side=\"" +
-           std::string(side_text(key.second)) + "\"";
+           std::string(to_string(key.second)) + "\"";
 }
 
 void append_class(
@@ -150,7 +145,7 @@
     }
     return {
         {"class", key.first.str()},
-        {"side", side_text(key.second)},
+        {"side", to_string(key.second)},
         {"completed", counts.completed},
         {"tries", counts.tries},
         {"refused", std::move(refused)},
@@ -160,6 +155,11 @@
 
 } // namespace
 
+std::string_view to_string(call_side side)
+{
+    return side == call_side::entry ? "entry" : "upstream";
+}
+
 std::string_view to_string(request_phase phase)
 {
     switch (phase)
--- a/nutmegusher/node/metrics.hpp
+++ b/nutmegusher/node/metrics.hpp
@@ -25,7 +25,10 @@
     upstream // to the upstream on this host
 };
 
-// What a request was doing when its caller left.
+[[nodiscard]] std::string_view to_string(call_side side);
+
+// What a request was doing when its caller left, or when the process gave it
+// up.
 enum class request_phase : std::uint8_t
 {
     admission, // waiting at the entry, not yet sent to any upstream
--- a/nutmegusher/node/upstream_chain.cpp
+++ b/nutmegusher/node/upstream_chain.cpp
@@ -2,6 +2,7 @@
 
 #include "nutmegusher/node/claim_filter.hpp"
 #include "nutmegusher/node/filter_chain.hpp"
+#include "nutmegusher/node/given_up_request.hpp"
 #include "nutmegusher/node/peer_call.hpp"
 #include "nutmegusher/node/upstream_filter.hpp"
 
@@ -185,6 +186,20 @@
     }
 };
 
+void record_given_up(const peer_call& call)
+{
+    given_up_request ended;
+    ended.side = call_side::upstream;
+    ended.request = call.metadata.request.str();
+    ended.class_name = call.metadata.work_class.str();
+    ended.phase = call.result == call_result::never_started
+                      ? request_phase::queued
+                      : request_phase::running;
+    ended.arrived = call.arrived;
+    ended.deadline = call.metadata.deadline;
+    node::record_given_up(call.owner.shared, ended);
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -193,13 +208,18 @@
     peer_call call(owner, std::move(stream));
     std::weak_ptr<cancellation> weak = call.cancelled;
     call.stream->on_cancelled(
-        [weak]
+        [weak, &call]
         {
+            // Only the call holds it.
             const auto shared = weak.lock();
             if (!shared)
             {
                 return;
             }
+            if (!call.stream->cancelled())
+            {
+                record_given_up(call);
+            }
             shared->requested = true;
             if (shared->stop)
             {
--- a/nutmegusher/routed/entry.cpp
+++ b/nutmegusher/routed/entry.cpp
@@ -40,6 +40,37 @@
     co_await internal::send_until_answered(request);
 }
 
+// Records the request if it ends without having returned, as all work of the
+// process is cancelled at its end.
+class end_record
+{
+public:
+    explicit end_record(const entry_request& request)
+        : request_(request)
+    {
+    }
+
+    ~end_record()
+    {
+        if (!returned_)
+        {
+            internal::record_given_up(request_);
+        }
+    }
+
+    end_record(const end_record&) = delete;
+    end_record& operator=(const end_record&) = delete;
+
+    void set_returned()
+    {
+        returned_ = true;
+    }
+
+private:
+    const entry_request& request_;
+    bool returned_ = false;
+};
+
 } // namespace
 
 asio::awaitable<void> serve_routed_request(
@@ -51,12 +82,15 @@
     {
         co_return; // the caller has gone or was refused
     }
+    end_record record(request);
     const auto ended = co_await exchange.run(serve(request));
+    record.set_returned();
     if (ended == node::handling_end::given_up)
     {
         request.may_have_run = request.may_have_run ||
                                (request.current_try &&
                                 request.current_try->progress.may_have_run());
+        internal::record_given_up(request);
         co_await internal::give_up(request, internal::stopping(request));
     }
     if (ended == node::handling_end::caller_left)
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -1,5 +1,7 @@
 #include "nutmegusher/routed/entry_answer.hpp"
 
+#include "nutmegusher/node/given_up_request.hpp"
+
 #include <array>
 #include <span>
 #include <utility>
@@ -71,6 +73,22 @@
 
 } // namespace
 
+void record_given_up(const entry_request& request)
+{
+    const auto name = request.metrics_class();
+    node::given_up_request ended;
+    ended.side = node::call_side::entry;
+    ended.request = request.call.metadata.id;
+    ended.class_name = name.str();
+    ended.phase = request.phase;
+    ended.result =
+        request.may_have_run ? call_outcome::unknown : call_outcome::not_run;
+    ended.sub_call = request.call.metadata.sub_call;
+    ended.arrived = request.arrived;
+    ended.deadline = request.call.metadata.deadline;
+    node::record_given_up(request.state.process, ended);
+}
+
 void note_cancelled(const entry_request& request)
 {
     using milliseconds = std::chrono::duration<double, std::milli>;
--- a/nutmegusher/routed/entry_answer.hpp
+++ b/nutmegusher/routed/entry_answer.hpp
@@ -22,6 +22,9 @@
 // Records that the caller has left, and that all work on its request has ended.
 void note_cancelled(const entry_request& request);
 
+// Records that the end of this process's stop interrupts the request.
+void record_given_up(const entry_request& request);
+
 // The refusal of a request while this process stops; daemons on other hosts can
 // serve the caller.
 [[nodiscard]] node::refusal stopping(const entry_request& request);
--- a/nutmegusher/routed/peer_exchange.cpp
+++ b/nutmegusher/routed/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "nutmegusher/routed/peer_exchange.hpp"
 
+#include "nutmegusher/node/given_up_request.hpp"
 #include "nutmegusher/node/growing_body.hpp"
 #include "nutmegusher/routed/peer_fields.hpp"
 #include "nutmegusher/routed/upstream_run.hpp"
@@ -488,6 +489,25 @@
         progress.may_have_run()};
 }
 
+void record_given_up(
+    const routed_state& state,
+    const routed_call& call,
+    const run_progress& progress,
+    time_point arrived)
+{
+    const auto name = class_of(state, call);
+    node::given_up_request ended;
+    ended.side = node::call_side::upstream;
+    ended.request = call.metadata.id;
+    ended.class_name = name.str();
+    ended.phase = progress.phase;
+    ended.result =
+        progress.may_have_run() ? call_outcome::unknown : call_outcome::not_run;
+    ended.arrived = arrived;
+    ended.deadline = call.metadata.deadline;
+    node::record_given_up(state.process, ended);
+}
+
 } // namespace
 
 bool is_routed_call(const wire::request_head& head)
@@ -500,6 +520,7 @@
     routed_state& state,
     std::shared_ptr<wire::server_stream> stream)
 {
+    const auto arrived = host_clock().now();
     node::held_memory memory(state.process.request_memory);
     routed_call call;
     auto metadata = parse_metadata(stream->head().fields);
@@ -527,6 +548,7 @@
     }
     if (!stream->cancelled())
     {
+        record_given_up(state, call, progress, arrived);
         co_await write_failure(
             *stream, given_up(progress), own_load_report(state, call.metadata));
         co_return;
