Pass on only what ends before a stopping daemon gives up

What callers saw: the upstream beside a daemon that is stopped goes on working, and its calls were taken until halfway to the giving up (3.8 s of 6 s), whatever time they might need.

Cause: intake ended at a share of a span of time.

drain_window: from the end of accept_ms on, at the latest from the middle of the stop, a request is handed to an upstream or to another daemon only if its own time limit ends before the process gives up. That limit is the one bound on the work that every process keeps. It is asked for at each hand-over, so further tries, slow bodies, waits for a slot, for routes and for slow start are included, and it holds on the native path and for calls of other daemons too. What is refused hasn't run, and is told when the process will be gone.

--- a/nutmegusher/node/daemon_stop.cpp
+++ b/nutmegusher/node/daemon_stop.cpp
@@ -1,10 +1,10 @@
 // Carries out the graceful shutdown of a process; `stop_sequence` decides when
 // each step begins.
 #include "nutmegusher/node/daemon_state.hpp"
+#include "nutmegusher/node/stop_plan.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace nutmegusher::node
@@ -13,41 +13,6 @@
 namespace
 {
 
-// The upstream still takes other daemons' calls for this fraction of the time
-// in which connections are accepted, which shortens its absence during a
-// restart; the rest of that time is for its calls in flight to finish.
-constexpr int leave_delay_numerator = 3;
-constexpr int leave_delay_denominator = 5;
-// Within this time the other daemons learn that the upstream takes no more
-// calls, and callers learn that the process stops.
-constexpr duration leave_propagation_time = std::chrono::milliseconds(500);
-// Time reserved at the end of the shutdown limit for writing the final answers
-// of requests that are given up.
-constexpr duration max_closing_time = std::chrono::milliseconds(1300);
-constexpr int closing_divisor = 15;
-
-// `sub_calls_use_callers_listener`: the upstream on this host sends its
-// sub-calls to the callers' listener.
-stop_times make_stop_times(
-    const shutdown_settings& from, bool sub_calls_use_callers_listener)
-{
-    const auto closing_time =
-        std::min(max_closing_time, from.limit / closing_divisor);
-    stop_times times;
-    times.leave_after =
-        from.accept_for * leave_delay_numerator / leave_delay_denominator;
-    times.close_callers_after =
-        std::max(from.accept_for, leave_propagation_time);
-    times.give_up_after = from.limit - closing_time;
-    const auto drain_time = times.give_up_after - times.close_callers_after;
-    times.close_callers_deadline =
-        times.close_callers_after +
-        (sub_calls_use_callers_listener ? drain_time / 2 : duration::zero());
-    times.end_after = from.limit;
-    times.session_close_timeout = closing_time;
-    return times;
-}
-
 void close_after_answers(listeners& worker_listeners)
 {
     if (worker_listeners.callers)
@@ -124,9 +89,12 @@
     // waiting until there are none would nearly always run into the deadline.
     const bool sub_calls_use_callers_listener =
         optional_extension && configured.listen.callers && !control;
-    auto stop = stop_sequence::begin(
-        make_stop_times(configured.shutdown, sub_calls_use_callers_listener),
-        host_clock().now());
+    const auto plan =
+        make_stop_plan(configured.shutdown, sub_calls_use_callers_listener);
+    const auto begun = host_clock().now();
+    shared.drain.begin(
+        begun + plan.bounded_after, begun + plan.times.give_up_after);
+    auto stop = stop_sequence::begin(plan.times, begun);
     asio::steady_timer timer(first().context);
     std::optional<stop_step> entered_step;
     open_counts open;
--- a/nutmegusher/node/decision_counters.cpp
+++ b/nutmegusher/node/decision_counters.cpp
@@ -34,6 +34,7 @@
     counter_name{"returns_not_promised", "rank"},
     counter_name{"connections_ended", "listener"},
     counter_name{"connections_refused", "listener"},
+    counter_name{"requests_outlasting_stop", "side"},
     counter_name{"requests_given_up", "side"},
 };
 
--- a/nutmegusher/node/decision_counters.hpp
+++ b/nutmegusher/node/decision_counters.hpp
@@ -39,6 +39,9 @@
     // there were as many as there may be [listener].
     connections_ended,
     connections_refused,
+    // Requests that weren't handed to an upstream, as they might have outlasted
+    // this process's stop [side].
+    requests_outlasting_stop,
     // Requests whose work the end of a stop interrupted [side].
     requests_given_up,
 };
--- a/nutmegusher/node/forward_filter.cpp
+++ b/nutmegusher/node/forward_filter.cpp
@@ -45,6 +45,11 @@
                 co_await give_up(last_refusal_.value_or(deadline_refusal()));
                 co_return;
             }
+            if (!ends_before_stop())
+            {
+                co_await give_up(outlasting_stop());
+                co_return;
+            }
             auto to = call_.owner.shared.routes.start(
                 call_.work_class->service,
                 call_.info(),
@@ -237,6 +242,35 @@
         co_await call_.refuse(reported);
     }
 
+    // Whether the call ends before this process gives up what is in flight.
+    [[nodiscard]] bool ends_before_stop() const
+    {
+        auto& shared = call_.owner.shared;
+        const bool ends =
+            shared.drain.admits(host_clock().now(), call_.deadline);
+        if (!ends)
+        {
+            shared.decisions.add(
+                decision_counter::requests_outlasting_stop,
+                to_string(call_side::entry));
+        }
+        return ends;
+    }
+
+    [[nodiscard]] refusal outlasting_stop() const
+    {
+        if (may_have_run_)
+        {
+            return *last_refusal_;
+        }
+        const auto time_left =
+            call_.owner.shared.drain.time_left(host_clock().now());
+        return {
+            call_reason::leaving,
+            call_outcome::not_run,
+            std::max(min_retry_after, time_left)};
+    }
+
     [[nodiscard]] static refusal deadline_refusal()
     {
         return {call_reason::deadline, call_outcome::not_run};
--- a/nutmegusher/node/upstream_chain.cpp
+++ b/nutmegusher/node/upstream_chain.cpp
@@ -77,6 +77,21 @@
     return call_reason::leaving;
 }
 
+// Whether the call ends before this process gives up what is in flight.
+bool ends_before_stop(const peer_call& call)
+{
+    auto& shared = call.owner.shared;
+    const bool ends =
+        shared.drain.admits(host_clock().now(), call.metadata.deadline);
+    if (!ends)
+    {
+        shared.decisions.add(
+            decision_counter::requests_outlasting_stop,
+            to_string(call_side::upstream));
+    }
+    return ends;
+}
+
 // Asks the admission controller for a slot; the call is admitted, queued or
 // refused.
 class admission_filter
@@ -108,6 +123,13 @@
             co_return;
         }
         slot held_slot(call, info);
+        if (!ends_before_stop(call))
+        {
+            const refusal refused{
+                call_reason::leaving, call_outcome::not_run, min_retry_after};
+            co_await call.refuse(refused);
+            co_return;
+        }
         call.release_slot = [&held_slot]
         {
             held_slot.release_now();
--- a/nutmegusher/node/worker.hpp
+++ b/nutmegusher/node/worker.hpp
@@ -10,6 +10,7 @@
 #include "nutmegusher/node/configuration_controller.hpp"
 #include "nutmegusher/node/crash_tracker.hpp"
 #include "nutmegusher/node/decision_counters.hpp"
+#include "nutmegusher/node/drain_window.hpp"
 #include "nutmegusher/node/memory_account.hpp"
 #include "nutmegusher/node/metrics.hpp"
 #include "nutmegusher/node/own_upstream.hpp"
@@ -57,6 +58,8 @@
     memory_account control_memory;
     metrics request_metrics;
     decision_counters decisions;
+    // Bounds what is handed to upstreams during a graceful shutdown.
+    drain_window drain;
     // A graceful shutdown has begun.
     std::atomic<bool> stopping = false;
     // The shutdown has reached the step from which only sub-calls of the own
--- a/nutmegusher/routed/entry_admission.cpp
+++ b/nutmegusher/routed/entry_admission.cpp
@@ -228,6 +228,10 @@
     {
         co_return stopping(request);
     }
+    if (!ends_before_stop(request))
+    {
+        co_return outlasting_stop(request);
+    }
     // Before anything that a team's excess could take from others.
     if (const auto rejection = co_await state_->token.take())
     {
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "nutmegusher/node/given_up_request.hpp"
 
+#include <algorithm>
 #include <array>
 #include <span>
 #include <utility>
@@ -116,6 +117,29 @@
         retry_after_stopping};
 }
 
+bool ends_before_stop(const entry_request& request)
+{
+    auto& process = request.state.process;
+    const bool ends = process.drain.admits(
+        host_clock().now(), request.call.metadata.deadline);
+    if (!ends)
+    {
+        process.decisions.add(
+            node::decision_counter::requests_outlasting_stop,
+            to_string(node::call_side::entry));
+    }
+    return ends;
+}
+
+refusal outlasting_stop(const entry_request& request)
+{
+    auto details = stopping(request);
+    const auto time_left =
+        request.state.process.drain.time_left(host_clock().now());
+    details.retry_after = std::max(details.retry_after, time_left);
+    return details;
+}
+
 refusal no_routes_known()
 {
     return {
--- a/nutmegusher/routed/entry_answer.hpp
+++ b/nutmegusher/routed/entry_answer.hpp
@@ -29,6 +29,13 @@
 // serve the caller.
 [[nodiscard]] node::refusal stopping(const entry_request& request);
 
+// Whether the request may be handed to an upstream now. Counts it if not, as
+// this process would give it up before its time limit.
+[[nodiscard]] bool ends_before_stop(const entry_request& request);
+
+// The refusal of a request for which `ends_before_stop` is false.
+[[nodiscard]] node::refusal outlasting_stop(const entry_request& request);
+
 // The refusal of a request while no document of routes is known.
 [[nodiscard]] node::refusal no_routes_known();
 
--- a/nutmegusher/routed/entry_forwarding.cpp
+++ b/nutmegusher/routed/entry_forwarding.cpp
@@ -422,6 +422,14 @@
             co_await give_up(request, quarantined(request));
             co_return;
         }
+        if (!ends_before_stop(request))
+        {
+            co_await give_up(
+                request,
+                request.may_have_run ? final_refusal(request)
+                                     : outlasting_stop(request));
+            co_return;
+        }
         auto to = next_upstream(request);
         if (!to)
         {
--- a/nutmegusher/routed/upstream_run.cpp
+++ b/nutmegusher/routed/upstream_run.cpp
@@ -309,6 +309,20 @@
         co_return std::nullopt;
     }
 
+    // Whether the call ends before this process gives up what is in flight.
+    [[nodiscard]] bool ends_before_stop() const
+    {
+        const bool ends = state_.process.drain.admits(
+            host_clock().now(), call_.metadata.deadline);
+        if (!ends)
+        {
+            state_.process.decisions.add(
+                node::decision_counter::requests_outlasting_stop,
+                to_string(node::call_side::upstream));
+        }
+        return ends;
+    }
+
     // The upstream may have begun to leave or been replaced while the call
     // waited.
     asio::awaitable<routed_result> exchange()
@@ -322,6 +336,10 @@
         {
             co_return not_run(call_reason::deadline, duration::zero());
         }
+        if (!ends_before_stop())
+        {
+            co_return not_run(call_reason::leaving, retry_after_leaving);
+        }
         const auto judgement =
             state_.process.crashes.assess(call_.metadata.digest);
         if (judgement.suspicion == crash_suspicion::quarantined)
