Let the block of an endless rejection outlive its test

The script of the upstream read a variable of the test's body after that body had ended. What the test checks is unchanged.

--- a/nutmegusher/routed/rejecting_upstream_test.cpp
+++ b/nutmegusher/routed/rejecting_upstream_test.cpp
@@ -162,8 +162,9 @@
     {
         block += GetParam().repeated;
     }
+    // The script runs on after this function has returned.
     start(
-        [&block](tcp::socket& socket)
+        [block = std::move(block)](tcp::socket& socket)
         {
             beast::flat_buffer buffer;
             const auto request = read_request(socket, buffer);
