Record answers that the end of a stop cuts in their middle

Event 407 was missing where the process ended while an answer was being written to the caller: the write failed, and the request returned as if it had ended. It also said not-run of requests whose answer had begun.

--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -70,6 +70,7 @@
             co_await request.exchange.write_some(std::span(chunk).first(*got));
         memory.note_progress();
     }
+    co_await wire::interruption_point();
 }
 
 } // namespace
@@ -82,8 +83,8 @@
     ended.request = request.call.metadata.id;
     ended.class_name = name.str();
     ended.phase = request.phase;
-    ended.result =
-        request.may_have_run ? call_outcome::unknown : call_outcome::not_run;
+    ended.result = request.may_have_reached_upstream() ? call_outcome::unknown
+                                                       : call_outcome::not_run;
     ended.sub_call = request.call.metadata.sub_call;
     ended.arrived = request.arrived;
     ended.deadline = request.call.metadata.deadline;
@@ -207,7 +208,9 @@
         // way.
         request.call.body = node::body_blocks();
         request.memory.release();
+        request.phase = node::request_phase::answering;
         co_await request.exchange.answer(std::move(answer.head), answer.body);
+        co_await wire::interruption_point();
         co_return;
     }
     request.phase = node::request_phase::answering;
@@ -220,7 +223,9 @@
     {
         answer.memory.note_progress();
         co_await forward_rest(request, answer.memory, *answer.rest);
+        co_return;
     }
+    co_await wire::interruption_point();
 }
 
 } // namespace nutmegusher::routed::internal
--- a/nutmegusher/routed/given_up_request_test.cpp
+++ b/nutmegusher/routed/given_up_request_test.cpp
@@ -1,7 +1,9 @@
 // Requests that a daemon still works on when its shutdown reaches its limit.
 #include "nutmegusher/routed/test_path.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 
 namespace nutmegusher::routed
 {
@@ -104,5 +106,43 @@
     EXPECT_TRUE(counts_one(*entry, "entry"));
 }
 
+// Guards against answers that are cut in their middle without a trace.
+TEST_F(given_up_request, is_counted_if_its_answer_is_cut)
+{
+    constexpr std::size_t length = 2'000'000;
+    start(
+        [this](tcp::socket& socket)
+        {
+            beast::flat_buffer buffer;
+            const auto request = read_request(socket, buffer);
+            const auto beginning =
+                "HTTP/1.1 200 OK\r\nnutmeg-request-id: " + id_of(*request) +
+                "\r\ncontent-length: " + std::to_string(length) + "\r\n\r\n" +
+                std::string(length / 2, 'x');
+            boost::system::error_code failed;
+            asio::write(socket, asio::buffer(beginning), failed);
+            while (blocked)
+            {
+                std::this_thread::sleep_for(poll_interval);
+            }
+        });
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(entry->caller_server->local_endpoint());
+    http::write(socket, make_request("/views/1", "id-1", ""));
+    std::array<char, length / 4> part{};
+    asio::read(socket, asio::buffer(part));
+    std::promise<void> ended;
+    asio::co_spawn(
+        entry->worker.context,
+        entry->caller_server->end(),
+        [&ended](const std::exception_ptr&)
+        {
+            ended.set_value();
+        });
+    ended.get_future().wait();
+    EXPECT_TRUE(counts_one(*entry, "entry"));
+}
+
 } // namespace
 } // namespace nutmegusher::routed
