--- a/nutmegusher/node/drain_window_test.cpp
+++ b/nutmegusher/node/drain_window_test.cpp
@@ -182,10 +182,10 @@
             {
                 continue;
             }
-            const bool is_hopeful = now_ < bounded_from();
+            const bool is_before_bound = now_ < bounded_from();
             const bool ends_in_time =
                 each.deadline <= begin_time + plan_.times.give_up_after;
-            bounded_ += is_hopeful ? 0 : 1;
+            bounded_ += is_before_bound ? 0 : 1;
             if (drain_.admits(now_, each.deadline))
             {
                 running_.push_back(each);
@@ -193,7 +193,7 @@
             }
             else
             {
-                refused_in_vain_ += is_hopeful || ends_in_time ? 1 : 0;
+                refused_in_vain_ += is_before_bound || ends_in_time ? 1 : 0;
             }
         }
         std::erase_if(
