Read no failure of a try that brought an error answer

Where a stopping daemon doesn't retry an error answer elsewhere, it read the failure of the last try, and there is none after an answer. Found by reading; the value wasn't used, as the error answer is forwarded, and no run showed an effect. The new test passes before as well. The record of what is given up now refers to the process by the worker, which outlives the state of routed requests.

--- a/nutmegusher/node/stop_plan.cpp
+++ b/nutmegusher/node/stop_plan.cpp
@@ -20,8 +20,8 @@
 // of requests that are given up.
 constexpr duration max_closing_time = std::chrono::milliseconds(1300);
 constexpr int closing_divisor = 15;
-// With settings that accept connections for almost the whole shutdown, requests
-// are still bounded in this last part of it.
+// Requests are bounded from this fraction of the time to the giving up on, even
+// if connections are accepted for longer.
 constexpr int bounded_divisor = 2;
 
 } // namespace
--- a/nutmegusher/routed/entry_answer.cpp
+++ b/nutmegusher/routed/entry_answer.cpp
@@ -88,7 +88,7 @@
     ended.sub_call = request.call.metadata.sub_call;
     ended.arrived = request.arrived;
     ended.deadline = request.call.metadata.deadline;
-    node::record_given_up(request.state.process, ended);
+    node::record_given_up(request.worker.shared, ended);
 }
 
 void note_cancelled(const entry_request& request)
--- a/nutmegusher/routed/entry_forwarding.cpp
+++ b/nutmegusher/routed/entry_forwarding.cpp
@@ -426,8 +426,9 @@
         {
             co_await give_up(
                 request,
-                request.may_have_run ? final_refusal(request)
-                                     : outlasting_stop(request));
+                request.may_have_run && request.last_failure
+                    ? final_refusal(request)
+                    : outlasting_stop(request));
             co_return;
         }
         auto to = next_upstream(request);
--- a/nutmegusher/routed/stopping_path_test.cpp
+++ b/nutmegusher/routed/stopping_path_test.cpp
@@ -240,6 +240,39 @@
     EXPECT_EQ(runs, 1);
 }
 
+// The same where the first try brought an error that is usually retried: its
+// answer is forwarded.
+TEST_F(stopping_path, forwards_the_error_that_it_would_retry_elsewhere)
+{
+    constexpr int runs_before_stop = 40;
+    const auto fail = [this](tcp::socket& socket)
+    {
+        beast::flat_buffer buffer;
+        while (const auto request = read_request(socket, buffer))
+        {
+            if (++runs == runs_before_stop)
+            {
+                begin_bounded_stop(*entry);
+            }
+            auto answer = answer_to(id_of(*request), "failed");
+            answer.result(http::status::internal_server_error);
+            http::write(socket, answer);
+        }
+    };
+    start(fail);
+    start_another(fail);
+    int answers = 0;
+    while (runs < runs_before_stop)
+    {
+        const auto answer = ask("/views/1", "id-" + std::to_string(++answers));
+        EXPECT_EQ(answer.result_int(), 500U);
+        EXPECT_EQ(answer.body(), "failed");
+    }
+    EXPECT_EQ(runs, runs_before_stop);
+    // Some were retried, as the errors of the upstreams are many.
+    EXPECT_LT(answers, runs_before_stop);
+}
+
 // The entry hasn't heard that the daemon beside the upstream stops.
 TEST_F(stopping_path, sends_a_call_elsewhere_that_may_outlast_the_peers_stop)
 {
